--- /dev/null
+++ b/godwitknot/errors.py
@@ -0,0 +1,116 @@
+"""Exception tree: every failure of the package has a type here."""
+
+import attrs
+
+
+class GodwitknotError(Exception):
+    """Root of all errors that this package raises."""
+
+
+class UserError(GodwitknotError):
+    """An error that the command line shows without a traceback."""
+
+    exit_code = 1
+
+
+@attrs.frozen
+class Problem:
+    """One fault in an INI file.
+
+    :param section: section title, empty for the whole file.
+    :param key: key within the section, empty for the whole section.
+    :param expected: what a valid value looks like.
+    :param got: the value found, empty if it is missing.
+    """
+
+    section: str
+    key: str
+    expected: str
+    got: str = ''
+
+    def __str__(self) -> str:
+        """Format as ``[section] key: expected ..., got ...``."""
+        place = f'[{self.section}]' if self.section else 'file'
+        where = f'{place} {self.key}'.rstrip()
+        found = f', got {self.got!r}' if self.got else ''
+        return f'{where}: expected {self.expected}{found}'
+
+
+class InvalidFileError(UserError):
+    """An INI file has faults; ``problems`` lists all of them."""
+
+    exit_code = 3
+
+    def __init__(self, problems: list[Problem]) -> None:
+        """Keep every fault.
+
+        :param problems: the faults, in file order.
+        """
+        super().__init__('\n'.join(str(problem) for problem in problems))
+        self.problems = problems
+
+
+class SettingsError(InvalidFileError):
+    """The node settings are invalid."""
+
+
+class DeclarationError(InvalidFileError):
+    """The declaration of services and classes is invalid."""
+
+
+class ConfigurationConflictError(UserError):
+    """Somebody else changed the configuration first."""
+
+    exit_code = 4
+
+
+class OperationRefusedError(UserError):
+    """The fleet refused an operator's request; the text says why."""
+
+    exit_code = 5
+
+
+class OperationTimeoutError(UserError):
+    """An operation was accepted but not confirmed in time."""
+
+    exit_code = 6
+
+
+class StoreError(GodwitknotError):
+    """The platform's table service or object store failed."""
+
+
+class StoreDownError(StoreError):
+    """The store did not take the request; nothing was written."""
+
+
+class LostAnswerError(StoreError):
+    """A write was sent but its answer was lost; it may have taken effect."""
+
+
+class ConflictError(StoreError):
+    """A conditional write found another version than expected."""
+
+
+class MissingObjectError(StoreError):
+    """The object store has no object of this name."""
+
+
+class CorruptObjectError(StoreError):
+    """The content of an object does not match its digest."""
+
+
+class ProtocolError(GodwitknotError):
+    """A message between nodes, or an HTTP message, is malformed."""
+
+
+class VerificationError(ProtocolError):
+    """A control message or a relay header does not verify."""
+
+
+class MessageTooLargeError(ProtocolError):
+    """A control message exceeds the datagram limit."""
+
+
+class TicketError(GodwitknotError):
+    """An issued idempotency key is malformed, forged or expired."""
--- /dev/null
+++ b/godwitknot/inifile.py
@@ -0,0 +1,114 @@
+"""Reading of INI sections into attrs classes, with all faults at once."""
+
+import configparser
+from collections.abc import Callable, Mapping
+from typing import Any, TypeVar
+
+import attrs
+
+from godwitknot.errors import Problem
+
+Section = TypeVar('Section')
+
+_PARSE = 'parse'
+_EXPECTED = 'expected'
+_SECRET = 'secret'
+
+
+def ini_field(
+    parse: Callable[[str], Any],
+    expected: str,
+    default: Any = attrs.NOTHING,
+    *,
+    secret: bool = False,
+) -> Any:
+    """Declare an attribute that is read from an INI key.
+
+    :param parse: converts the text; raises ``ValueError`` on a bad one.
+    :param expected: what a valid value looks like, for messages.
+    :param default: value if the key is missing; required if left out.
+    :param secret: keep the value out of messages and ``repr``.
+    """
+    return attrs.field(
+        default=default,
+        repr=not secret,
+        metadata={_PARSE: parse, _EXPECTED: expected, _SECRET: secret},
+    )
+
+
+def read_text(text: str) -> tuple[configparser.ConfigParser, list[Problem]]:
+    """Parse INI text.
+
+    :returns: the parser and the faults that made it stop.
+    """
+    parser = configparser.ConfigParser(
+        interpolation=None,
+        comment_prefixes=('#', ';'),
+        inline_comment_prefixes=(';',),
+    )
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        reason = str(error).replace('\n', ' ')
+        return parser, [Problem('', '', 'valid INI', reason)]
+    return parser, []
+
+
+def ini_key(attribute: str) -> str:
+    """Give the INI spelling of an attribute: hyphens for underscores."""
+    return attribute.replace('_', '-')
+
+
+def read_section(
+    cls: type[Section],
+    title: str,
+    values: Mapping[str, str],
+    problems: list[Problem],
+    **fixed: Any,
+) -> Section | None:
+    """Build an attrs instance from one section.
+
+    :param cls: attrs class whose fields use :func:`ini_field`.
+    :param title: section title, for messages.
+    :param values: keys and texts of the section.
+    :param problems: faults found are appended here.
+    :param fixed: attributes that do not come from the section.
+    :returns: the instance, or ``None`` if the section has faults.
+    """
+    before = len(problems)
+    arguments = dict(fixed)
+    known = set()
+    for field in attrs.fields(cls):
+        if _PARSE not in field.metadata:
+            continue
+        key = ini_key(field.name)
+        known.add(key)
+        text = values.get(key)
+        if text is not None:
+            _read_key(field, title, text, arguments, problems)
+        elif field.default is attrs.NOTHING:
+            expected = field.metadata[_EXPECTED]
+            problems.append(Problem(title, key, f'{expected} (required)'))
+    for key in values:
+        if key not in known:
+            expected = f'one of: {", ".join(sorted(known))}'
+            problems.append(Problem(title, key, expected, key))
+    if len(problems) > before:
+        return None
+    return cls(**arguments)
+
+
+def _read_key(
+    field: Any,
+    title: str,
+    text: str,
+    arguments: dict[str, Any],
+    problems: list[Problem],
+) -> None:
+    try:
+        arguments[field.name] = field.metadata[_PARSE](text)
+    except ValueError:
+        expected = field.metadata[_EXPECTED]
+        key = ini_key(field.name)
+        got = '(hidden)' if field.metadata[_SECRET] else text or '(empty)'
+        problems.append(Problem(title, key, expected, got))
--- /dev/null
+++ b/godwitknot/outcomes.py
@@ -0,0 +1,90 @@
+"""Outcomes and stable refusal codes of answers that the fleet gives."""
+
+import enum
+import types
+
+import attrs
+
+from godwitknot.errors import GodwitknotError
+
+
+class Outcome(enum.StrEnum):
+    """What is known about the execution of a request."""
+
+    NOT_RUN = 'not-run'
+    RAN = 'ran'
+    MAY_HAVE_RUN = 'may-have-run'
+
+
+class Code(enum.StrEnum):
+    """Stable reason codes, documented in docs/operations.md."""
+
+    NO_CLASS = 'no-class'
+    NO_SERVER = 'no-server'
+    NOT_READY = 'not-ready'
+    QUEUE_FULL = 'queue-full'
+    DEADLINE_TOO_SHORT = 'deadline-too-short'
+    DEADLINE_PASSED = 'deadline-passed'
+    SHED = 'shed'
+    SERVER_SHED = 'server-shed'
+    EJECTED = 'ejected'
+    DRAINING = 'draining'
+    WRONG_INCARNATION = 'wrong-incarnation'
+    UNREACHABLE = 'unreachable'
+    CONNECTION_LOST = 'connection-lost'
+    BAD_ANSWER = 'bad-answer'
+    KEY_REQUIRED = 'idempotency-key-required'
+    KEY_INVALID = 'idempotency-key-invalid'
+    KEY_REUSED = 'idempotency-key-reused'
+    KEY_OWNER_GONE = 'idempotency-key-owner-gone'
+    ANSWER_NOT_KEPT = 'answer-not-kept'
+    STORE_DOWN = 'store-down'
+    CLAIM_LAPSED = 'claim-lapsed'
+    QUERY_OF_DEATH = 'query-of-death'
+    BODY_TOO_LARGE = 'body-too-large'
+    BAD_REQUEST = 'bad-request'
+    CANCELLED = 'cancelled'
+    RETRY_BUDGET = 'retry-budget-exhausted'
+    LENGTH_REQUIRED = 'length-required-for-http10'
+
+
+_STATUS = types.MappingProxyType(
+    {
+        Code.NO_CLASS: 404,
+        Code.KEY_REQUIRED: 428,
+        Code.KEY_INVALID: 400,
+        Code.KEY_REUSED: 422,
+        Code.KEY_OWNER_GONE: 409,
+        Code.ANSWER_NOT_KEPT: 409,
+        Code.CLAIM_LAPSED: 409,
+        Code.BODY_TOO_LARGE: 413,
+        Code.BAD_REQUEST: 400,
+        Code.LENGTH_REQUIRED: 505,
+        Code.DEADLINE_PASSED: 504,
+        Code.CONNECTION_LOST: 502,
+        Code.BAD_ANSWER: 502,
+        Code.UNREACHABLE: 502,
+    }
+)
+_DEFAULT_STATUS = 503
+
+
+@attrs.define(eq=False)
+class RefusalError(GodwitknotError):
+    """The fleet answers a request itself instead of a backend server.
+
+    :param code: stable reason.
+    :param outcome: whether the request ran; ``NOT_RUN`` only where proved.
+    :param retry_after: seconds until a retry is useful, or ``None``.
+    :param detail: one sentence for a person.
+    """
+
+    code: Code
+    outcome: Outcome = Outcome.NOT_RUN
+    retry_after: int | None = None
+    detail: str = ''
+
+    @property
+    def status(self) -> int:
+        """HTTP status of this refusal."""
+        return _STATUS.get(self.code, _DEFAULT_STATUS)
--- /dev/null
+++ b/godwitknot/settings.py
@@ -0,0 +1,214 @@
+"""Settings of one node, read from an INI file and checked at start."""
+
+import pathlib
+import re
+from collections.abc import Mapping
+
+import attrs
+
+from godwitknot.errors import Problem, SettingsError
+from godwitknot.inifile import ini_field, read_section, read_text
+from godwitknot.units import (
+    Address,
+    parse_address,
+    parse_addresses,
+    parse_duration,
+)
+
+_NAME = re.compile(r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$')
+_MIN_KEY_BYTES = 16
+_MIN_TOKEN_CHARACTERS = 16
+_SERVER_PREFIX = 'server '
+_CURRENT_KEY = 'current'
+_MAX_FLEET_KEYS = 2
+_DEFAULT_POLL_SECONDS = 5.0
+_DEFAULT_STORE_TIMEOUT_SECONDS = 2.0
+_DEFAULT_SLOTS = 4
+
+
+def parse_name(text: str) -> str:
+    """Check a name of a node, server, service or class.
+
+    :raises ValueError: if it has characters other than letters, digits,
+        dot, hyphen and underscore, or over 63 characters.
+    """
+    if not _NAME.match(text):
+        raise ValueError(text)
+    return text
+
+
+def parse_positive(text: str) -> int:
+    """Read a whole number of at least one.
+
+    :raises ValueError: for anything else.
+    """
+    number = int(text)
+    if number < 1:
+        raise ValueError(text)
+    return number
+
+
+def parse_token(text: str) -> str:
+    """Check an operator token.
+
+    :raises ValueError: without the text, if it is too short.
+    """
+    if len(text) < _MIN_TOKEN_CHARACTERS:
+        raise ValueError('token')
+    return text
+
+
+def parse_log_format(text: str) -> str:
+    """Check a log format.
+
+    :raises ValueError: if it is neither ``text`` nor ``json``.
+    """
+    if text not in {'text', 'json'}:
+        raise ValueError(text)
+    return text
+
+
+_HOST_PORT = 'IP number and port, as 10.0.0.1:8100'
+
+
+@attrs.frozen
+class NodeSection:
+    """The ``[node]`` section; see docs/configuration.md."""
+
+    id: str = ini_field(parse_name, 'a name')
+    region: str = ini_field(parse_name, 'a name')
+    failure_domain: str = ini_field(parse_name, 'a name')
+    ingress: Address = ini_field(parse_address, _HOST_PORT)
+    peer: Address = ini_field(parse_address, _HOST_PORT)
+    operator: Address = ini_field(parse_address, _HOST_PORT)
+    operator_token: str = ini_field(
+        parse_token,
+        'at least 16 characters',
+        secret=True,
+    )
+    seeds: tuple[Address, ...] = ini_field(
+        parse_addresses,
+        'peer addresses separated by commas',
+        (),
+    )
+    statsd: Address | None = ini_field(parse_address, _HOST_PORT, None)
+    log_format: str = ini_field(parse_log_format, 'text or json', 'text')
+    poll_interval: float = ini_field(
+        parse_duration,
+        'a duration such as 5s',
+        _DEFAULT_POLL_SECONDS,
+    )
+
+
+@attrs.frozen
+class StoreSection:
+    """The ``[store]`` section: where the platform's services are."""
+
+    tables: Address = ini_field(parse_address, _HOST_PORT)
+    objects: Address = ini_field(parse_address, _HOST_PORT)
+    timeout: float = ini_field(
+        parse_duration, 'a duration such as 2s', _DEFAULT_STORE_TIMEOUT_SECONDS
+    )
+
+
+@attrs.frozen
+class ServerSection:
+    """A ``[server NAME]`` section: one backend server of this instance."""
+
+    name: str
+    service: str = ini_field(parse_name, 'a name')
+    address: Address = ini_field(parse_address, _HOST_PORT)
+    slots: int = ini_field(
+        parse_positive, 'a whole number from 1', _DEFAULT_SLOTS
+    )
+
+
+@attrs.frozen
+class NodeSettings:
+    """All settings of a node.
+
+    :param keys: fleet keys by id; ``current_key`` signs, all verify.
+    """
+
+    node: NodeSection
+    store: StoreSection
+    servers: tuple[ServerSection, ...]
+    current_key: str
+    keys: Mapping[str, bytes] = attrs.field(repr=False)
+
+
+def parse_settings(text: str) -> NodeSettings:
+    """Read node settings.
+
+    :param text: INI text.
+    :raises SettingsError: with every fault in the file.
+    """
+    parser, problems = read_text(text)
+    if problems:
+        raise SettingsError(problems)
+    sections = {title: dict(parser[title]) for title in parser.sections()}
+    node = read_section(NodeSection, 'node', sections.pop('node', {}), problems)
+    store = read_section(
+        StoreSection, 'store', sections.pop('store', {}), problems
+    )
+    current, keys = _read_keys(sections.pop('keys', {}), problems)
+    servers = _read_servers(sections, problems)
+    if problems or node is None or store is None:
+        raise SettingsError(problems)
+    return NodeSettings(node, store, servers, current, keys)
+
+
+def load_settings(path: pathlib.Path) -> NodeSettings:
+    """Read node settings from a file.
+
+    :raises SettingsError: with every fault, also if it cannot be read.
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        reason = Problem('', str(path), 'a readable UTF-8 file', str(error))
+        raise SettingsError([reason]) from error
+    return parse_settings(text)
+
+
+def _read_keys(
+    values: dict[str, str],
+    problems: list[Problem],
+) -> tuple[str, dict[str, bytes]]:
+    current = values.pop(_CURRENT_KEY, '')
+    keys = {}
+    for key_id, text in values.items():
+        try:
+            keys[key_id] = bytes.fromhex(text)
+        except ValueError:
+            keys[key_id] = b''
+        # The value is a secret and so is left out of the message.
+        if len(keys[key_id]) < _MIN_KEY_BYTES:
+            expected = 'at least 32 hexadecimal digits'
+            problems.append(Problem('keys', key_id, expected))
+    if current not in keys:
+        expected = 'the id of a key in this section'
+        problems.append(Problem('keys', _CURRENT_KEY, expected, current))
+    if len(keys) > _MAX_FLEET_KEYS:
+        expected = 'one key, or two during a rotation'
+        problems.append(Problem('keys', '', expected, str(len(keys))))
+    return current, keys
+
+
+def _read_servers(
+    sections: dict[str, dict[str, str]],
+    problems: list[Problem],
+) -> tuple[ServerSection, ...]:
+    servers = []
+    for title, values in sections.items():
+        name = title.removeprefix(_SERVER_PREFIX)
+        if name == title:
+            expected = 'one of [node], [store], [keys], [server NAME]'
+            problems.append(Problem(title, '', expected))
+            continue
+        if not _NAME.match(name):
+            problems.append(Problem(title, '', 'a server name', name))
+            continue
+        server = read_section(ServerSection, title, values, problems, name=name)
+        servers.append(server)
+    return tuple(filter(None, servers))
--- /dev/null
+++ b/godwitknot/units.py
@@ -0,0 +1,114 @@
+"""Durations, sizes, shares and addresses as operators write them."""
+
+import re
+import types
+
+import attrs
+
+_NUMBER = re.compile(r'^\s*(\d+(?:\.\d+)?)\s*([A-Za-z/%]*)\s*$')
+KIB = 1024
+MIB = KIB * KIB
+GIB = KIB * MIB
+_SECONDS = types.MappingProxyType(
+    {'ms': 0.001, 's': 1, 'm': 60, 'min': 60, 'h': 3600},
+)
+_BYTES = types.MappingProxyType(
+    {'': 1, 'B': 1, 'KiB': KIB, 'MiB': MIB, 'GiB': GIB},
+)
+_MAX_PORT = 65535
+
+
+def _split_number(text: str) -> tuple[float, str]:
+    match = _NUMBER.match(text)
+    if match is None:
+        raise ValueError(text)
+    return float(match.group(1)), match.group(2)
+
+
+def parse_duration(text: str) -> float:
+    """Read a duration such as ``250ms``, ``5s`` or ``1h``.
+
+    :returns: seconds.
+    :raises ValueError: if the text is no duration.
+    """
+    number, unit = _split_number(text)
+    if unit not in _SECONDS:
+        raise ValueError(text)
+    return number * _SECONDS[unit]
+
+
+def parse_size(text: str) -> int:
+    """Read a size such as ``64KiB``.
+
+    :returns: bytes.
+    :raises ValueError: if the text is no size.
+    """
+    number, unit = _split_number(text)
+    if unit not in _BYTES:
+        raise ValueError(text)
+    return int(number * _BYTES[unit])
+
+
+def parse_share(text: str) -> float:
+    """Read a share such as ``99.9%``.
+
+    :returns: a number from 0 to 1.
+    :raises ValueError: if the text is no percentage from 0 to 100.
+    """
+    number, unit = _split_number(text)
+    if unit != '%' or number > 100:
+        raise ValueError(text)
+    return number / 100
+
+
+def parse_flag(text: str) -> bool:
+    """Read ``yes`` or ``no``.
+
+    :raises ValueError: for any other text.
+    """
+    if text not in {'yes', 'no'}:
+        raise ValueError(text)
+    return text == 'yes'
+
+
+@attrs.frozen(order=True)
+class Address:
+    """An IP address and port.
+
+    :param host: IP number.
+    :param port: TCP or UDP port.
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Format as ``host:port``."""
+        return f'{self.host}:{self.port}'
+
+    @property
+    def pair(self) -> tuple[str, int]:
+        """The form that the socket module takes."""
+        return (self.host, self.port)
+
+
+def parse_address(text: str) -> Address:
+    """Read ``host:port``.
+
+    :raises ValueError: if the port is missing or out of range.
+    """
+    host, separator, port = text.strip().rpartition(':')
+    if not (host and separator and port.isdigit()):
+        raise ValueError(text)
+    if int(port) > _MAX_PORT:
+        raise ValueError(text)
+    return Address(host, int(port))
+
+
+def parse_addresses(text: str) -> tuple[Address, ...]:
+    """Read addresses separated by commas; an empty text gives none.
+
+    :raises ValueError: if one of them is no address.
+    """
+    parts = [part for part in text.split(',') if part.strip()]
+    return tuple(parse_address(part) for part in parts)
