Add relay messages, strict HTTP servers and client connections

Cause: the data path needs HTTP servers that refuse ambiguous framing and clients that never send a request again by themselves.

--- /dev/null
+++ b/godwitknot/connections.py
@@ -0,0 +1,155 @@
+"""Client connections to servers and nodes, each used by one thread.
+
+urllib3's pools send a request again by themselves unless told not to, and
+hide whether a connection was reused. Both matter here, so the connections
+of urllib3 are pooled by this module.
+"""
+
+import collections
+import select
+import socket
+import threading
+
+import attrs
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+
+from godwitknot.clock import Clock
+from godwitknot.relay import CHUNK_BYTES
+from godwitknot.units import Address
+
+CONNECT_SECONDS = 1.0
+# A server that stalls in the middle of a body is given up after this time.
+_BODY_STALL_SECONDS = 60.0
+# Middleboxes forget idle connections; younger ones are safe to reuse.
+_MAX_IDLE_SECONDS = 20.0
+_MILLISECONDS = 1000
+
+
+class ConnectFailedError(OSError):
+    """No connection was made, so nothing was sent."""
+
+
+@attrs.define(eq=False)
+class Channel:
+    """An open connection.
+
+    :param reused: whether it carried an earlier request.
+    :param opened: when it was opened, seconds.
+    """
+
+    connection: HTTPConnection
+    opened: float
+    reused: bool = False
+    idle_since: float = 0
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self.connection.close()
+
+
+class ChannelPool:
+    """Idle connections to one address.
+
+    :param address: where they lead.
+    """
+
+    def __init__(self, address: Address, clock: Clock, most_idle: int) -> None:
+        """Start without connections.
+
+        :param most_idle: idle connections kept at most.
+        """
+        self.address = address
+        self._clock = clock
+        self._most_idle = most_idle
+        self._idle: collections.deque[Channel] = collections.deque()
+        self._lock = threading.Lock()
+
+    def take(self, *, fresh: bool = False) -> Channel:
+        """Get a connection for one request.
+
+        :param fresh: do not reuse one.
+        :raises ConnectFailedError: if none could be opened.
+        """
+        if not fresh:
+            channel = self._take_idle()
+            if channel is not None:
+                return channel
+        connection = HTTPConnection(
+            self.address.host,
+            self.address.port,
+            timeout=CONNECT_SECONDS,
+            blocksize=CHUNK_BYTES,
+        )
+        try:
+            connection.connect()
+        except (OSError, HTTPError) as error:
+            connection.close()
+            raise ConnectFailedError(str(self.address)) from error
+        connection.timeout = _BODY_STALL_SECONDS
+        connection.sock.settimeout(_BODY_STALL_SECONDS)
+        return Channel(connection, self._clock.now())
+
+    def give(self, channel: Channel) -> None:
+        """Return a connection whose answer was read to its end."""
+        channel.reused = True
+        channel.idle_since = self._clock.now()
+        with self._lock:
+            self._idle.append(channel)
+            surplus = []
+            while len(self._idle) > self._most_idle:
+                surplus.append(self._idle.popleft())
+        for old in surplus:
+            old.close()
+
+    def close_idle(self) -> None:
+        """Drop all idle connections, for example after one went silent."""
+        with self._lock:
+            idle = list(self._idle)
+            self._idle.clear()
+        for channel in idle:
+            channel.close()
+
+    def _take_idle(self) -> Channel | None:
+        while True:
+            with self._lock:
+                if not self._idle:
+                    return None
+                channel = self._idle.pop()
+            age = self._clock.now() - channel.idle_since
+            # Bytes on an idle connection are a late answer or its end.
+            if age < _MAX_IDLE_SECONDS and not _is_readable(channel):
+                return channel
+            channel.close()
+
+
+def _is_readable(channel: Channel) -> bool:
+    sock = channel.connection.sock
+    if sock is None:
+        return True
+    return bool(poll_sockets([sock], 0))
+
+
+def poll_sockets(socks: list[socket.socket], seconds: float) -> list[int]:
+    """Wait until a socket is readable.
+
+    ``poll`` is used because ``select`` fails for descriptors over 1023.
+
+    :param socks: sockets to watch.
+    :param seconds: longest wait.
+    :returns: descriptors that are readable or broken.
+    """
+    poller = select.poll()
+    for sock in socks:
+        poller.register(sock, select.POLLIN)
+    return [fd for fd, _ in poller.poll(seconds * _MILLISECONDS)]
+
+
+def has_left(sock: socket.socket) -> bool:
+    """Tell whether the peer of a readable socket closed it."""
+    try:
+        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
--- /dev/null
+++ b/godwitknot/headers.py
@@ -0,0 +1,101 @@
+"""Header rules of the proxy: what is passed on and what is not."""
+
+from collections.abc import Iterable, Mapping
+
+PREFIX = 'x-godwitknot-'
+ATTEMPT = 'X-Godwitknot-Attempt'
+REQUEST = 'X-Godwitknot-Request'
+CLASS = 'X-Godwitknot-Class'
+DEADLINE_MS = 'X-Godwitknot-Deadline-Ms'
+SERVER = 'X-Godwitknot-Server'
+INCARNATION = 'X-Godwitknot-Incarnation'
+ACCOUNT = 'X-Godwitknot-Account'
+MAC = 'X-Godwitknot-Mac'
+LAST_RESORT = 'X-Godwitknot-Last-Resort'
+OUTCOME = 'X-Godwitknot-Outcome'
+CODE = 'X-Godwitknot-Code'
+LOAD = 'X-Godwitknot-Load'
+SERVER_MS = 'X-Godwitknot-Server-Ms'
+REQUEST_ID = 'X-Request-Id'
+RETRY_AFTER = 'Retry-After'
+IDEMPOTENCY_KEY = 'Idempotency-Key'
+# Time left in milliseconds; callers may send it, backend servers get it.
+TIME_LEFT = 'X-Deadline-Ms'
+# A backend server that sheds a request says so with this header and 503.
+NOT_RUN = 'X-Not-Run'
+
+_HOP_BY_HOP = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    ),
+)
+_ENVIRON_PREFIX = 'HTTP_'
+
+Pairs = list[tuple[str, str]]
+
+
+def read_environ(environ: Mapping[str, object]) -> Pairs:
+    """Give the header fields of a WSGI request.
+
+    :param environ: WSGI environment.
+    :returns: names in title case, with values.
+    """
+    pairs = []
+    for key, text in environ.items():
+        if key.startswith(_ENVIRON_PREFIX):
+            name = key.removeprefix(_ENVIRON_PREFIX)
+            pairs.append((name.replace('_', '-').title(), str(text)))
+    content_type = environ.get('CONTENT_TYPE')
+    if content_type:
+        pairs.append(('Content-Type', str(content_type)))
+    return pairs
+
+
+def strip_hop_by_hop(pairs: Iterable[tuple[str, str]]) -> Pairs:
+    """Leave out the fields that belong to one connection.
+
+    These are the fixed ones and those that ``Connection`` names. The length
+    is left out too, since each hop frames its own message.
+
+    :param pairs: header fields of a request or an answer.
+    """
+    pairs = list(pairs)
+    dropped = _HOP_BY_HOP | {'content-length', 'expect'}
+    named = set()
+    for name, text in pairs:
+        if name.lower() == 'connection':
+            named.update(part.strip().lower() for part in text.split(','))
+    return [
+        (name, text)
+        for name, text in pairs
+        if name.lower() not in dropped and name.lower() not in named
+    ]
+
+
+def strip_own(pairs: Iterable[tuple[str, str]]) -> Pairs:
+    """Leave out this project's own fields, which callers must not set."""
+    return [
+        (name, text)
+        for name, text in pairs
+        if not name.lower().startswith(PREFIX)
+    ]
+
+
+def find_header(pairs: Iterable[tuple[str, str]], wanted: str) -> str:
+    """Give the first value of a field, or an empty text.
+
+    :param wanted: field name in any case.
+    """
+    lowered = wanted.lower()
+    for name, text in pairs:
+        if name.lower() == lowered:
+            return text
+    return ''
--- /dev/null
+++ b/godwitknot/hop.py
@@ -0,0 +1,196 @@
+"""The relay protocol between an ingress and a sidecar, over HTTP.
+
+Each request carries a MAC under the fleet key over all that decides how it
+is run, so that only nodes of the fleet can use the peer port.
+"""
+
+from collections.abc import Mapping
+
+from godwitknot import headers
+from godwitknot.clock import Clock
+from godwitknot.errors import ProtocolError, VerificationError
+from godwitknot.keys import FleetKeys
+from godwitknot.outcomes import Code, Outcome, RefusalError
+from godwitknot.relay import (
+    RelayAnswer,
+    RelayRequest,
+    RequestBody,
+    parse_tag,
+)
+
+_MILLISECONDS = 1000
+_SIGNED = (
+    headers.ATTEMPT,
+    headers.REQUEST,
+    headers.CLASS,
+    headers.DEADLINE_MS,
+    headers.SERVER,
+    headers.INCARNATION,
+    headers.ACCOUNT,
+    headers.LAST_RESORT,
+    headers.IDEMPOTENCY_KEY,
+)
+_SERVICE_SEPARATOR = '/'
+
+
+def sign_fields(
+    keys: FleetKeys,
+    method: str,
+    target: str,
+    fields: Mapping[str, str],
+) -> str:
+    """Give the value of the MAC header.
+
+    :param fields: header fields; only the signed ones count.
+    """
+    payload = _signed_payload(method, target, fields)
+    return f'{keys.current}:{keys.sign(payload).hex()}'
+
+
+def verify_fields(
+    keys: FleetKeys,
+    method: str,
+    target: str,
+    pairs: headers.Pairs,
+) -> None:
+    """Check the MAC header.
+
+    :raises VerificationError: if it is missing or wrong.
+    """
+    fields = {name: headers.find_header(pairs, name) for name in _SIGNED}
+    key_id, separator, text = headers.find_header(pairs, headers.MAC).partition(
+        ':'
+    )
+    try:
+        mac = bytes.fromhex(text)
+    except ValueError:
+        mac = b''
+    if not separator:
+        raise VerificationError('no message authentication code')
+    keys.verify(key_id, _signed_payload(method, target, fields), mac)
+
+
+def _signed_payload(
+    method: str,
+    target: str,
+    fields: Mapping[str, str],
+) -> bytes:
+    parts = [method, target]
+    parts.extend(fields.get(name, '') for name in _SIGNED)
+    # A line break cannot stand in a header, so the parts cannot run together.
+    return '\n'.join(parts).encode('utf-8', 'surrogateescape')
+
+
+def encode_request(
+    request: RelayRequest,
+    keys: FleetKeys,
+    clock: Clock,
+) -> headers.Pairs:
+    """Give the header fields of a relayed request."""
+    left = max(0, request.deadline - clock.now())
+    fields = {
+        headers.ATTEMPT: request.attempt_id,
+        headers.REQUEST: request.request_id,
+        headers.CLASS: str(request.tag),
+        headers.DEADLINE_MS: str(int(left * _MILLISECONDS)),
+        headers.SERVER: f'{request.service}/{request.server}',
+        headers.INCARNATION: str(request.incarnation),
+        headers.ACCOUNT: request.account,
+        headers.IDEMPOTENCY_KEY: request.key,
+    }
+    if request.last_resort:
+        fields[headers.LAST_RESORT] = 'yes'
+    mac = sign_fields(keys, request.method, request.target, fields)
+    fields[headers.MAC] = mac
+    passed = [
+        (name, text)
+        for name, text in request.headers
+        if name.lower() != headers.IDEMPOTENCY_KEY.lower()
+    ]
+    return passed + [(name, text) for name, text in fields.items() if text]
+
+
+def decode_request(
+    method: str,
+    target: str,
+    pairs: headers.Pairs,
+    body: RequestBody,
+    clock: Clock,
+) -> RelayRequest:
+    """Read a relayed request; its MAC was verified before.
+
+    :raises ProtocolError: if a field is malformed.
+    """
+    service, _, server = headers.find_header(pairs, headers.SERVER).partition(
+        _SERVICE_SEPARATOR,
+    )
+    try:
+        left = (
+            int(headers.find_header(pairs, headers.DEADLINE_MS)) / _MILLISECONDS
+        )
+        incarnation = int(headers.find_header(pairs, headers.INCARNATION))
+    except ValueError as error:
+        raise ProtocolError('malformed relay header') from error
+    key = headers.find_header(pairs, headers.IDEMPOTENCY_KEY)
+    attempt_id = headers.find_header(pairs, headers.ATTEMPT)
+    if not (attempt_id and server):
+        raise ProtocolError('relay header missing')
+    return RelayRequest(
+        method=method,
+        target=target,
+        headers=headers.strip_own(pairs),
+        body=body,
+        attempt_id=attempt_id,
+        request_id=headers.find_header(pairs, headers.REQUEST),
+        tag=parse_tag(headers.find_header(pairs, headers.CLASS)),
+        service=service,
+        server=server,
+        incarnation=incarnation,
+        account=headers.find_header(pairs, headers.ACCOUNT),
+        deadline=clock.now() + left,
+        key=key,
+        last_resort=bool(headers.find_header(pairs, headers.LAST_RESORT)),
+    )
+
+
+def encode_answer(attempt_id: str, answer: RelayAnswer) -> headers.Pairs:
+    """Give the header fields of a relayed answer."""
+    fields = [
+        (headers.ATTEMPT, attempt_id),
+        (headers.OUTCOME, str(answer.outcome)),
+        (headers.SERVER_MS, str(int(answer.server_seconds * _MILLISECONDS))),
+    ]
+    if answer.load is not None:
+        fields.append((headers.LOAD, str(answer.load)))
+    return fields
+
+
+def encode_refusal(attempt_id: str, refusal: RefusalError) -> headers.Pairs:
+    """Give the header fields of a refusal by a sidecar."""
+    fields = [
+        (headers.ATTEMPT, attempt_id),
+        (headers.OUTCOME, str(refusal.outcome)),
+        (headers.CODE, str(refusal.code)),
+    ]
+    if refusal.retry_after is not None:
+        fields.append((headers.RETRY_AFTER, str(refusal.retry_after)))
+    return fields
+
+
+def decode_refusal(pairs: headers.Pairs) -> RefusalError | None:
+    """Give the refusal that an answer carries, or ``None``.
+
+    :raises ProtocolError: if its code or outcome is unknown.
+    """
+    code = headers.find_header(pairs, headers.CODE)
+    if not code:
+        return None
+    retry_after = headers.find_header(pairs, headers.RETRY_AFTER)
+    try:
+        return RefusalError(
+            Code(code),
+            Outcome(headers.find_header(pairs, headers.OUTCOME)),
+            int(retry_after) if retry_after else None,
+        )
+    except ValueError as error:
+        raise ProtocolError('unknown refusal') from error
--- /dev/null
+++ b/godwitknot/httpserver.py
@@ -0,0 +1,146 @@
+"""HTTP servers of a node: cheroot with strict framing, run by cherrypy."""
+
+import collections
+import re
+import socket
+from collections.abc import Callable
+
+import cherrypy
+from cheroot import server as cheroot_server
+from cheroot import wsgi
+from cherrypy.process.servers import ServerAdapter
+
+from godwitknot.pool import GrowingPool
+from godwitknot.units import Address
+
+SOCKET_KEY = 'godwitknot.socket'
+MAX_HEADER_BYTES = 16384
+
+_MIN_THREADS = 16
+_MAX_THREADS = 1000
+_BACKLOG = 512
+# A slow line may take long to drain the send buffer once.
+_IDLE_SECONDS = 120
+# Bounds the memory that one slow reader holds in the kernel.
+_SEND_BUFFER_BYTES = 262144
+_LENGTH = b'Content-Length'
+_ENCODING = b'Transfer-Encoding'
+_DIGITS = re.compile(rb'^\d{1,18}$')
+_HEADER_NAME = re.compile(rb"^[!#$%&'*+.^_`|~0-9A-Za-z-]+$")
+
+
+class _StrictFields(collections.UserDict):
+    """Refuses a repeated length, which two hops may read differently."""
+
+    def __setitem__(self, name: bytes, text: bytes) -> None:
+        if name in {_LENGTH, _ENCODING} and name in self:
+            raise ValueError('Repeated framing header.')
+        if not _HEADER_NAME.match(name):
+            raise ValueError('Illegal header name.')
+        super().__setitem__(name, text)
+
+
+class StrictHeaderReader(cheroot_server.HeaderReader):
+    """Refuses messages whose length is ambiguous.
+
+    :raises ValueError: cheroot answers it with 400.
+    """
+
+    def __call__(self, rfile: object, hdict: dict | None = None) -> dict:
+        """Read the header fields of one message."""
+        fields = super().__call__(rfile, _StrictFields())
+        length = fields.get(_LENGTH)
+        if length is not None and not _DIGITS.match(length):
+            raise ValueError('Malformed Content-Length Header.')
+        encoding = fields.get(_ENCODING)
+        if encoding is not None:
+            if length is not None:
+                raise ValueError('Both length and transfer encoding.')
+            if encoding.strip().lower() != b'chunked':
+                raise ValueError('Unknown transfer encoding.')
+        target = {} if hdict is None else hdict
+        target.update(fields)
+        return target
+
+    def _transform_key(self, key_name: bytes) -> bytes:
+        # Blank before the colon is not allowed, so only the case changes.
+        return key_name.title()
+
+    def _allow_header(self, key_name: bytes) -> bool:
+        # In a WSGI environment "A_B" and "A-B" are the same name.
+        return b'_' not in key_name
+
+
+class _Request(cheroot_server.HTTPRequest):
+    header_reader = StrictHeaderReader()
+
+    def read_request_headers(self) -> bool:
+        """Refuse chunked bodies of HTTP/1.0, which cheroot would ignore."""
+        if not super().read_request_headers():
+            return False
+        if self.inheaders.get(_ENCODING) and not self.chunked_read:
+            self.simple_response('400 Bad Request')
+            return False
+        return True
+
+
+class _Connection(cheroot_server.HTTPConnection):
+    RequestHandlerClass = _Request
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Tells the application the socket, to notice a caller that left."""
+
+    def get_environ(self) -> dict:
+        """Give the WSGI environment with the caller's socket."""
+        environ = super().get_environ()
+        environ[SOCKET_KEY] = self.req.conn.socket
+        return environ
+
+
+class NodeServer(wsgi.Server):
+    """An HTTP server for one WSGI application of the node."""
+
+    ConnectionClass = _Connection
+
+    def __init__(self, address: Address, application: Callable) -> None:
+        """Prepare the server; it listens once started.
+
+        :param address: where to listen.
+        :param application: WSGI application.
+        """
+        super().__init__(
+            address.pair,
+            application,
+            numthreads=_MIN_THREADS,
+            request_queue_size=_BACKLOG,
+            timeout=_IDLE_SECONDS,
+            shutdown_timeout=1,
+        )
+        self.gateway = _Gateway
+        self.max_request_header_size = MAX_HEADER_BYTES
+        self.nodelay = True
+        self.keep_alive_conn_limit = _MAX_THREADS
+        self.requests = GrowingPool(self, min=_MIN_THREADS, max=_MAX_THREADS)
+
+    @classmethod
+    def prepare_socket(cls, *args: object, **kwargs: object) -> socket.socket:
+        """Bound the send buffer; accepted sockets inherit it."""
+        listener = super().prepare_socket(*args, **kwargs)
+        listener.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_SNDBUF,
+            _SEND_BUFFER_BYTES,
+        )
+        return listener
+
+
+def subscribe_server(server: NodeServer) -> ServerAdapter:
+    """Let the cherrypy engine start and stop a server.
+
+    :param server: the server.
+    :returns: its adapter on the bus.
+    """
+    adapter = ServerAdapter(cherrypy.engine, server, server.bind_addr)
+    adapter.subscribe()
+    return adapter
