Add sequential outlier policy

Cause: servers fail gray, and some get only a few requests a second. Result: tests find 3 times slower and 50% errors within 30 requests at the highest threshold; 2,000 healthy requests raise no alarm.

--- /dev/null
+++ b/godwitknot/evidence.py
@@ -0,0 +1,132 @@
+"""Why a decision was taken: short records for operators."""
+
+import collections
+import enum
+import threading
+
+import attrs
+
+from godwitknot.clock import Clock
+
+_DECISIONS_KEPT = 200
+
+
+class EvidenceKind(enum.StrEnum):
+    """What a score speaks of."""
+
+    SLOW = 'slow'
+    ERRORS = 'errors'
+    CONSECUTIVE_ERRORS = 'consecutive-errors'
+
+
+@attrs.frozen
+class Evidence:
+    """What speaks for ejecting a server.
+
+    :param samples: requests that the score rests on.
+    :param hung: requests that hang at present.
+    :param baseline_median: of the siblings, seconds.
+    :param baseline_errors: error share of the siblings.
+    :param score: log-likelihood ratio against the siblings.
+    :param threshold: score at which the server is ejected.
+    """
+
+    work_class: str
+    kind: EvidenceKind
+    samples: int
+    hung: int
+    baseline_median: float
+    baseline_errors: float
+    score: float
+    threshold: float
+
+    @property
+    def strength(self) -> float:
+        """Score relative to the threshold; 1 ejects."""
+        return self.score / self.threshold
+
+    def explain(self) -> str:
+        """Give one sentence for an operator."""
+        return (
+            f'class {self.work_class}, {self.kind}: score '
+            f'{self.score:.1f} of {self.threshold:.1f} from '
+            f'{self.samples} requests and {self.hung} hung; siblings have '
+            f'median {self.baseline_median:.3f} s and errors '
+            f'{self.baseline_errors:.1%}'
+        )
+
+
+class Action(enum.StrEnum):
+    """What was decided about a server."""
+
+    SUSPECTED = 'suspected'
+    CLEARED = 'cleared'
+    EJECTED = 'ejected'
+    KEPT_BY_FLOOR = 'kept-by-floor'
+    LEASE_LAPSED = 'lease-lapsed'
+    PROBATION = 'probation'
+    PROBATION_FAILED = 'probation-failed'
+    RAMPING = 'ramping'
+    READY = 'ready'
+    DRAINING = 'draining'
+
+
+@attrs.frozen
+class Decision:
+    """One decision about a server and its reason.
+
+    :param at: wall clock, seconds since the epoch.
+    :param promises: stay promises held at that moment.
+    :param floor: stay promises needed.
+    :param evidence: ``None`` where no evidence was weighed.
+    """
+
+    at: float
+    server: str
+    action: Action
+    promises: int = 0
+    floor: int = 0
+    evidence: Evidence | None = None
+
+    def explain(self) -> str:
+        """Give one line for an operator."""
+        parts = [f'{self.server} {self.action}']
+        if self.floor:
+            parts.append(f'{self.promises} promises, floor {self.floor}')
+        if self.evidence is not None:
+            parts.append(self.evidence.explain())
+        return '; '.join(parts)
+
+
+class DecisionLog:
+    """The latest decisions of a node, for the operator interface."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start empty."""
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._decisions: collections.deque[Decision] = collections.deque(
+            maxlen=_DECISIONS_KEPT
+        )
+
+    def add(
+        self,
+        server: str,
+        action: Action,
+        evidence: Evidence | None = None,
+        *,
+        promises: int = 0,
+        floor: int = 0,
+    ) -> Decision:
+        """Record a decision taken now."""
+        at = self._clock.wall()
+        decision = Decision(at, server, action, promises, floor, evidence)
+        with self._lock:
+            self._decisions.append(decision)
+        return decision
+
+    def of_server(self, server: str) -> tuple[Decision, ...]:
+        """Give the decisions about a server, oldest first."""
+        with self._lock:
+            kept = tuple(self._decisions)
+        return tuple(found for found in kept if found.server == server)
--- /dev/null
+++ b/godwitknot/outliers.py
@@ -0,0 +1,281 @@
+"""Outlier detection of one server: a sequential test against siblings."""
+
+import abc
+import collections
+import math
+import threading
+import types
+from collections.abc import Callable
+
+import attrs
+
+from godwitknot.clock import Clock
+from godwitknot.declaration import Weighing
+from godwitknot.evidence import Evidence, EvidenceKind
+from godwitknot.likelihood import (
+    find_scale,
+    log_excess,
+    weigh_hang,
+    weigh_outcome,
+    weigh_time,
+)
+from godwitknot.siblings import Baseline
+
+_SAMPLES_KEPT = 256
+_SAMPLE_AGE_SECONDS = 300.0
+# A CUSUM with threshold ln(x) gives at most one false alarm in about x
+# requests, if healthy requests follow the baseline.
+_THRESHOLDS = types.MappingProxyType(
+    {
+        Weighing.DETECTION: math.log(10**6),
+        Weighing.BALANCED: math.log(10**8),
+        Weighing.CAUTION: math.log(10**10),
+    },
+)
+# Refuses stay promises and takes no probation traffic from here on.
+_SUSPECT_STRENGTH = 0.5
+
+
+@attrs.frozen
+class Sample:
+    """A finished request, as the sidecar saw it.
+
+    :param seconds: service time without the reader's pace.
+    :param failed: error, broken or timed-out response of the server.
+    :param fresh_connection: whether the connection was new.
+    :param started: when it was sent, on the monotonic clock.
+    :param timed_out: whether no response came in time.
+    :param request_id: as given to ``begin``, empty if it was not called.
+    """
+
+    work_class: str
+    seconds: float
+    failed: bool
+    fresh_connection: bool
+    started: float
+    timed_out: bool = False
+    request_id: str = ''
+
+
+@attrs.frozen
+class Verdict:
+    """What a policy thinks of a server.
+
+    :param suspect: evidence is gathering.
+    :param eject: evidence suffices to eject.
+    :param evidence: the strongest, ``None`` if there is none.
+    """
+
+    suspect: bool = False
+    eject: bool = False
+    evidence: Evidence | None = None
+
+
+class OutlierPolicy(abc.ABC):
+    """Judges one server by its requests."""
+
+    @abc.abstractmethod
+    def observe(self, sample: Sample) -> None:
+        """Take in a finished request."""
+
+    @abc.abstractmethod
+    def tick(self, now: float) -> None:
+        """Take in the passing of time; called about once a second."""
+
+    @abc.abstractmethod
+    def verdict(self) -> Verdict:
+        """Judge the server now."""
+
+    @abc.abstractmethod
+    def reset(self) -> None:
+        """Forget the evidence, when the server was ejected."""
+
+    def begin(
+        self,
+        request_id: str,
+        work_class: str,
+        *,
+        fresh_connection: bool,
+    ) -> None:
+        """Note that a request was sent; it may hang."""
+
+    def abandon(self, request_id: str) -> None:
+        """Forget a request that the caller cancelled."""
+
+
+@attrs.frozen
+class _Sent:
+    work_class: str
+    fresh_connection: bool
+    started: float
+
+
+@attrs.define
+class _ClassRecord:
+    """Samples and scores of one class against one baseline."""
+
+    samples: collections.deque[Sample] = attrs.field(
+        factory=lambda: collections.deque(maxlen=_SAMPLES_KEPT)
+    )
+    baseline: Baseline | None = None
+    slow: float = 0
+    errors: float = 0
+
+    def add(self, sample: Sample) -> None:
+        self.samples.append(sample)
+        self._score(sample)
+
+    def rescore(self, baseline: Baseline | None, oldest: float) -> None:
+        """Weigh all samples again against a new baseline.
+
+        Evidence from before a general slowdown was known vanishes as soon
+        as the siblings report it.
+        """
+        while self.samples and self.samples[0].started < oldest:
+            self.samples.popleft()
+        self.baseline = baseline
+        self.slow = 0
+        self.errors = 0
+        for sample in self.samples:
+            self._score(sample)
+
+    def _score(self, sample: Sample) -> None:
+        baseline = self.baseline
+        if baseline is None:
+            return
+        weight = weigh_outcome(
+            failed=sample.failed, error_share=baseline.error_share
+        )
+        self.errors = max(0, self.errors + weight)
+        # Errors are often fast; they say nothing about the speed.
+        if sample.timed_out or not sample.failed:
+            excess = log_excess(sample.seconds, baseline.median)
+            scale = find_scale(baseline.median, baseline.spread)
+            self.slow = max(0, self.slow + weigh_time(excess, scale))
+
+
+class SequentialPolicy(OutlierPolicy):
+    """CUSUM of log-likelihood ratios per class and test."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        baseline_of: Callable[[str], Baseline | None],
+        weighing_of: Callable[[str], Weighing],
+    ) -> None:
+        """Start without evidence.
+
+        :param baseline_of: gives the sibling baseline of a class.
+        :param weighing_of: gives the weighing of a class.
+        """
+        self._clock = clock
+        self._baseline_of = baseline_of
+        self._weighing_of = weighing_of
+        self._lock = threading.Lock()
+        self._classes: dict[str, _ClassRecord] = {}
+        self._sent: dict[str, _Sent] = {}
+
+    def begin(
+        self,
+        request_id: str,
+        work_class: str,
+        *,
+        fresh_connection: bool,
+    ) -> None:
+        """Note that a request was sent; it may hang."""
+        sent = _Sent(work_class, fresh_connection, self._clock.now())
+        with self._lock:
+            self._sent[request_id] = sent
+            self._record(work_class)
+
+    def abandon(self, request_id: str) -> None:
+        """Forget a request that the caller cancelled."""
+        with self._lock:
+            self._sent.pop(request_id, None)
+
+    def observe(self, sample: Sample) -> None:
+        """Add the evidence of a finished request.
+
+        A timeout on a reused connection counts against the connection,
+        which may have been silent since before the request.
+        """
+        with self._lock:
+            self._sent.pop(sample.request_id, None)
+            if sample.timed_out and not sample.fresh_connection:
+                return
+            self._record(sample.work_class).add(sample)
+
+    def tick(self, now: float) -> None:
+        """Fetch the baselines and weigh the samples against them."""
+        with self._lock:
+            for work_class, record in self._classes.items():
+                baseline = self._baseline_of(work_class)
+                record.rescore(baseline, now - _SAMPLE_AGE_SECONDS)
+
+    def verdict(self) -> Verdict:
+        """Judge by the strongest evidence of any class."""
+        with self._lock:
+            found = [
+                self._gather(work_class, record, kind)
+                for work_class, record in self._classes.items()
+                for kind in (EvidenceKind.SLOW, EvidenceKind.ERRORS)
+                if record.baseline is not None
+            ]
+        strongest = max(found, key=lambda each: each.strength, default=None)
+        if strongest is None or strongest.score == 0:
+            return Verdict()
+        return Verdict(
+            strongest.strength >= _SUSPECT_STRENGTH,
+            strongest.strength >= 1,
+            strongest,
+        )
+
+    def reset(self) -> None:
+        """Forget all requests, those that still hang included."""
+        with self._lock:
+            self._classes.clear()
+            self._sent.clear()
+
+    def _record(self, work_class: str) -> _ClassRecord:
+        record = self._classes.get(work_class)
+        if record is None:
+            record = _ClassRecord(baseline=self._baseline_of(work_class))
+            self._classes[work_class] = record
+        return record
+
+    def _gather(
+        self,
+        work_class: str,
+        record: _ClassRecord,
+        kind: EvidenceKind,
+    ) -> Evidence:
+        baseline = record.baseline
+        score, hung = record.errors, 0
+        if kind is EvidenceKind.SLOW:
+            weights = self._weigh_hanging(work_class, baseline)
+            hung = len(weights)
+            score = record.slow + math.fsum(weights)
+        return Evidence(
+            work_class=work_class,
+            kind=kind,
+            samples=len(record.samples),
+            hung=hung,
+            baseline_median=baseline.median,
+            baseline_errors=baseline.error_share,
+            score=score,
+            threshold=_THRESHOLDS[self._weighing_of(work_class)],
+        )
+
+    def _weigh_hanging(
+        self,
+        work_class: str,
+        baseline: Baseline,
+    ) -> list[float]:
+        now = self._clock.now()
+        scale = find_scale(baseline.median, baseline.spread)
+        weights = [
+            weigh_hang(log_excess(now - sent.started, baseline.median), scale)
+            for sent in self._sent.values()
+            if sent.fresh_connection and sent.work_class == work_class
+        ]
+        return [weight for weight in weights if weight > 0]
--- /dev/null
+++ b/tests/godwitknot/test_outliers.py
@@ -0,0 +1,127 @@
+import random
+
+import pytest
+
+from godwitknot.clock import ManualClock
+from godwitknot.declaration import Weighing
+from godwitknot.evidence import EvidenceKind
+from godwitknot.outliers import Sample, SequentialPolicy
+from godwitknot.siblings import Baseline
+
+NORMAL = Baseline(0.05, 0.012, 0, 7)
+
+
+class Judged:
+    """A policy that is fed with generated requests of one class."""
+
+    def __init__(self, weighing=Weighing.DETECTION, baseline=NORMAL, seed=1):
+        self.clock = ManualClock()
+        self.baseline = baseline
+        self.policy = SequentialPolicy(
+            self.clock, lambda name: self.baseline, lambda name: weighing
+        )
+        self._random = random.Random(seed)
+
+    def feed(self, count, factor=1, error_share=0, **changes):
+        """Give the number of requests until ejection, or None."""
+        for number in range(count):
+            seconds = self._random.lognormvariate(-3, 0.35) * factor
+            failed = self._random.random() < error_share
+            self.clock.advance(0.5)
+            sample = Sample(
+                'lookup', seconds, failed, True, self.clock.now(), **changes
+            )
+            self.policy.observe(sample)
+            self.policy.tick(self.clock.now())
+            if self.policy.verdict().eject:
+                return number + 1
+        return None
+
+    def hang(self, count, *, fresh):
+        for number in range(count):
+            self.policy.begin(f'r{number}', 'lookup', fresh_connection=fresh)
+
+
+@pytest.mark.parametrize('weighing', list(Weighing))
+def test_healthy_server_is_not_ejected(weighing):
+    """Guards against false ejections by ordinary scatter."""
+    assert Judged(weighing).feed(2000) is None
+
+
+@pytest.mark.parametrize('fault', [{'factor': 3}, {'error_share': 0.5}])
+def test_fault_is_found_and_caution_waits_longer(fault):
+    counts = [Judged(weighing).feed(200, **fault) for weighing in Weighing]
+    assert None not in counts
+    assert counts == sorted(counts)
+    assert counts[0] < counts[2]
+    assert counts[2] <= 30
+
+
+def test_one_odd_request_ejects_nobody():
+    """Guards against a verdict from a single request."""
+    judged = Judged()
+    assert judged.feed(1, factor=10000) is None
+    assert not judged.policy.verdict().suspect
+
+
+def test_hung_requests_count_while_they_hang():
+    """Guards against a server that holds all its slots without answering."""
+    judged = Judged(Weighing.CAUTION)
+    judged.hang(4, fresh=True)
+    judged.clock.advance(0.06)
+    assert not judged.policy.verdict().suspect
+    judged.clock.advance(2)
+    verdict = judged.policy.verdict()
+    assert verdict.eject
+    assert verdict.evidence.hung == 4
+    judged.policy.abandon('r0')
+    judged.policy.abandon('r1')
+    assert not judged.policy.verdict().eject
+
+
+def test_silent_reused_connections_are_no_evidence():
+    """Guards against ejecting a server for connections that went silent."""
+    judged = Judged()
+    judged.hang(4, fresh=False)
+    judged.clock.advance(60)
+    assert not judged.policy.verdict().suspect
+    for number in range(4):
+        judged.policy.observe(
+            Sample('lookup', 10, True, False, 0, True, f'r{number}')
+        )
+    assert judged.policy.verdict().evidence is None
+
+
+def test_general_overload_ejects_nobody():
+    """Guards against ejections when all siblings slow down together."""
+    judged = Judged()
+    judged.feed(4, factor=5)
+    assert judged.policy.verdict().suspect
+    judged.baseline = Baseline(0.25, 0.06, 0, 7)
+    assert judged.feed(200, factor=5) is None
+    assert not judged.policy.verdict().suspect
+
+
+def test_no_baseline_no_verdict():
+    assert Judged(baseline=None).feed(100, error_share=1) is None
+
+
+def test_fast_errors_do_not_look_healthy():
+    """Guards against errors that are outweighed by their speed."""
+    assert Judged(Weighing.CAUTION).feed(50, 0.01, 0.6) is not None
+
+
+def test_siblings_with_errors_of_their_own():
+    """Guards against ejections when a shared dependency fails."""
+    shared = Baseline(0.05, 0.012, 0.3, 7)
+    assert Judged(baseline=shared).feed(1000, error_share=0.3) is None
+
+
+def test_verdict_explains_itself():
+    judged = Judged()
+    judged.feed(50, factor=5)
+    evidence = judged.policy.verdict().evidence
+    assert evidence.kind is EvidenceKind.SLOW
+    assert evidence.explain().startswith('class lookup, slow: score')
+    judged.policy.reset()
+    assert judged.policy.verdict().evidence is None
