Relay requests from ingress through sidecar to backend servers

Cause: there was no path for a request yet. A slow reader gives its slot back while it blocks: before, 4 slow downloads used up the server.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Sessions, measurements and soak runs with real processes."""
--- /dev/null
+++ b/godwitknot/chooser.py
@@ -0,0 +1,80 @@
+"""Interface between the dispatch of requests and the choice of servers."""
+
+import abc
+from collections.abc import Collection
+
+import attrs
+
+from godwitknot.declaration import RegionRule
+from godwitknot.relay import Load
+from godwitknot.units import Address
+
+
+@attrs.frozen
+class Target:
+    """A server that a request may be sent to.
+
+    :param incarnation: of the node in front of it.
+    :param address: peer address of that node.
+    :param local: whether that node is this one.
+    """
+
+    node_id: str
+    incarnation: int
+    server: str
+    service: str
+    address: Address
+    local: bool
+    remote_region: bool = False
+
+    @property
+    def key(self) -> tuple[str, str]:
+        """Fleet-wide name of the server."""
+        return (self.node_id, self.server)
+
+
+@attrs.frozen
+class Wish:
+    """What is asked for.
+
+    :param excluded: servers already tried.
+    :param last_resort: take also servers that announced no capacity.
+    :param remaining: seconds until the deadline.
+    """
+
+    service: str
+    regions: RegionRule
+    excluded: Collection[tuple[str, str]]
+    remaining: float
+    last_resort: bool = False
+
+
+class ServerChooser(abc.ABC):
+    """Knows the servers of each service and picks one."""
+
+    @abc.abstractmethod
+    def choose(self, wish: Wish) -> Target | None:
+        """Pick a server, or ``None`` if there is none left to try."""
+
+    @abc.abstractmethod
+    def locate(self, node_id: str, server: str) -> Target | None:
+        """Find a server by name, whatever its state."""
+
+    @abc.abstractmethod
+    def note_sent(self, target: Target) -> None:
+        """Count a request as outstanding."""
+
+    @abc.abstractmethod
+    def note_ended(self, target: Target, load: Load | None) -> None:
+        """End an outstanding request.
+
+        :param load: load that the sidecar reported with its answer.
+        """
+
+    @abc.abstractmethod
+    def note_link(self, target: Target, *, reached: bool) -> None:
+        """Note whether the node could be reached."""
+
+    @abc.abstractmethod
+    def note_bytes(self, target: Target, amount: int) -> None:
+        """Charge bytes to the link between regions if it was used."""
--- a/godwitknot/hop.py
+++ b/godwitknot/hop.py
@@ -165,18 +165,6 @@
     return fields
 
 
-def encode_refusal(attempt_id: str, refusal: RefusalError) -> headers.Pairs:
-    """Give the header fields of a refusal by a sidecar."""
-    fields = [
-        (headers.ATTEMPT, attempt_id),
-        (headers.OUTCOME, str(refusal.outcome)),
-        (headers.CODE, str(refusal.code)),
-    ]
-    if refusal.retry_after is not None:
-        fields.append((headers.RETRY_AFTER, str(refusal.retry_after)))
-    return fields
-
-
 def decode_refusal(pairs: headers.Pairs) -> RefusalError | None:
     """Give the refusal that an answer carries, or ``None``.
 
--- a/godwitknot/httpserver.py
+++ b/godwitknot/httpserver.py
@@ -121,7 +121,7 @@
         self.max_request_header_size = MAX_HEADER_BYTES
         self.nodelay = True
         self.keep_alive_conn_limit = _MAX_THREADS
-        self.requests = GrowingPool(self, min=_MIN_THREADS, max=_MAX_THREADS)
+        self.requests = GrowingPool(self, _MIN_THREADS, _MAX_THREADS)
 
     @classmethod
     def prepare_socket(cls, *args: object, **kwargs: object) -> socket.socket:
--- /dev/null
+++ b/godwitknot/ingress.py
@@ -0,0 +1,245 @@
+"""The ingress role: the WSGI application that callers speak to."""
+
+import re
+import uuid
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from godwitknot import headers
+from godwitknot.clock import Clock
+from godwitknot.dispatch import Dispatcher, Job
+from godwitknot.httpserver import SOCKET_KEY
+from godwitknot.metrics import Metrics
+from godwitknot.outcomes import Code, Outcome, RefusalError
+from godwitknot.relay import RelayAnswer, read_body
+from godwitknot.routes import RouteTable
+from godwitknot.wsgi import (
+    OWN_PREFIX,
+    Environ,
+    StartResponse,
+    read_length,
+    read_target,
+    respond_answer,
+    respond_json,
+    respond_refusal,
+)
+
+_OK = 200
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+_MILLISECONDS = 1000
+_REQUEST_ID = re.compile(r'^[A-Za-z0-9._-]{1,64}$')
+_MAX_ACCOUNT = 128
+_HTTP10 = 'HTTP/1.0'
+
+
+@attrs.frozen
+class Serving:
+    """The configuration that the ingress serves by.
+
+    :param version: of the configuration in force.
+    :param account_header: names the caller's account.
+    """
+
+    version: int
+    routes: RouteTable
+    account_header: str
+
+
+@attrs.frozen
+class Ended:
+    """A request that has ended, for the accounting of service levels.
+
+    :param seconds: from the request line to the first byte of the answer.
+    :param code: refusal code, or ``None`` if a server answered.
+    """
+
+    work_class: str
+    status: int
+    seconds: float
+    code: Code | None
+
+
+OwnHandler = Callable[[Environ, str], tuple[int, object]]
+
+
+class IngressApp:
+    """Takes requests of callers and gives each a true answer."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        serving: Callable[[], Serving | None],
+        record: Callable[[Ended], None],
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        """Take the collaborators.
+
+        :param serving: gives the configuration, ``None`` before the first.
+        :param record: gets each request that ended.
+        """
+        self._dispatcher = dispatcher
+        self._serving = serving
+        self._record = record
+        self._clock = clock
+        self._metrics = metrics
+        self._own: dict[str, OwnHandler] = {
+            'health': self._serve_health,
+            'ready': self._serve_ready,
+        }
+
+    def add_handler(self, name: str, handler: OwnHandler) -> None:
+        """Serve ``/.godwitknot/NAME`` to callers.
+
+        :param handler: gets the environment and the account, returns
+            status and JSON document.
+        """
+        self._own[name] = handler
+
+    def __call__(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        path = environ['PATH_INFO']
+        request_id = _read_request_id(environ)
+        try:
+            if path.startswith(OWN_PREFIX):
+                return self._serve_own(environ, start_response, path)
+            return self._serve_work(environ, start_response, request_id)
+        except RefusalError as refusal:
+            self._metrics.count(f'ingress.refused.{refusal.code}')
+            return respond_refusal(start_response, refusal, request_id)
+
+    def _serve_work(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+        request_id: str,
+    ) -> Iterable[bytes]:
+        started = self._clock.now()
+        self._metrics.count('ingress.requests')
+        job = self._read_job(environ, request_id, started)
+        name = job.route.work.name
+        try:
+            answer = self._run(job)
+        except RefusalError as refusal:
+            seconds = self._clock.now() - started
+            self._record(
+                Ended(name, refusal.status, seconds, refusal.code),
+            )
+            raise
+        seconds = self._clock.now() - started
+        self._record(Ended(name, answer.status, seconds, None))
+        self._metrics.time(f'ingress.{name}', seconds)
+        fields = [
+            (headers.REQUEST_ID, request_id),
+            (headers.OUTCOME, str(answer.outcome)),
+        ]
+        answer.headers = [
+            (name, text)
+            for name, text in answer.headers
+            if name.lower() != headers.REQUEST_ID.lower()
+        ]
+        http10 = environ['SERVER_PROTOCOL'] == _HTTP10
+        return respond_answer(start_response, answer, fields, http10=http10)
+
+    def _run(self, job: Job) -> RelayAnswer:
+        return self._dispatcher.run(job)
+
+    def _read_job(
+        self,
+        environ: Environ,
+        request_id: str,
+        started: float,
+    ) -> Job:
+        serving = self._serving()
+        if serving is None:
+            raise RefusalError(Code.NOT_READY, retry_after=1)
+        method = environ['REQUEST_METHOD']
+        route = serving.routes.find(method, environ['PATH_INFO'])
+        if route is None:
+            raise RefusalError(Code.NO_CLASS)
+        work = route.work
+        pairs = headers.read_environ(environ)
+        key = headers.find_header(pairs, headers.IDEMPOTENCY_KEY)
+        if work.never_repeat and not key:
+            raise RefusalError(Code.KEY_REQUIRED)
+        body = read_body(
+            environ['wsgi.input'],
+            read_length(environ),
+            work.body_limit,
+            whole=work.never_repeat,
+        )
+        account = headers.find_header(pairs, serving.account_header)
+        return Job(
+            method=method,
+            target=read_target(environ),
+            headers=headers.strip_own(headers.strip_hop_by_hop(pairs)),
+            body=body,
+            request_id=request_id,
+            account=account[:_MAX_ACCOUNT],
+            route=route,
+            deadline=started + _read_timeout(pairs, work.timeout),
+            caller=environ.get(SOCKET_KEY),
+            key=key if work.never_repeat else '',
+        )
+
+    def _serve_own(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+        path: str,
+    ) -> Iterable[bytes]:
+        handler = self._own.get(path.removeprefix(OWN_PREFIX))
+        if handler is None:
+            return respond_json(start_response, _NOT_FOUND, {})
+        serving = self._serving()
+        account = ''
+        if serving is not None:
+            pairs = headers.read_environ(environ)
+            account = headers.find_header(pairs, serving.account_header)
+        status, document = handler(environ, account[:_MAX_ACCOUNT])
+        return respond_json(start_response, status, document)
+
+    def _serve_health(
+        self,
+        environ: Environ,
+        account: str,
+    ) -> tuple[int, object]:
+        return _OK, {'status': 'ok'}
+
+    def _serve_ready(
+        self,
+        environ: Environ,
+        account: str,
+    ) -> tuple[int, object]:
+        serving = self._serving()
+        if serving is None:
+            return _UNAVAILABLE, {'status': 'no configuration yet'}
+        return _OK, {'status': 'ok', 'version': serving.version}
+
+
+def _read_request_id(environ: Environ) -> str:
+    """Take the caller's request id if it is harmless, else make one."""
+    given = environ.get('HTTP_X_REQUEST_ID', '')
+    if _REQUEST_ID.match(given):
+        return given
+    return uuid.uuid4().hex
+
+
+def _read_timeout(pairs: headers.Pairs, most: float) -> float:
+    """Give the seconds that the request may take.
+
+    :param most: timeout of the class; a caller can only shorten it.
+    :raises RefusalError: if the caller's deadline is malformed.
+    """
+    text = headers.find_header(pairs, headers.TIME_LEFT)
+    if not text:
+        return most
+    if not text.isdigit():
+        raise RefusalError(Code.BAD_REQUEST, Outcome.NOT_RUN)
+    return min(most, int(text) / _MILLISECONDS)
--- /dev/null
+++ b/godwitknot/peerapp.py
@@ -0,0 +1,134 @@
+"""The WSGI application on the peer port: relayed requests and bulk data."""
+
+import sys
+from collections.abc import Callable, Iterable
+
+from godwitknot import headers, hop
+from godwitknot.clock import Clock
+from godwitknot.errors import ProtocolError, VerificationError
+from godwitknot.httpserver import SOCKET_KEY
+from godwitknot.keys import FleetKeys
+from godwitknot.metrics import Metrics
+from godwitknot.outcomes import RefusalError
+from godwitknot.relay import read_body
+from godwitknot.sidecar import Sidecar
+from godwitknot.wsgi import (
+    OWN_PREFIX,
+    Environ,
+    StartResponse,
+    read_length,
+    read_target,
+    respond_answer,
+    respond_json,
+    respond_refusal,
+)
+
+_ATTEMPTS = f'{OWN_PREFIX}attempts/'
+_FORBIDDEN = 403
+_NOT_FOUND = 404
+_BAD_REQUEST = 400
+_OK = 200
+# The ingress has already applied the limit of the class.
+_BODY_LIMIT_BYTES = sys.maxsize
+
+PeerHandler = Callable[[str, bytes], object]
+
+
+class PeerApp:
+    """Answers only peers that hold a fleet key."""
+
+    def __init__(
+        self,
+        sidecar: Sidecar,
+        keys: FleetKeys,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        """Serve a sidecar."""
+        self._sidecar = sidecar
+        self._keys = keys
+        self._clock = clock
+        self._metrics = metrics
+        self._handlers: dict[str, PeerHandler] = {}
+
+    def add_handler(self, name: str, handler: PeerHandler) -> None:
+        """Serve ``/.godwitknot/NAME`` to peers.
+
+        :param handler: gets method and body, returns a JSON document.
+        """
+        self._handlers[f'{OWN_PREFIX}{name}'] = handler
+
+    def __call__(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        method = environ['REQUEST_METHOD']
+        target = read_target(environ)
+        pairs = headers.read_environ(environ)
+        try:
+            hop.verify_fields(self._keys, method, target, pairs)
+        except VerificationError:
+            self._metrics.count('peer.unverified')
+            return respond_json(start_response, _FORBIDDEN, {})
+        if target.startswith(OWN_PREFIX):
+            return self._serve_own(environ, start_response, target)
+        return self._serve_relay(environ, start_response, pairs)
+
+    def _serve_own(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+        target: str,
+    ) -> Iterable[bytes]:
+        if target.startswith(_ATTEMPTS):
+            state = self._sidecar.settle(target.removeprefix(_ATTEMPTS))
+            return respond_json(start_response, _OK, {'state': str(state)})
+        handler = self._handlers.get(target.partition('?')[0])
+        if handler is None:
+            return respond_json(start_response, _NOT_FOUND, {})
+        length = read_length(environ) or 0
+        content = environ['wsgi.input'].read(length) if length else b''
+        document = handler(environ['REQUEST_METHOD'], content)
+        return respond_json(start_response, _OK, document)
+
+    def _serve_relay(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+        pairs: headers.Pairs,
+    ) -> Iterable[bytes]:
+        attempt_id = headers.find_header(pairs, headers.ATTEMPT)
+        request_id = headers.find_header(pairs, headers.REQUEST)
+        try:
+            request = self._decode(environ, pairs)
+            answer = self._sidecar.relay(request, environ[SOCKET_KEY])
+        except RefusalError as refusal:
+            fields = [(headers.ATTEMPT, attempt_id)]
+            return respond_refusal(start_response, refusal, request_id, fields)
+        except ProtocolError as error:
+            self._metrics.count('peer.malformed')
+            document = {'detail': str(error)}
+            return respond_json(start_response, _BAD_REQUEST, document)
+        fields = hop.encode_answer(attempt_id, answer)
+        return respond_answer(start_response, answer, fields)
+
+    def _decode(
+        self,
+        environ: Environ,
+        pairs: headers.Pairs,
+    ) -> hop.RelayRequest:
+        body = read_body(
+            environ['wsgi.input'],
+            read_length(environ),
+            _BODY_LIMIT_BYTES,
+            whole=False,
+        )
+        return hop.decode_request(
+            environ['REQUEST_METHOD'],
+            read_target(environ),
+            headers.strip_hop_by_hop(pairs),
+            body,
+            self._clock,
+        )
--- /dev/null
+++ b/godwitknot/runs.py
@@ -0,0 +1,350 @@
+"""One run of a request on a backend server: connection, time and end."""
+
+import abc
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import attrs
+from urllib3.response import HTTPResponse
+
+from godwitknot import headers
+from godwitknot.connections import Channel, ConnectFailedError
+from godwitknot.errors import ProtocolError
+from godwitknot.exchange import (
+    Call,
+    CallerLeftError,
+    CutError,
+    Exchange,
+    ExchangeError,
+    SilentError,
+    answer_headers,
+    answer_length,
+)
+from godwitknot.outcomes import Code, Outcome, RefusalError
+from godwitknot.relay import Load, RelayAnswer, RelayRequest
+
+_MILLISECONDS = 1000
+_SERVICE_UNAVAILABLE = 503
+_SERVER_ERROR = 500
+_RETRY_AFTER_SECONDS = 1
+# A reused connection that stays silent this long while the server answers
+# on others is taken for dead.
+_SILENCE_SECONDS = 1.0
+# A reader that blocks the relay for longer than this is the bottleneck, and
+# the server's slot is free for other work.
+_SLOW_READER_SECONDS = 0.25
+
+
+@attrs.frozen
+class Result:
+    """How one run on the server went, as evidence about the server.
+
+    :param seconds: time that the server took, slots and reader excluded.
+    :param failed: whether the server is to blame for a bad end.
+    :param fresh: whether the connection was a new one.
+    :param lost: whether the connection broke with the request in flight.
+    """
+
+    request: RelayRequest
+    seconds: float
+    failed: bool
+    fresh: bool = True
+    lost: bool = False
+
+
+class RunHost(abc.ABC):
+    """The server on which a run takes place."""
+
+    @abc.abstractmethod
+    def open_channel(self, *, fresh: bool) -> Channel:
+        """Get a connection to the server.
+
+        :raises ConnectFailedError: if none could be opened.
+        """
+
+    @abc.abstractmethod
+    def make_exchange(self, channel: Channel) -> Exchange:
+        """Give an exchange on a connection of this server."""
+
+    @abc.abstractmethod
+    def now(self) -> float:
+        """Give the time on the node's clock."""
+
+    @abc.abstractmethod
+    def load(self) -> Load:
+        """Give the load that this node counts."""
+
+    @abc.abstractmethod
+    def answered_since(self, moment: float) -> bool:
+        """Tell whether any request was answered after a moment."""
+
+    @abc.abstractmethod
+    def forget_connections(self) -> None:
+        """Drop idle connections, for example after a restart."""
+
+    @abc.abstractmethod
+    def note_sent(self, request: RelayRequest) -> None:
+        """Note that a request may be on the server from now on."""
+
+    @abc.abstractmethod
+    def note_answer(self) -> None:
+        """Note that the server answered something."""
+
+    @abc.abstractmethod
+    def note_body(self, attempt_id: str, body: 'AnswerBody') -> None:
+        """Note that an answer is being passed on."""
+
+    @abc.abstractmethod
+    def note_result(self, result: Result) -> None:
+        """Pass on how a run went."""
+
+
+class Run:
+    """One run: the connection, its time and its end."""
+
+    def __init__(
+        self,
+        server: RunHost,
+        request: RelayRequest,
+        caller: socket.socket | None,
+    ) -> None:
+        self._server = server
+        self._request = request
+        self._caller = caller
+        self._exchange: Exchange | None = None
+        self._sent = float(0)
+        self._seconds = float(0)
+        self._reported = False
+
+    def start(self) -> HTTPResponse:
+        """Send the request and wait for the head of the answer."""
+        never_repeat = self._request.tag.never_repeat
+        # A server may close an idle connection just as a request is sent,
+        # and then nobody knows whether it ran.
+        response = self._try_once(fresh=never_repeat)
+        if response is None:
+            response = self._try_once(fresh=True)
+        return self._check(response)
+
+    def stream(
+        self,
+        response: HTTPResponse,
+        held: contextlib.ExitStack,
+    ) -> RelayAnswer:
+        """Give the answer; its slot is held until the body is read."""
+        try:
+            length = answer_length(response)
+        except ProtocolError as error:
+            held.close()
+            self.end(None)
+            raise self._refuse_bad_answer() from error
+        failed = response.status >= _SERVER_ERROR
+        chunks = self._exchange.chunks(self._request.method)
+        body = AnswerBody(self, chunks, held, failed=failed)
+        self._server.note_body(self._request.attempt_id, body)
+        return RelayAnswer(
+            status=response.status,
+            reason=response.reason or '',
+            headers=headers.strip_own(answer_headers(response)),
+            chunks=body.read(),
+            length=length,
+            close=body.close,
+            load=self._server.load(),
+            server_seconds=self._seconds,
+        )
+
+    def add_time(self, seconds: float) -> None:
+        """Count time that the server itself took for the body."""
+        self._seconds += seconds
+
+    def now(self) -> float:
+        """Give the time on the node's clock."""
+        return self._server.now()
+
+    def end(self, failed: bool | None) -> None:
+        """Report the end of the run once.
+
+        :param failed: ``None`` if it says nothing about the server.
+        """
+        self._exchange.abort()
+        if self._reported:
+            return
+        self._reported = True
+        if failed is None:
+            self._server.note_result(
+                Result(self._request, -1, failed=False, fresh=False),
+            )
+            return
+        self._report(failed=failed)
+
+    def _try_once(self, *, fresh: bool) -> HTTPResponse | None:
+        """Give the answer, or ``None`` to try a new connection."""
+        try:
+            channel = self._server.open_channel(fresh=fresh)
+        except ConnectFailedError as error:
+            self._report(failed=True)
+            raise RefusalError(
+                Code.UNREACHABLE,
+                retry_after=_RETRY_AFTER_SECONDS,
+            ) from error
+        self._exchange = self._server.make_exchange(channel)
+        call = Call(
+            self._request.method,
+            self._request.target,
+            self._make_headers(),
+            self._request.body,
+            self._request.deadline,
+            self._caller,
+        )
+        self._sent = self._server.now()
+        self._server.note_sent(self._request)
+        return self._exchange_call(call)
+
+    def _exchange_call(self, call: Call) -> HTTPResponse | None:
+        try:
+            self._exchange.send(call)
+            response = self._exchange.wait(
+                call, _SILENCE_SECONDS, self._check_silence
+            )
+        except _DeadConnectionError:
+            return None
+        except ProtocolError as error:
+            self.end(None)
+            raise RefusalError(
+                Code.BAD_REQUEST,
+                Outcome.MAY_HAVE_RUN,
+                detail=str(error),
+            ) from error
+        except ExchangeError as error:
+            if isinstance(error, CutError) and self._can_resend():
+                return None
+            raise self._explain(error) from error
+        self._seconds = self._server.now() - self._sent
+        self._server.note_answer()
+        return response
+
+    def _check_silence(self) -> None:
+        """Give up a reused connection if the server answers on others."""
+        if self._can_resend() and self._server.answered_since(self._sent):
+            self._server.forget_connections()
+            raise _DeadConnectionError
+
+    def _explain(self, error: ExchangeError) -> RefusalError:
+        self._seconds = self._server.now() - self._sent
+        if isinstance(error, CallerLeftError):
+            self.end(None)
+            return RefusalError(Code.CANCELLED, Outcome.MAY_HAVE_RUN)
+        if isinstance(error, SilentError):
+            self._report(failed=True)
+            return RefusalError(Code.DEADLINE_PASSED, Outcome.MAY_HAVE_RUN)
+        self._report(failed=True, lost=True)
+        return RefusalError(Code.CONNECTION_LOST, Outcome.MAY_HAVE_RUN)
+
+    def _can_resend(self) -> bool:
+        if self._request.tag.never_repeat or not self._exchange.reused:
+            return False
+        return self._request.body.replayable
+
+    def _report(self, *, failed: bool, lost: bool = False) -> None:
+        self._reported = True
+        fresh = self._exchange is None or not self._exchange.reused
+        self._server.note_result(
+            Result(self._request, self._seconds, failed, fresh, lost),
+        )
+
+    def _check(self, response: HTTPResponse) -> HTTPResponse:
+        shed = response.headers.get(headers.NOT_RUN, '').lower() == 'true'
+        if response.status == _SERVICE_UNAVAILABLE and shed:
+            self.end(None)
+            raise RefusalError(
+                Code.SERVER_SHED,
+                retry_after=_RETRY_AFTER_SECONDS,
+            )
+        echoed = response.headers.get(headers.REQUEST_ID)
+        if echoed and echoed != self._request.request_id:
+            raise self._refuse_bad_answer()
+        return response
+
+    def _refuse_bad_answer(self) -> RefusalError:
+        self._exchange.abort()
+        if not self._reported:
+            self._report(failed=True)
+        return RefusalError(Code.BAD_ANSWER, Outcome.RAN)
+
+    def _make_headers(self) -> headers.Pairs:
+        left = max(0, self._request.deadline - self._server.now())
+        own = {
+            headers.REQUEST_ID.lower(),
+            headers.TIME_LEFT.lower(),
+        }
+        passed = [
+            (name, text)
+            for name, text in self._request.headers
+            if name.lower() not in own
+        ]
+        passed.append((headers.REQUEST_ID, self._request.request_id))
+        passed.append((headers.TIME_LEFT, str(int(left * _MILLISECONDS))))
+        if self._request.key:
+            passed.append((headers.IDEMPOTENCY_KEY, self._request.key))
+        return passed
+
+
+class _DeadConnectionError(ExchangeError):
+    """A reused connection is dead; the request goes to a new one."""
+
+
+class AnswerBody:
+    """The body of an answer, with the time that the server took for it."""
+
+    def __init__(
+        self,
+        run: Run,
+        chunks: Iterator[bytes],
+        held: contextlib.ExitStack,
+        *,
+        failed: bool,
+    ) -> None:
+        self._run = run
+        self._failed = failed
+        self._chunks = chunks
+        self._held = held
+        self._closed = False
+        self._yielded: float | None = None
+
+    def free_slot(self, now: float) -> None:
+        """Give the slot back if the reader keeps the relay waiting."""
+        since = self._yielded
+        if since is not None and now - since > _SLOW_READER_SECONDS:
+            self._held.close()
+
+    def read(self) -> Iterator[bytes]:
+        """Give the chunks.
+
+        :raises ProtocolError: if the server cut the body short.
+        """
+        while True:
+            started = self._run.now()
+            try:
+                chunk = next(self._chunks, b'')
+            except ProtocolError:
+                self._finish(failed=True)
+                raise
+            self._run.add_time(self._run.now() - started)
+            if not chunk:
+                break
+            self._yielded = self._run.now()
+            yield chunk
+            self._yielded = None
+        self._finish(failed=self._failed)
+
+    def close(self) -> None:
+        """Release the slot and the connection."""
+        self._finish(failed=None)
+
+    def _finish(self, failed: bool | None) -> None:
+        if self._closed:
+            return
+        self._closed = True
+        self._held.close()
+        self._run.end(failed)
--- /dev/null
+++ b/godwitknot/sidecar.py
@@ -0,0 +1,94 @@
+"""The sidecar role: the only path to the backend servers of an instance."""
+
+import functools
+import socket
+from collections.abc import Callable, Mapping
+
+import attrs
+
+from godwitknot.attempts import AttemptLog, AttemptState
+from godwitknot.metrics import Metrics
+from godwitknot.outcomes import Code, Outcome, RefusalError
+from godwitknot.relay import RelayAnswer, RelayRequest
+from godwitknot.upstream import UpstreamServer
+
+
+class Sidecar:
+    """Admits requests to the servers of this instance and runs them."""
+
+    def __init__(
+        self,
+        incarnation: int,
+        servers: Mapping[str, UpstreamServer],
+        attempts: AttemptLog,
+        metrics: Metrics,
+    ) -> None:
+        """Take the servers.
+
+        :param incarnation: of this node.
+        :param servers: by name.
+        """
+        self._incarnation = incarnation
+        self._servers = servers
+        self._attempts = attempts
+        self._metrics = metrics
+
+    def relay(
+        self,
+        request: RelayRequest,
+        caller: socket.socket | None,
+    ) -> RelayAnswer:
+        """Run a request on the server that it names.
+
+        :param caller: socket to watch, or ``None``.
+        :raises RefusalError: with what is known about the execution.
+        """
+        server = self._find_server(request)
+        if not self._attempts.begin(request.attempt_id):
+            raise RefusalError(Code.CONNECTION_LOST, Outcome.MAY_HAVE_RUN)
+        self._metrics.count('sidecar.requests')
+        try:
+            answer = self._run(server, request, caller)
+        except RefusalError as refusal:
+            not_run = refusal.outcome is Outcome.NOT_RUN
+            state = AttemptState.NOT_RUN if not_run else AttemptState.ENDED
+            self._attempts.end(request.attempt_id, state)
+            self._metrics.count(f'sidecar.refused.{refusal.code}')
+            raise
+        close = functools.partial(
+            self._end,
+            request.attempt_id,
+            answer.close,
+        )
+        return attrs.evolve(answer, close=close)
+
+    def settle(self, attempt_id: str) -> AttemptState:
+        """Tell the state of an attempt whose hop was lost."""
+        return self._attempts.settle(attempt_id)
+
+    def _run(
+        self,
+        server: UpstreamServer,
+        request: RelayRequest,
+        caller: socket.socket | None,
+    ) -> RelayAnswer:
+        # A request that may not run twice runs to its end, so that a resend
+        # gets its answer.
+        watched = None if request.tag.never_repeat else caller
+        return server.run(request, watched, _always_send)
+
+    def _find_server(self, request: RelayRequest) -> UpstreamServer:
+        if request.incarnation != self._incarnation:
+            raise RefusalError(Code.WRONG_INCARNATION)
+        server = self._servers.get(request.server)
+        if server is None or server.section.service != request.service:
+            raise RefusalError(Code.WRONG_INCARNATION)
+        return server
+
+    def _end(self, attempt_id: str, close: Callable[[], None]) -> None:
+        close()
+        self._attempts.end(attempt_id, AttemptState.ENDED)
+
+
+def _always_send() -> None:
+    """Let a request go that needs no claim."""
--- /dev/null
+++ b/godwitknot/upstream.py
@@ -0,0 +1,142 @@
+"""One backend server behind this node: how a request is run on it."""
+
+import contextlib
+import socket
+import threading
+from collections.abc import Callable
+
+from godwitknot.admission import Gate, Ticket
+from godwitknot.clock import Clock
+from godwitknot.connections import Channel, ChannelPool
+from godwitknot.exchange import Exchange
+from godwitknot.relay import Load, RelayAnswer, RelayRequest
+from godwitknot.runs import AnswerBody, Result, Run, RunHost
+from godwitknot.settings import ServerSection
+
+_MOST_IDLE = 8
+
+
+class UpstreamServer(RunHost):
+    """Runs requests on one backend server, within its slots."""
+
+    def __init__(
+        self,
+        section: ServerSection,
+        clock: Clock,
+        observe: Callable[[Result], None],
+    ) -> None:
+        """Prepare; no connection is opened yet.
+
+        :param section: settings of the server.
+        :param observe: gets the result of each run.
+        """
+        self.section = section
+        self.gate = Gate(section.name, section.slots, clock)
+        self._pool = ChannelPool(section.address, clock, _MOST_IDLE)
+        self._clock = clock
+        self._observe = observe
+        self._last_answer = float(0)
+        self._lock = threading.Lock()
+        self._running: dict[str, tuple[RelayRequest, float]] = {}
+        self._bodies: dict[str, AnswerBody] = {}
+
+    def running(self) -> list[tuple[RelayRequest, float]]:
+        """Give the requests on the server and when each was sent."""
+        with self._lock:
+            return list(self._running.values())
+
+    def load(self) -> Load:
+        """Give the load that this node counts."""
+        counted = self.gate.load()
+        return Load(counted.running, counted.queued, counted.slots)
+
+    def free_slots(self) -> None:
+        """Give back the slots of answers whose readers are slow.
+
+        The server has done its work by then, and a slow reader may take
+        minutes.
+        """
+        now = self.now()
+        with self._lock:
+            bodies = list(self._bodies.values())
+        for body in bodies:
+            body.free_slot(now)
+
+    def forget_connections(self) -> None:
+        """Drop idle connections, for example after a restart."""
+        self._pool.close_idle()
+
+    def run(
+        self,
+        request: RelayRequest,
+        caller: socket.socket | None,
+        check_send: Callable[[], None],
+    ) -> RelayAnswer:
+        """Run a request and give the answer once its head is there.
+
+        :param caller: socket to watch, or ``None`` to run to the end.
+        :param check_send: called right before the send; may raise.
+        :raises RefusalError: with what is known about the execution.
+        """
+        ticket = Ticket(
+            request.attempt_id,
+            request.tag.name,
+            request.account,
+            request.tag.priority,
+            request.deadline,
+        )
+        self.free_slots()
+        with contextlib.ExitStack() as stack:
+            slot = stack.enter_context(self.gate.enter(ticket))
+            check_send()
+            run = Run(self, request, caller)
+            answer = run.start()
+            slot.note_answered()
+            held = stack.pop_all()
+        return run.stream(answer, held)
+
+    def open_channel(self, *, fresh: bool) -> Channel:
+        """Get a connection to the server.
+
+        :raises ConnectFailedError: if none could be opened.
+        """
+        return self._pool.take(fresh=fresh)
+
+    def make_exchange(self, channel: Channel) -> Exchange:
+        """Give an exchange on a connection of this server."""
+        return Exchange(self._pool, channel, self._clock)
+
+    def now(self) -> float:
+        """Give the time on the node's clock."""
+        return self._clock.now()
+
+    def answered_since(self, moment: float) -> bool:
+        """Tell whether any request was answered after a moment."""
+        return self._last_answer > moment
+
+    def note_sent(self, request: RelayRequest) -> None:
+        """Note that a request may be on the server from now on."""
+        with self._lock:
+            self._running[request.attempt_id] = (request, self.now())
+
+    def note_answer(self) -> None:
+        """Note that the server answered something."""
+        self._last_answer = self.now()
+
+    def note_body(self, attempt_id: str, body: AnswerBody) -> None:
+        """Note that an answer is being passed on."""
+        with self._lock:
+            self._bodies[attempt_id] = body
+
+    def note_result(self, result: Result) -> None:
+        """Pass on how a run went; the first result of an attempt counts."""
+        attempt_id = result.request.attempt_id
+        if not result.lost:
+            self._forget(attempt_id)
+        self._observe(result)
+        self._forget(attempt_id)
+
+    def _forget(self, attempt_id: str) -> None:
+        with self._lock:
+            self._running.pop(attempt_id, None)
+            self._bodies.pop(attempt_id, None)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems that a fleet meets; for tests and benches."""
--- /dev/null
+++ b/standins/cutter.py
@@ -0,0 +1,148 @@
+"""A relay between two parties that can lose what they send.
+
+It stands for the network: a one-way partition discards one direction, and
+a middlebox that forgets connections makes the open ones silent while new
+ones work. TCP and UDP on one port are relayed to one target.
+"""
+
+import contextlib
+import socket
+import threading
+
+import attrs
+
+from godwitknot.units import Address
+
+_CHUNK_BYTES = 65536
+_UDP_BYTES = 65535
+_BACKLOG = 128
+
+
+@attrs.define(eq=False)
+class _Link:
+    """One relayed TCP connection.
+
+    :param silent: discard both directions for good.
+    """
+
+    near: socket.socket
+    far: socket.socket
+    silent: bool = False
+
+
+class Cutter:
+    """Relays one port and discards what it is told to."""
+
+    def __init__(self, address: Address, target: Address) -> None:
+        """Prepare to relay.
+
+        :param address: where the near party connects to.
+        :param target: the far party.
+        """
+        self.cut_forward = False
+        self.cut_backward = False
+        self._address = address
+        self._target = target
+        self._links: list[_Link] = []
+        self._lock = threading.Lock()
+        self._senders: dict[tuple, socket.socket] = {}
+
+    def start(self) -> None:
+        """Listen on TCP and UDP."""
+        listener = socket.create_server(
+            self._address.pair,
+            backlog=_BACKLOG,
+            reuse_port=False,
+        )
+        datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        datagrams.bind(self._address.pair)
+        _run(self._accept, listener)
+        _run(self._relay_datagrams, datagrams)
+
+    def silence_open(self) -> None:
+        """Make all open TCP connections silent for good."""
+        with self._lock:
+            for link in self._links:
+                link.silent = True
+
+    def _accept(self, listener: socket.socket) -> None:
+        while True:
+            near, _ = listener.accept()
+            try:
+                far = socket.create_connection(self._target.pair, timeout=1)
+            except OSError:
+                near.close()
+                continue
+            far.settimeout(None)
+            link = _Link(near, far)
+            with self._lock:
+                self._links.append(link)
+            _run(self._pump, link, near, far)
+            _run(self._pump, link, far, near)
+
+    def _pump(
+        self,
+        link: _Link,
+        source: socket.socket,
+        sink: socket.socket,
+    ) -> None:
+        forward = source is link.near
+        try:
+            while True:
+                content = source.recv(_CHUNK_BYTES)
+                lost = self.cut_forward if forward else self.cut_backward
+                if not content:
+                    break
+                if not (link.silent or lost):
+                    sink.sendall(content)
+        except OSError:
+            self._forget(link)
+        # A lost direction loses the end of the connection too.
+        if not link.silent:
+            _close_write(sink)
+
+    def _forget(self, link: _Link) -> None:
+        with self._lock:
+            if link in self._links:
+                self._links.remove(link)
+        link.near.close()
+        link.far.close()
+
+    def _relay_datagrams(self, near: socket.socket) -> None:
+        while True:
+            content, origin = near.recvfrom(_UDP_BYTES)
+            if self.cut_forward:
+                continue
+            sender = self._senders.get(origin)
+            if sender is None:
+                sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+                sender.connect(self._target.pair)
+                self._senders[origin] = sender
+                _run(self._relay_answers, near, sender, origin)
+            with contextlib.suppress(OSError):
+                sender.send(content)
+
+    def _relay_answers(
+        self,
+        near: socket.socket,
+        sender: socket.socket,
+        origin: tuple,
+    ) -> None:
+        while True:
+            try:
+                content = sender.recv(_UDP_BYTES)
+            except OSError:
+                continue
+            if not self.cut_backward:
+                near.sendto(content, origin)
+
+
+def _close_write(sink: socket.socket) -> None:
+    try:
+        sink.shutdown(socket.SHUT_WR)
+    except OSError:
+        sink.close()
+
+
+def _run(target: object, *args: object) -> None:
+    threading.Thread(target=target, args=args, daemon=True).start()
--- /dev/null
+++ b/tests/dataplane.py
@@ -0,0 +1,187 @@
+"""Ingress, sidecars and fake servers in this process, over real sockets."""
+
+import contextlib
+import itertools
+import socket
+import threading
+
+from godwitknot.attempts import AttemptLog
+from godwitknot.chooser import ServerChooser, Target
+from godwitknot.clock import SystemClock
+from godwitknot.declaration import parse_declaration
+from godwitknot.dispatch import Dispatcher
+from godwitknot.httpserver import NodeServer
+from godwitknot.ingress import IngressApp, Serving
+from godwitknot.keys import FleetKeys
+from godwitknot.metrics import Metrics
+from godwitknot.peerapp import PeerApp
+from godwitknot.peerlink import PeerLink
+from godwitknot.routes import RouteTable
+from godwitknot.settings import ServerSection
+from godwitknot.sidecar import Sidecar
+from godwitknot.units import Address
+from godwitknot.upstream import UpstreamServer
+from standins.backend import FakeServer, FakeServerHost
+
+DECLARATION = """
+[fleet]
+owner = tests
+
+[service shop]
+floor = 1
+
+[class browse]
+service = shop
+match = GET,HEAD,POST,PUT /*
+success = 99%
+latency = 95% within 400ms
+timeout = 5s
+
+[class reserve]
+service = shop
+match = POST /reservations
+success = 99%
+latency = 95% within 400ms
+timeout = 5s
+never-repeat = yes
+"""
+
+
+def free_address() -> Address:
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return Address(*probe.getsockname())
+
+
+class FixedChooser(ServerChooser):
+    """Gives the targets in turn."""
+
+    def __init__(self, targets):
+        self.targets = list(targets)
+        self._turn = itertools.count()
+        self.links = []
+
+    def choose(self, wish):
+        start = next(self._turn) % len(self.targets)
+        for target in self.targets[start:] + self.targets[:start]:
+            if target.key not in wish.excluded:
+                return target
+        return None
+
+    def locate(self, node_id, server):
+        for target in self.targets:
+            if target.key == (node_id, server):
+                return target
+        return None
+
+    def note_sent(self, target):
+        """Count nothing."""
+
+    def note_ended(self, target, load):
+        """Count nothing."""
+
+    def note_link(self, target, *, reached):
+        self.links.append((target.key, reached))
+
+    def note_bytes(self, target, amount):
+        """Count nothing."""
+
+
+class DataPlane:
+    """One ingress, and a node with one fake server for each name."""
+
+    def __init__(self, names=('s1', 's2'), local=False, via=None):
+        self.clock = SystemClock()
+        self.metrics = Metrics()
+        self.keys = FleetKeys('k1', {'k1': b'0123456789abcdef'})
+        self.host = FakeServerHost()
+        self.results = []
+        self.ended = []
+        self.upstreams = {}
+        self._servers = []
+        self._stopped = threading.Event()
+        targets = [self._add_node(name, local, via) for name in names]
+        self.chooser = FixedChooser(targets)
+        self.ingress_address = free_address()
+        link = PeerLink(self.keys, self.clock, self.metrics)
+        self.dispatcher = Dispatcher(
+            self.chooser, link, self.sidecar, self.clock, self.metrics
+        )
+        declaration = parse_declaration(DECLARATION)
+        serving = Serving(1, RouteTable(declaration), 'X-Account')
+        self.ingress = IngressApp(
+            self.dispatcher,
+            lambda: serving,
+            self.ended.append,
+            self.clock,
+            self.metrics,
+        )
+        self._serve(self.ingress_address, self.ingress)
+
+    @property
+    def url(self):
+        return f'http://{self.ingress_address}'
+
+    def fake(self, name):
+        return self.host.servers[name]
+
+    def free_slots_in_background(self):
+        """Do what the node's housekeeping thread does."""
+
+        def free():
+            while not self._stopped.wait(0.05):
+                for upstream in self.upstreams.values():
+                    upstream.free_slots()
+
+        threading.Thread(target=free, daemon=True).start()
+
+    def stop(self):
+        self._stopped.set()
+        for server in self._servers:
+            server.stop()
+        self.host.stop()
+
+    def _add_node(self, name, local, via):
+        fake_address = free_address()
+        self.host.add(FakeServer(name), fake_address)
+        upstream_address = fake_address
+        if via is not None:
+            upstream_address = via(fake_address)
+        section = ServerSection(name, 'shop', upstream_address, 4)
+        upstream = UpstreamServer(section, self.clock, self.results.append)
+        self.upstreams[name] = upstream
+        self.sidecar = Sidecar(
+            1, {name: upstream}, AttemptLog(self.clock), self.metrics
+        )
+        address = free_address()
+        app = PeerApp(self.sidecar, self.keys, self.clock, self.metrics)
+        self._serve(address, app)
+        return Target(f'n-{name}', 1, name, 'shop', address, local)
+
+    def _serve(self, address, app):
+        server = NodeServer(address, app)
+        server.error_log = lambda *args, **kwargs: None
+        server.prepare()
+        threading.Thread(target=server.serve, daemon=True).start()
+        self._servers.append(server)
+
+
+@contextlib.contextmanager
+def running_plane(**options):
+    plane = DataPlane(**options)
+    try:
+        yield plane
+    finally:
+        plane.stop()
+
+
+def exchange_bytes(address, payload, size=65536):
+    """Send raw bytes and read until the other side closes."""
+    with socket.create_connection(address.pair, timeout=10) as sock:
+        sock.sendall(payload)
+        parts = []
+        while True:
+            part = sock.recv(size)
+            if not part:
+                return b''.join(parts)
+            parts.append(part)
--- /dev/null
+++ b/tests/godwitknot/test_ingress.py
@@ -0,0 +1,106 @@
+import json
+
+import pytest
+import urllib3
+
+from tests.dataplane import exchange_bytes, running_plane
+
+
+@pytest.fixture(scope='module')
+def plane():
+    with running_plane() as running:
+        yield running
+
+
+@pytest.fixture
+def http():
+    return urllib3.PoolManager(retries=False)
+
+
+def test_request_crosses_ingress_and_sidecar(plane, http):
+    answer = http.request('POST', f'{plane.url}/x?a=1&b=%20', body=b'hello')
+    echo = json.loads(answer.data)
+    assert answer.status == 200
+    assert (echo['body'], echo['query']) == ('hello', 'a=1&b=%20')
+    assert answer.headers['X-Godwitknot-Outcome'] == 'ran'
+    assert answer.headers['X-Request-Id'] == echo['request']
+
+
+def test_unknown_route_is_refused_as_not_run(plane, http):
+    answer = http.request('DELETE', f'{plane.url}/x')
+    assert answer.status == 404
+    assert answer.json()['outcome'] == 'not-run'
+    assert answer.json()['code'] == 'no-class'
+
+
+def test_never_repeat_without_key_is_refused(plane, http):
+    """Guards against bookings that cannot be told from their resends."""
+    answer = http.request('POST', f'{plane.url}/reservations', body=b'x')
+    assert answer.status == 428
+    assert answer.json()['code'] == 'idempotency-key-required'
+
+
+@pytest.mark.parametrize(
+    'framing',
+    [
+        b'Content-Length: 5\r\nContent-Length: 6\r\n',
+        b'Content-Length: 5\r\nContent-Length: 5\r\n',
+        b'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n',
+        b'Content-Length: +5\r\n',
+        b'Content-Length: 5_0\r\n',
+        b'Content-Length : 5\r\n',
+        b'Transfer-Encoding: chunked, identity\r\n',
+        b'Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n',
+    ],
+)
+def test_ambiguous_framing_is_refused(plane, framing):
+    """Guards against requests smuggled past one of two hops."""
+    payload = b'POST /x HTTP/1.1\r\nHost: a\r\n%b\r\nhello' % framing
+    answer = exchange_bytes(plane.ingress_address, payload)
+    assert answer.startswith(b'HTTP/1.1 400')
+    assert answer.count(b'HTTP/1.1') == 1
+
+
+def test_too_large_header_is_refused(plane):
+    payload = b'GET /x HTTP/1.1\r\nHost: a\r\nX-Big: %b\r\n\r\n'
+    answer = exchange_bytes(plane.ingress_address, payload % (b'a' * 20000))
+    assert b' 413 ' in answer.split(b'\r\n')[0]
+
+
+def test_own_and_hop_by_hop_headers_of_a_caller_are_stripped(plane, http):
+    """Guards against callers that pose as a node of the fleet."""
+    answer = http.request(
+        'GET',
+        f'{plane.url}/x',
+        headers={
+            'X-Godwitknot-Account': 'other',
+            'X-Godwitknot-Last-Resort': 'yes',
+            'Connection': 'X-Secret',
+            'X-Secret': 'hop',
+            'TE': 'trailers',
+        },
+    )
+    assert answer.status == 200
+
+
+def test_caller_deadline_shortens_the_timeout(plane, http):
+    answer = http.request(
+        'GET', f'{plane.url}/x', headers={'X-Deadline-Ms': '0'}
+    )
+    assert answer.status == 504
+    assert answer.json()['outcome'] == 'not-run'
+
+
+def test_peer_port_refuses_requests_without_a_fleet_key(plane, http):
+    """Guards against callers that bypass the ingress."""
+    address = plane.chooser.targets[0].address
+    before = len(plane.fake('s1').executions)
+    answer = http.request('GET', f'http://{address}/x')
+    assert answer.status == 403
+    assert len(plane.fake('s1').executions) == before
+
+
+def test_health_and_ready(plane, http):
+    for name in ('health', 'ready'):
+        answer = http.request('GET', f'{plane.url}/.godwitknot/{name}')
+        assert answer.status == 200
