Add round robin and consecutive errors as baselines

Cause: the sequential policy needs something to be compared with. Change: a policy that never ejects, and one that ejects after five errors in a row for 30 s times the ejections, at most a tenth of the servers. Result: tests for the count, the growing time out and the quota pass.

--- /dev/null
+++ b/tests/godwitknot/test_baselines.py
@@ -0,0 +1,61 @@
+from godwitknot.baselines import (
+    ConsecutiveErrorsPolicy,
+    EjectionQuota,
+    RoundRobinPolicy,
+)
+from godwitknot.clock import ManualClock
+from godwitknot.outliers import Sample
+
+FIVE_ERRORS = (True, True, True, True, True)
+
+
+def _feed(policy, outcomes):
+    for failed in outcomes:
+        policy.observe(Sample('lookup', 0.05, failed, True, 0))
+    return policy.verdict().eject
+
+
+def _run(clock, policy, seconds):
+    for _ in range(seconds):
+        clock.advance(1)
+        policy.tick(clock.now())
+    return policy.verdict().eject
+
+
+def test_five_errors_in_a_row_eject():
+    policy = ConsecutiveErrorsPolicy(ManualClock(), EjectionQuota(25))
+    assert not _feed(
+        policy, (True, True, True, True, False, True, True, True, True)
+    )
+    assert _feed(policy, [True])
+
+
+def test_time_out_grows_with_the_ejections():
+    clock = ManualClock()
+    policy = ConsecutiveErrorsPolicy(clock, EjectionQuota(25))
+    _feed(policy, FIVE_ERRORS)
+    assert _run(clock, policy, 29)
+    assert not _run(clock, policy, 11)
+    _feed(policy, FIVE_ERRORS)
+    assert _run(clock, policy, 59)
+    assert not _run(clock, policy, 11)
+
+
+def test_at_most_a_tenth_is_out():
+    clock = ManualClock()
+    quota = EjectionQuota(25)
+    policies = [ConsecutiveErrorsPolicy(clock, quota) for _ in range(4)]
+    assert [_feed(policy, FIVE_ERRORS) for policy in policies] == [
+        True,
+        True,
+        False,
+        False,
+    ]
+    _run(clock, policies[0], 40)
+    assert _feed(policies[2], [True])
+
+
+def test_round_robin_never_ejects():
+    policy = RoundRobinPolicy()
+    policy.tick(0)
+    assert not _feed(policy, FIVE_ERRORS)
