Add the ejection state machine

Cause: an ejected server must come back by itself, flapping ones later, and a paused sidecar must not act on an old lease. Change: ejection under a lease, probation with five repeatable requests in order, ramp from 10% to 100% over 10 s, doubled waits within 10 min, and return when the lease lapses. Slowness of a server that just started is not counted.

--- a/godwitknot/outliers.py
+++ b/godwitknot/outliers.py
@@ -13,6 +13,7 @@
 from godwitknot.declaration import Weighing
 from godwitknot.evidence import Evidence, EvidenceKind
 from godwitknot.likelihood import (
+    SLOWDOWN,
     find_scale,
     log_excess,
     weigh_hang,
@@ -90,6 +91,10 @@
     def reset(self) -> None:
         """Forget the evidence, when the server was ejected."""
 
+    def is_good(self, sample: Sample) -> bool:
+        """Judge one request of a server on probation."""
+        return not sample.failed
+
     def begin(
         self,
         request_id: str,
@@ -230,6 +235,13 @@
             strongest,
         )
 
+    def is_good(self, sample: Sample) -> bool:
+        """Judge one request: no failure and less than 3 times as slow."""
+        baseline = self._baseline_of(sample.work_class)
+        if sample.failed or baseline is None:
+            return not sample.failed
+        return log_excess(sample.seconds, baseline.median) < SLOWDOWN
+
     def reset(self) -> None:
         """Forget all requests, those that still hang included."""
         with self._lock:
--- /dev/null
+++ b/tests/godwitknot/test_ejections.py
@@ -0,0 +1,219 @@
+import random
+
+import pytest
+
+from godwitknot.baselines import RoundRobinPolicy
+from godwitknot.clock import ManualClock
+from godwitknot.ejections import ServerHealth
+from godwitknot.evidence import Action, DecisionLog
+from godwitknot.floors import FloorContext, FloorKeeper
+from godwitknot.outliers import Sample, Verdict
+from godwitknot.records import ServerState
+
+
+class GrantingContext(FloorContext):
+    """A service without siblings whose floor a test can raise."""
+
+    def __init__(self):
+        self.least = 0
+
+    def siblings(self, service):
+        return []
+
+    def floor(self, service):
+        return self.least
+
+    def send(self, target, request):
+        raise AssertionError('there is nobody to ask')
+
+    def is_steady(self, server):
+        return True
+
+
+class ToldPolicy(RoundRobinPolicy):
+    """Gives the verdict that a test sets."""
+
+    eject = False
+    observed = 0
+
+    def verdict(self):
+        return Verdict(self.eject, self.eject)
+
+    def observe(self, sample):
+        self.observed += 1
+
+
+class Case:
+    """A server that started and has warmed up."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.context = GrantingContext()
+        self.policy = ToldPolicy()
+        self.decisions = DecisionLog(self.clock)
+        keeper = FloorKeeper('n', self.context, self.clock)
+        self.health = ServerHealth(
+            's',
+            'docs',
+            self.policy,
+            keeper,
+            self.decisions,
+            self.clock,
+            random.Random(1),
+        )
+        self.health.note_started()
+        self.run(20)
+
+    def run(self, seconds):
+        for _ in range(int(seconds * 2)):
+            self.clock.advance(0.5)
+            self.health.step()
+
+    def eject(self):
+        self.policy.eject = True
+        self.run(2)
+        self.policy.eject = False
+        return self.health.state
+
+    def accepts(self, *, repeatable=True, last_resort=False):
+        return self.health.accepts(
+            repeatable=repeatable, last_resort=last_resort
+        )
+
+    def finish(self, *, failed=False):
+        self.health.observe(Sample('lookup', 0.05, failed, True, 0))
+
+    def actions(self):
+        return [each.action for each in self.decisions.of_server('s')]
+
+
+@pytest.fixture
+def case():
+    return Case()
+
+
+def test_cold_start_ramps_and_slowness_is_forgiven():
+    """Guards against ejecting each server that just started."""
+    case = Case()
+    assert case.health.share() == pytest.approx(1)
+    case.health.note_crashed()
+    assert not case.accepts(last_resort=True)
+    case.health.note_started()
+    assert case.health.share() == pytest.approx(0.1)
+    case.finish()
+    assert case.policy.observed == 0
+    case.finish(failed=True)
+    assert case.policy.observed == 1
+    case.run(5)
+    assert case.health.share() == pytest.approx(0.55)
+
+
+def test_probation_and_ramp(case):
+    assert case.eject() == ServerState.EJECTED
+    assert not case.health.share()
+    assert not case.accepts()
+    assert case.accepts(last_resort=True)
+    case.run(5)
+    assert case.health.state == ServerState.PROBATION
+    assert not case.accepts(repeatable=False)
+    for _ in range(5):
+        assert case.accepts()
+        assert not case.accepts()
+        case.finish()
+    assert case.health.state == ServerState.READY
+    assert case.health.share() == pytest.approx(0.1)
+    assert case.actions()[-3:] == [
+        Action.EJECTED,
+        Action.PROBATION,
+        Action.RAMPING,
+    ]
+
+
+def test_unsent_probation_request_frees_its_place(case):
+    """Guards against a server that stays on probation for ever."""
+    case.eject()
+    case.run(5)
+    assert case.accepts()
+    case.health.note_unsent()
+    assert case.accepts()
+
+
+def test_flapping_server_waits_longer(case):
+    """Guards against a flapping server that is tried every 5 seconds."""
+    case.eject()
+    waits = []
+    for _ in range(4):
+        began = case.clock.now()
+        while case.health.state == ServerState.EJECTED:
+            case.run(0.5)
+        waits.append(case.clock.now() - began)
+        assert case.accepts()
+        case.finish(failed=True)
+    assert waits[1:] == pytest.approx([10, 20, 40])
+
+
+def test_ejected_server_can_drain(case):
+    """Guards against a planned stop that puts a bad server back first."""
+    case.eject()
+    assert case.health.start_drain()
+    case.run(20)
+    assert case.health.state == ServerState.DRAINING
+
+
+def test_ejection_needs_promises(case):
+    """Guards against ejections below the floor."""
+    case.context.least = 1
+    assert case.eject() == ServerState.READY
+    assert Action.KEPT_BY_FLOOR in case.actions()
+
+
+def test_server_returns_when_the_lease_lapses(case):
+    """Guards against a service that stays small while siblings are lost."""
+    case.eject()
+    case.context.least = 1
+    case.run(3)
+    assert case.health.state == ServerState.READY
+    assert case.health.share() == pytest.approx(0.325)
+    assert case.actions()[-1] == Action.LEASE_LAPSED
+
+
+def test_paused_sidecar_does_not_act_on_an_old_lease(case):
+    """Guards against a decision from before a pause."""
+    case.context.least = 0
+    case.eject()
+    absence = case.health._life.absence
+    absence.lease.floor = 1
+    absence.lease.promises['n2', 's'] = case.clock.now() + 6
+    assert case.health.state == ServerState.EJECTED
+    case.clock.advance(60)
+    assert case.accepts(repeatable=False)
+
+
+def test_drain_is_kept_without_promises_and_refuses(case):
+    """Guards against a planned stop that takes requests again."""
+    assert case.health.start_drain()
+    case.context.least = 1
+    case.run(10)
+    assert case.health.state == ServerState.DRAINING
+    assert not case.accepts(last_resort=True)
+    case.health.note_gone()
+    assert case.health.state == ServerState.GONE
+
+
+def test_drain_waits_for_the_floor(case):
+    case.context.least = 1
+    assert not case.health.start_drain()
+    assert case.accepts()
+
+
+def test_listeners_hear_each_state(case):
+    heard = []
+    case.health.listeners.append(heard.append)
+    case.eject()
+    case.health.note_crashed()
+    case.health.note_started()
+    assert heard == [
+        ServerState.EJECTED,
+        ServerState.STARTING,
+        ServerState.READY,
+    ]
