Add contacts and choice of server

Cause: an ingress must spread work by load without a list of weights, keep to its own region unless a target is at risk, and avoid dead links. Change: contacts by rendezvous hash with shares for other places, load from responses with an age, link backoff per node; choice by locality and the power of two choices, with a byte budget between regions, probation and last resort. Result: tests show that 16 of 200 contacts span all places, that one lost server changes one contact, and that the region budget is kept.

--- /dev/null
+++ b/tests/godwitknot/test_contacts.py
@@ -0,0 +1,145 @@
+import collections
+import random
+
+import pytest
+
+from godwitknot.clock import ManualClock
+from godwitknot.contacts import (
+    ContactBook,
+    Place,
+    ReportedLoad,
+    choose_contacts,
+)
+from godwitknot.records import (
+    LocatedServer,
+    NodeRecord,
+    NodeState,
+    ServerRecord,
+    ServerState,
+)
+from godwitknot.units import Address
+
+PLACES = (
+    ('reykjanes', 'reykjanes-a'),
+    ('reykjanes', 'reykjanes-b'),
+    ('nordurland', 'nordurland-a'),
+    ('nordurland', 'nordurland-b'),
+)
+
+
+def locate(number, place=0, state=ServerState.READY, *, reachable=True):
+    address = Address('127.0.0.1', 1)
+    server = ServerRecord('s', 'booking', 4, 1, state)
+    region, domain = PLACES[place]
+    node = NodeRecord(
+        f'n{number}',
+        1,
+        1,
+        region,
+        domain,
+        address,
+        address,
+        NodeState.READY,
+        (server,),
+    )
+    return LocatedServer(node, server, reachable)
+
+
+def fleet(count):
+    return [locate(number, number % 4) for number in range(count)]
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def book(clock):
+    made = ContactBook(locate(0).node, clock, random.Random(1))
+    made.update('booking', fleet(8))
+    return made
+
+
+def find(book, number):
+    contacts = book.contacts('booking')
+    return next(each for each in contacts if each.key[0] == f'n{number}')
+
+
+def test_small_service_is_used_whole():
+    assert len(choose_contacts(locate(0).node, fleet(16))) == 16
+
+
+def test_large_service_keeps_contacts_in_other_places():
+    """Guards against losing all contacts with one failure domain."""
+    chosen = choose_contacts(locate(0).node, fleet(200))
+    domains = collections.Counter(each.node.failure_domain for each in chosen)
+    assert domains['reykjanes-a'] == 10
+    assert domains['reykjanes-b'] == 4
+    assert len(chosen) == 16
+
+
+def test_one_server_less_changes_one_contact():
+    servers = fleet(200)
+    before = choose_contacts(locate(0).node, servers)
+    servers.remove(before[0])
+    after = choose_contacts(locate(0).node, servers)
+    assert len(set(before) - set(after)) == 1
+
+
+def test_each_server_has_contacts():
+    """Guards against servers that no ingress uses."""
+    servers = fleet(40)
+    used = set()
+    for ingress in servers:
+        used.update(choose_contacts(ingress.node, servers))
+    assert len(used) == 40
+
+
+def test_unreachable_and_draining_servers_are_left_out(book):
+    book.update(
+        'booking',
+        [
+            locate(1, state=ServerState.DRAINING),
+            locate(2, reachable=False),
+            locate(3),
+        ],
+    )
+    assert [each.key[0] for each in book.contacts('booking')] == ['n3']
+
+
+def test_load_expires(book, clock):
+    """Guards against choosing by a load from long ago."""
+    key = ('n1', 's')
+    book.note_sent(key)
+    assert find(book, 1).fullness == pytest.approx(0.25)
+    book.note_done(key, ReportedLoad(3, 1, 4, 0.5))
+    assert find(book, 1).fullness == pytest.approx(2)
+    assert find(book, 1).place == Place.REGION
+    clock.advance(2)
+    assert find(book, 1).fullness == pytest.approx(0)
+
+
+def test_failed_link_backs_off_and_recovers(book, clock):
+    """Guards against hammering a node that cannot be reached."""
+    key = ('n1', 's')
+    downtimes = []
+    for _ in range(8):
+        book.note_link_failed('n1')
+        since = clock.now()
+        while not find(book, 1).usable:
+            clock.advance(0.05)
+        downtimes.append(clock.now() - since)
+    assert downtimes[0] == pytest.approx(0.375, abs=0.2)
+    assert max(downtimes) == pytest.approx(7.5, abs=2.6)
+    book.note_sent(key)
+    assert not find(book, 1).usable
+    book.note_done(key, ReportedLoad(0, 0, 4, 1))
+    assert find(book, 1).usable
+
+
+def test_refusal_by_state_is_remembered_briefly(book, clock):
+    book.note_refused(('n1', 's'))
+    assert not find(book, 1).usable
+    clock.advance(1)
+    assert find(book, 1).usable
--- /dev/null
+++ b/tests/godwitknot/test_selection.py
@@ -0,0 +1,106 @@
+import collections
+import random
+
+import pytest
+from test_contacts import locate
+
+from godwitknot.clock import ManualClock
+from godwitknot.contacts import ContactBook, ReportedLoad
+from godwitknot.records import ServerState
+from godwitknot.selection import Need, RegionBudget, Selector
+
+FULL = ReportedLoad(4, 8, 4, 1)
+
+
+class Ingress:
+    """A selector over given servers, at the place of ``locate(0, 0)``."""
+
+    def __init__(self, *servers):
+        self.clock = ManualClock()
+        self.book = ContactBook(locate(99).node, self.clock, random.Random(1))
+        self.book.update('booking', servers)
+        self.budget = RegionBudget(self.clock, 5)
+        self.selector = Selector(self.book, self.budget, random.Random(2))
+
+    def report(self, number, load):
+        self.book.note_sent((f'n{number}', 's'))
+        self.book.note_done((f'n{number}', 's'), load)
+
+    def choose(self, **options):
+        fields = {'repeatable': True, 'remaining': 5, 'service_time': 0.05}
+        fields.update(options)
+        return self.selector.choose(Need('booking', **fields))
+
+    def spread(self, count, **options):
+        """Count the choices by node."""
+        chosen = collections.Counter()
+        for _ in range(count):
+            choice = self.choose(**options)
+            chosen[choice.contact.key[0]] += 1
+        return chosen
+
+
+def test_own_failure_domain_first_then_region():
+    ingress = Ingress(locate(1), locate(2, 1), locate(3, 2))
+    assert ingress.spread(20) == {'n1': 20}
+    ingress.report(1, ReportedLoad(4, 0, 4, 1))
+    assert ingress.spread(20) == {'n2': 20}
+
+
+def test_less_loaded_of_two_and_ramp_share():
+    """Guards against a full share of load on a server that ramps up."""
+    ingress = Ingress(locate(1), locate(2))
+    ingress.report(1, ReportedLoad(1, 0, 4, 0.1))
+    ingress.report(2, ReportedLoad(3, 0, 4, 1))
+    assert ingress.spread(20) == {'n2': 20}
+
+
+def test_other_region_only_at_risk_and_within_the_budget():
+    """Guards against billed bytes without need, and against a full link."""
+    ingress = Ingress(locate(1), locate(2, 2))
+    ingress.report(1, ReportedLoad(4, 4, 4, 1))
+    assert ingress.spread(20) == {'n1': 20}
+    at_risk = {'service_time': 1, 'remaining': 1.5}
+    assert ingress.spread(20, **at_risk) == {'n2': 20}
+    assert ingress.choose(**at_risk).crosses_region
+    assert ingress.spread(20, any_region=False, **at_risk) == {'n1': 20}
+    ingress.budget.charge(10_000_000)
+    assert ingress.spread(20, **at_risk) == {'n1': 20}
+    ingress.clock.advance(30)
+    ingress.report(1, FULL)
+    assert ingress.choose(**at_risk).crosses_region
+
+
+def test_region_budget_follows_its_rate():
+    clock = ManualClock()
+    budget = RegionBudget(clock, 5)
+    budget.charge(3 * 375_000)
+    assert not budget.has_room()
+    clock.advance(1.1)
+    assert budget.has_room()
+
+
+def test_tried_servers_are_not_chosen_again():
+    ingress = Ingress(locate(1), locate(2))
+    tried = frozenset((('n1', 's'),))
+    assert ingress.spread(20, tried=tried) == {'n2': 20}
+    assert ingress.choose(tried=tried | {('n2', 's')}) is None
+
+
+@pytest.mark.parametrize('repeatable', [True, False])
+def test_probation_gets_few_and_only_repeatable_requests(repeatable):
+    """Guards against bookings on a server that is still on trial."""
+    ingress = Ingress(locate(1), locate(2, state=ServerState.PROBATION))
+    chosen = ingress.spread(400, repeatable=repeatable)
+    assert (chosen['n2'] > 0) is repeatable
+    assert chosen['n2'] < 40
+
+
+def test_ejected_server_is_the_last_resort():
+    """Guards against refusing work while a bad server could still do it."""
+    ingress = Ingress(locate(1), locate(2, state=ServerState.EJECTED))
+    assert ingress.spread(20) == {'n1': 20}
+    ingress.book.note_link_failed('n1')
+    choice = ingress.choose(repeatable=False)
+    assert choice.last_resort
+    assert choice.contact.key == ('n2', 's')
