--- /dev/null
+++ b/tests/godwitknot/test_storeclient.py
@@ -0,0 +1,122 @@
+import pytest
+
+from godwitknot.errors import (
+    ConflictError,
+    LostAnswerError,
+    MissingObjectError,
+    StoreDownError,
+)
+from godwitknot.store import ABSENT, Row, TableService, Write
+from godwitknot.storeclient import (
+    HttpTableService,
+    make_write,
+    write_settled,
+)
+from godwitknot.units import Address
+
+
+class LosingTables(HttpTableService):
+    """Loses every write on its way."""
+
+    def write(self, writes):
+        raise LostAnswerError('lost')
+
+
+class LateTables(TableService):
+    """Applies nothing yet and answers no write."""
+
+    def __init__(self):
+        self.sent = []
+
+    def read(self, key):
+        return Row(key, ABSENT, {})
+
+    def scan(self, prefix):
+        return []
+
+    def write(self, writes):
+        self.sent.append(writes[0].write_id)
+        raise LostAnswerError('lost')
+
+
+def test_rows_have_versions_and_prefixes(platform):
+    platform.tables.write([Write('a/1', ABSENT, {'x': 'é'}, 'w1')])
+    platform.tables.write([Write('a/1', 1, {'x': 2}, 'w2')])
+    platform.tables.write([Write('b/1', ABSENT, {}, 'w3')])
+    assert platform.tables.read('a/1') == Row('a/1', 2, {'x': 2})
+    assert platform.tables.read('absent').version == ABSENT
+    assert [row.key for row in platform.tables.scan('a/')] == ['a/1']
+
+
+def test_a_conflict_undoes_the_whole_transaction(platform):
+    """Guards against half of a transaction being applied."""
+    platform.tables.write([Write('a', ABSENT, {}, 'w1')])
+    with pytest.raises(ConflictError):
+        platform.tables.write(
+            [Write('b', ABSENT, {}, 'w2'), Write('a', ABSENT, {}, 'w3')],
+        )
+    assert platform.tables.read('b').version == ABSENT
+
+
+def test_a_lost_answer_is_settled_by_reading(platform):
+    """Guards against taking a lost answer for a failure or a success."""
+    platform.application.faults.lose_writes = 2
+    with pytest.raises(LostAnswerError):
+        platform.tables.write([Write('a', ABSENT, {}, 'w1')])
+    write_settled(platform.tables, make_write('b', ABSENT, {'x': 1}))
+    assert platform.tables.read('b').version == 1
+    assert platform.application.counts['POST /tables/write'] == 2
+
+
+def test_a_lost_answer_of_a_lost_race_is_a_conflict(platform):
+    platform.tables.write([make_write('a', ABSENT, {})])
+
+    losing = LosingTables(platform.address, 1.0)
+    with pytest.raises(ConflictError):
+        write_settled(losing, make_write('a', ABSENT, {}))
+
+
+def test_a_write_on_its_way_is_not_taken_for_lost():
+    """Guards against a late write after "not applied" was concluded."""
+    tables = LateTables()
+    with pytest.raises(LostAnswerError):
+        write_settled(tables, make_write('a', ABSENT, {}))
+    assert len(set(tables.sent)) == 1
+
+
+def test_down_means_nothing_was_applied(platform):
+    platform.application.faults.down = True
+    with pytest.raises(StoreDownError):
+        platform.tables.write([Write('a', ABSENT, {}, 'w1')])
+    with pytest.raises(StoreDownError):
+        platform.tables.read('a')
+    platform.application.faults.down = False
+    assert platform.tables.read('a').version == ABSENT
+
+
+def test_a_slow_write_may_have_taken_effect(platform):
+    impatient = HttpTableService(platform.address, 0.05)
+    platform.application.faults.slow_ms = 200
+    with pytest.raises(LostAnswerError):
+        impatient.write([Write('a', ABSENT, {}, 'w1')])
+    with pytest.raises(StoreDownError):
+        impatient.read('a')
+
+
+def test_an_unreachable_store_is_down():
+    tables = HttpTableService(Address('127.0.0.1', 1), 0.5)
+    with pytest.raises(StoreDownError):
+        tables.write([Write('a', ABSENT, {}, 'w1')])
+
+
+def test_objects_are_whole_or_an_error(platform):
+    """Guards against a truncated object passing as a whole one."""
+    platform.objects.put('abc', b'stored text')
+    assert platform.objects.get('abc') == b'stored text'
+    platform.application.faults.truncate_reads = 1
+    with pytest.raises(StoreDownError):
+        platform.objects.get('abc')
+    platform.application.faults.corrupt_reads = 1
+    assert platform.objects.get('abc') != b'stored text'
+    with pytest.raises(MissingObjectError):
+        platform.objects.get('other')
