--- a/godwitknot/errors.py
+++ b/godwitknot/errors.py
@@ -114,3 +114,7 @@
 
 class TicketError(GodwitknotError):
     """An issued idempotency key is malformed, forged or expired."""
+
+
+class HeirNamedError(GodwitknotError):
+    """The idempotency records may already be with another heir."""
--- /dev/null
+++ b/tests/godwitknot/test_idempotency.py
@@ -0,0 +1,369 @@
+import contextlib
+import threading
+
+import pytest
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from godwitknot.clock import ManualClock
+from godwitknot.errors import HeirNamedError, ProtocolError
+from godwitknot.idempotency import IdempotencyBook, Moved
+from godwitknot.outcomes import Code, Outcome, RefusalError
+from godwitknot.runs import (
+    KEPT_BODY_BYTES,
+    LOST_ANSWER,
+    Answer,
+    AnswerRecorder,
+    Permit,
+    RunLimits,
+    RunState,
+)
+from godwitknot.tickets import Owner, Ticket
+
+OWNER = Owner('n1', 1)
+HEIR = Owner('n2', 7)
+DONE = Answer(201, (('X', 'y'),), b'booked')
+ENDS = ('hold', 'answer', 'lose', 'shed', 'unsent', 'move')
+
+
+class SteppedClock(ManualClock):
+    """A clock whose wall time can be set back."""
+
+    step = float(0)
+
+    def wall(self):
+        return self.now() + self.step
+
+
+def ticket(nonce='a', owner=OWNER, expires=2000.0, moved=False):
+    return Ticket(owner, 's1', 'booking', 'acme', expires, nonce, moved)
+
+
+def book(clock=None, **limits):
+    return IdempotencyBook(OWNER, clock or ManualClock(), RunLimits(**limits))
+
+
+def refusal(action):
+    with pytest.raises(RefusalError) as caught:
+        action()
+    return (caught.value.code, caught.value.outcome)
+
+
+def test_a_resend_gets_the_first_answer():
+    records = book()
+    with records.begin(ticket(), 'd', 0) as permit:
+        permit.before_send()
+        permit.finish(DONE)
+    assert records.begin(ticket(), 'd', 0) == DONE
+    assert refusal(lambda: records.begin(ticket(), 'other', 0)) == (
+        Code.KEY_REUSED,
+        Outcome.MAY_HAVE_RUN,
+    )
+
+
+def test_a_resend_joins_the_running_request():
+    """Guards against a second run while the first one is in progress."""
+    records = book()
+    permit = records.begin(ticket(), 'd', 0)
+    joined = []
+    thread = threading.Thread(
+        target=lambda: joined.append(records.begin(ticket(), 'd', 60)),
+    )
+    thread.start()
+    permit.finish(DONE)
+    thread.join(20)
+    assert joined == [DONE]
+
+
+def test_a_resend_that_cannot_wait_is_not_told_that_it_did_not_run():
+    records = book()
+    records.begin(ticket(), 'd', 0)
+    assert refusal(lambda: records.begin(ticket(), 'd', 0)) == (
+        Code.DEADLINE_PASSED,
+        Outcome.MAY_HAVE_RUN,
+    )
+
+
+def test_an_error_after_the_send_is_recorded_as_may_have_run():
+    """Guards against a second send after the first lost its connection."""
+    records = book()
+    permit = records.begin(ticket(), 'd', 0)
+    permit.before_send()
+    permit.__exit__(OSError, OSError(), None)
+    assert refusal(lambda: records.begin(ticket(), 'd', 0)) == (
+        Code.CONNECTION_LOST,
+        Outcome.MAY_HAVE_RUN,
+    )
+
+
+def test_an_unsent_request_may_be_sent_again():
+    records = book()
+    records.begin(ticket(), 'd', 0).__exit__(None, None, None)
+    assert isinstance(records.begin(ticket(), 'd', 0), Permit)
+
+
+def test_nothing_is_sent_after_the_key_expired():
+    """Guards against a send after a pause of the whole process."""
+    clock = ManualClock()
+    permit = book(clock).begin(ticket(expires=1060), 'd', 0)
+    clock.advance(61)
+    assert refusal(permit.before_send) == (
+        Code.CLAIM_LAPSED,
+        Outcome.MAY_HAVE_RUN,
+    )
+
+
+def test_a_transfer_is_recorded_and_followed():
+    records = book()
+    with records.begin(ticket(), 'd', 0) as permit:
+        permit.move('gk1.next')
+    assert records.begin(ticket(), 'd', 0) == Moved('gk1.next')
+
+
+def test_a_full_book_refuses_and_forgets_nothing():
+    records = book(runs=1)
+    records.begin(ticket('a'), 'd', 0).finish(DONE)
+    assert refusal(lambda: records.begin(ticket('b'), 'd', 0)) == (
+        Code.QUEUE_FULL,
+        Outcome.NOT_RUN,
+    )
+    assert records.begin(ticket('a'), 'd', 0) == DONE
+
+
+def test_large_answers_are_not_kept():
+    records = book(body_bytes=8)
+    records.begin(ticket('a'), 'd', 0).finish(DONE)
+    records.begin(ticket('b'), 'd', 0).finish(DONE)
+    assert records.begin(ticket('a'), 'd', 0) == DONE
+    expected = (Code.ANSWER_NOT_KEPT, Outcome.RAN)
+    assert refusal(lambda: records.begin(ticket('b'), 'd', 0)) == expected
+    recorder = AnswerRecorder(200, [])
+    recorder.feed(b'x')
+    assert recorder.complete().body == b'x'
+    recorder.feed(b'x' * KEPT_BODY_BYTES)
+    assert recorder.complete().code is Code.ANSWER_NOT_KEPT
+
+
+def test_a_forgotten_key_is_never_new_again():
+    """Guards against a second run after the wall clock was set back."""
+    clock = SteppedClock()
+    records = book(clock)
+    records.begin(ticket('a', expires=1060), 'd', 0).finish(DONE)
+    clock.advance(100)
+    records.begin(ticket('b'), 'd', 0)
+    clock.step = -100.0
+    assert refusal(
+        lambda: records.begin(ticket('a', expires=1060), 'd', 0)
+    ) == (
+        Code.KEY_INVALID,
+        Outcome.MAY_HAVE_RUN,
+    )
+
+
+def test_an_heir_answers_for_the_ended_process():
+    records = book()
+    records.begin(ticket('a'), 'd', 0).finish(DONE)
+    records.begin(ticket('b'), 'd', 0)
+    heir = IdempotencyBook(HEIR, ManualClock())
+    content = records.export(HEIR)
+    heir.adopt(content)
+    heir.adopt(content)
+    gone = (Code.KEY_OWNER_GONE, Outcome.MAY_HAVE_RUN)
+    lost = (Code.CONNECTION_LOST, Outcome.MAY_HAVE_RUN)
+    assert refusal(lambda: records.begin(ticket('c'), 'd', 0)) == gone
+    assert heir.begin(ticket('a'), 'd', 0) == DONE
+    assert refusal(lambda: heir.begin(ticket('b'), 'd', 0)) == lost
+    assert isinstance(heir.begin(ticket('c'), 'd', 0), Permit)
+
+
+def test_there_is_one_heir():
+    """Guards against two heirs that run the same key, found by the machine."""
+    records = book()
+    other = Owner('n3', 1)
+    content = records.export(HEIR)
+    with pytest.raises(HeirNamedError):
+        records.export(other)
+    stranger = IdempotencyBook(other, ManualClock())
+    assert refusal(lambda: stranger.adopt(content))[0] is Code.WRONG_INCARNATION
+    records.dismiss_heir()
+    stranger.adopt(records.export(other))
+
+
+def test_only_a_whole_handover_makes_an_heir():
+    records = book()
+    records.begin(ticket('a'), 'd', 0).finish(DONE)
+    heir = IdempotencyBook(HEIR, ManualClock(), RunLimits(runs=0))
+    content = records.export(HEIR)
+    with pytest.raises(ProtocolError):
+        heir.adopt(content[:-9])
+    assert refusal(lambda: heir.adopt(content))[0] is Code.QUEUE_FULL
+    assert refusal(lambda: heir.begin(ticket('a'), 'd', 0)) == (
+        Code.KEY_OWNER_GONE,
+        Outcome.MAY_HAVE_RUN,
+    )
+
+
+class BookMachine(stateful.RuleBasedStateMachine):
+    """Processes with books, one server, and callers that resend."""
+
+    book_class = IdempotencyBook
+
+    def __init__(self):
+        super().__init__()
+        self.clock = SteppedClock()
+        self.owners = [Owner('n0', 1), Owner('n1', 1)]
+        self.books = {owner: self.start(owner) for owner in self.owners}
+        self.tickets = [
+            ticket(f't{n}', self.owners[n % 2], 3000.0 if n else 1040.0)
+            for n in range(2)
+        ]
+        self.permits = []
+        self.ran = {}
+
+    def start(self, owner):
+        return self.book_class(owner, self.clock)
+
+    def present(self, shown, place):
+        """Present a key the way an ingress does, following transfers."""
+        if shown.expires <= self.clock.wall():
+            return
+        try:
+            found = self.books[place].begin(shown, 'd', 0)
+        except RefusalError as refused:
+            if refused.outcome is Outcome.NOT_RUN:
+                assert not self.ran.get(shown.nonce), 'false "not run"'
+            return
+        if isinstance(found, Permit):
+            self.permits.append((found, shown, place))
+        elif isinstance(found, Moved):
+            nonce, target = found.key.split('@')
+            owner = self.owners[int(target)]
+            moved = ticket(nonce, owner, shown.expires, moved=True)
+            if owner in self.books:
+                self.present(moved, owner)
+        else:
+            assert self.ran.get(shown.nonce) == 1, 'answer without a run'
+
+    @stateful.rule(
+        which=st.integers(0, 1),
+        place=st.integers(0, 1),
+        how=st.sampled_from(ENDS),
+    )
+    def resend(self, which, place, how):
+        held = len(self.permits)
+        self.present(self.tickets[which], self.owners[place])
+        if len(self.permits) > held:
+            self.proceed(how, held)
+
+    @stateful.rule(
+        how=st.sampled_from(ENDS),
+        pick=st.integers(0, 3),
+    )
+    def proceed(self, how, pick):
+        if how == 'hold' or not self.permits:
+            return
+        permit, shown, place = self.permits.pop(pick % len(self.permits))
+        other = 1 - self.owners.index(place)
+        if how == 'move' and not shown.moved:
+            permit.move(f'{shown.nonce}@{other}')
+            return
+        if how in {'unsent', 'move'}:
+            permit.release()
+            return
+        try:
+            permit.before_send()
+        except RefusalError:
+            permit.release()
+            return
+        if how == 'shed':
+            permit.release()
+            return
+        self.ran[shown.nonce] = self.ran.get(shown.nonce, 0) + 1
+        assert self.ran[shown.nonce] == 1, 'ran twice'
+        permit.finish(DONE if how == 'answer' else LOST_ANSWER)
+
+    @stateful.rule(which=st.integers(0, 1), sort=st.integers(0, 3))
+    def end_process(self, which, sort):
+        """End a process, in few of the examples, or most keys die early."""
+        if sort == 1:
+            self.hand_over(which)
+        elif sort == 2:
+            self.crash(which)
+
+    def hand_over(self, which):
+        place, heir = self.owners[which], self.owners[1 - which]
+        with contextlib.suppress(RefusalError, HeirNamedError):
+            content = self.books[place].export(heir)
+            self.books[heir].adopt(content)
+
+    def crash(self, which):
+        place = self.owners[which]
+        self.permits = [held for held in self.permits if held[2] is not place]
+        restarted = Owner(place.node_id, place.incarnation + 1)
+        self.owners[which] = restarted
+        self.books[restarted] = self.start(restarted)
+
+    @stateful.rule(seconds=st.sampled_from((5, 45)))
+    def pass_time(self, seconds):
+        self.clock.advance(seconds)
+
+    @stateful.rule()
+    def set_clock_back(self):
+        self.clock.step = -200.0
+
+
+class ForgetfulBook(IdempotencyBook):
+    """Broken: forgets answers, as a cache with eviction would."""
+
+    def begin(self, shown, digest, patience):
+        table = self._table
+        table.runs = {
+            name: run
+            for name, run in table.runs.items()
+            if run.state is RunState.RUNNING
+        }
+        table._expiries = []
+        return super().begin(shown, digest, patience)
+
+
+class OpenBook(IdempotencyBook):
+    """Broken: goes on running keys after their handover."""
+
+    def export(self, heir):
+        content = super().export(heir)
+        self._table.closed = False
+        return content
+
+
+class TrustingBook(IdempotencyBook):
+    """Broken: runs keys of any process."""
+
+    def begin(self, shown, digest, patience):
+        self._owners.add(shown.owner)
+        return super().begin(shown, digest, patience)
+
+
+def run_machine(book_class):
+    stateful.run_state_machine_as_test(
+        type('Machine', (BookMachine,), {'book_class': book_class}),
+        settings=settings(
+            max_examples=1000,
+            stateful_step_count=20,
+            derandomize=True,
+            deadline=None,
+            database=None,
+            report_multiple_bugs=False,
+        ),
+    )
+
+
+def test_no_interleaving_runs_a_key_twice():
+    run_machine(IdempotencyBook)
+
+
+@pytest.mark.parametrize('broken', [ForgetfulBook, OpenBook, TrustingBook])
+def test_the_interleavings_find_a_broken_book(broken):
+    """Guards against a state machine that would miss a second run."""
+    with pytest.raises(AssertionError):
+        run_machine(broken)
