Add claims for keys that callers choose

A key that a caller chose must run at most once at any sidecar, also after a migration and after the death of the sidecar that ran it.

ClaimDesk inserts a row keyed by account and key before the send, checks the 10 s lease on the monotonic clock at the send, writes the answer to the row, and releases a claim that was proved unsent by a conditional write. Only the process that made a claim may take it over, because only it knows that nothing was sent. A write budget refuses claims that the store has no capacity for; replays need reads only.

--- a/godwitknot/runs.py
+++ b/godwitknot/runs.py
@@ -125,10 +125,10 @@
         :param deadline: monotonic seconds until which it may be sent.
         """
         self.run = run
-        self._table = table
-        self._deadline = deadline
+        self.table = table
+        self.deadline = deadline
         self._sent = False
-        self._ended = False
+        self.ended = False
 
     def __enter__(self) -> 'Permit':
         """Keep the run until the block ends."""
@@ -141,7 +141,7 @@
         trace: TracebackType | None,
     ) -> None:
         """End the run if it is still open."""
-        if self._ended:
+        if self.ended:
             return
         if self._sent:
             self.finish(LOST_ANSWER)
@@ -153,14 +153,14 @@
 
         :param deadline: monotonic seconds.
         """
-        self._deadline = min(self._deadline, deadline)
+        self.deadline = min(self.deadline, deadline)
 
     def before_send(self) -> None:
         """Check the clock, then count the request as sent.
 
         :raises RefusalError: if the right has lapsed; nothing may be sent.
         """
-        if self._ended or self._table.clock.now() >= self._deadline:
+        if self.ended or self.table.clock.now() >= self.deadline:
             raise RefusalError(Code.CLAIM_LAPSED, Outcome.MAY_HAVE_RUN)
         self._sent = True
 
@@ -182,10 +182,10 @@
     def _end(
         self, state: RunState, answer: Answer | None = None, moved_to: str = ''
     ) -> None:
-        if self._ended:
+        if self.ended:
             return
-        self._ended = True
-        self._table.end(self.run, state, answer, moved_to)
+        self.ended = True
+        self.table.end(self.run, state, answer, moved_to)
 
 
 class RunTable:
--- /dev/null
+++ b/tests/godwitknot/test_claims.py
@@ -0,0 +1,322 @@
+import contextlib
+import threading
+
+import pytest
+from hypothesis import settings, stateful
+from hypothesis import strategies as st
+
+from godwitknot.claimrows import ClaimRequest, ClaimState
+from godwitknot.claims import ClaimDesk, ClaimPermit
+from godwitknot.clock import ManualClock
+from godwitknot.errors import ConflictError, LostAnswerError, StoreDownError
+from godwitknot.outcomes import Code, Outcome, RefusalError
+from godwitknot.runs import LOST_ANSWER, Answer
+from godwitknot.store import TableService
+from godwitknot.storeclient import make_write
+from godwitknot.tickets import Owner
+from godwitknot.writebudget import WriteBudget
+from standins.tables import MemoryTables
+
+DONE = Answer(201, (('X', 'y'),), b'booked')
+STORE_DOWN = (Code.STORE_DOWN, Outcome.MAY_HAVE_RUN)
+
+
+class FaultyTables(TableService):
+    """Rows in memory; each call uses up one scripted fault."""
+
+    def __init__(self):
+        self.rows = MemoryTables()
+        self.script = []
+        self.late = []
+        self.writes = 0
+
+    def next_fault(self):
+        return self.script.pop(0) if self.script else 'ok'
+
+    def read(self, key):
+        if self.next_fault() == 'down':
+            raise StoreDownError('down')
+        return self.rows.read(key)
+
+    def scan(self, prefix):
+        return self.rows.scan(prefix)
+
+    def write(self, writes):
+        self.writes += 1
+        fault = self.next_fault()
+        if fault == 'down':
+            raise StoreDownError('down')
+        if fault == 'late':
+            self.late.append(writes)
+        else:
+            self.rows.write(writes)
+        if fault != 'ok':
+            raise LostAnswerError(fault)
+
+
+def request(key='k', digest='d', patience=0, service='old-booking'):
+    return ClaimRequest('acme', key, service, digest, patience)
+
+
+def make_desk(tables, name='n1', clock=None, rate=1000.0, desk=ClaimDesk):
+    clock = clock or ManualClock()
+    return desk(Owner(name, 1), tables, clock, WriteBudget(rate, clock))
+
+
+def refusal(action):
+    with pytest.raises(RefusalError) as caught:
+        action()
+    return (caught.value.code, caught.value.outcome)
+
+
+def run(permit):
+    permit.before_send()
+    permit.finish(DONE)
+
+
+def test_another_sidecar_replays_the_first_answer(platform):
+    """Guards against a second run after a migration or a node's death."""
+    run(make_desk(platform.tables).begin(request()))
+    other = make_desk(platform.tables, 'n2')
+    assert other.begin(request(service='new-booking')) == DONE
+    assert platform.application.counts['POST /tables/write'] == 3
+    assert refusal(lambda: other.begin(request(digest='e'))) == (
+        Code.KEY_REUSED,
+        Outcome.MAY_HAVE_RUN,
+    )
+
+
+def test_another_sidecar_waits_for_the_first_answer(platform):
+    permit = make_desk(platform.tables).begin(request())
+    other = make_desk(platform.tables, 'n2')
+    assert refusal(lambda: other.begin(request())) == (
+        Code.DEADLINE_PASSED,
+        Outcome.MAY_HAVE_RUN,
+    )
+    timer = threading.Timer(0.2, run, [permit])
+    timer.start()
+    assert other.begin(request(patience=60)) == DONE
+    timer.join()
+
+
+def test_the_local_book_answers_while_the_store_is_down():
+    tables = FaultyTables()
+    desk = make_desk(tables)
+    run(desk.begin(request()))
+    tables.script = ['down', 'down']
+    assert desk.begin(request()) == DONE
+    assert refusal(lambda: desk.begin(request('other'))) == STORE_DOWN
+
+
+def test_an_answer_is_written_when_the_store_is_back():
+    tables = FaultyTables()
+    desk = make_desk(tables)
+    permit = desk.begin(request())
+    tables.script = ['down']
+    run(permit)
+    desk.flush()
+    assert make_desk(tables, 'n2').begin(request()) == DONE
+
+
+def test_an_unsent_claim_is_released():
+    tables = FaultyTables()
+    make_desk(tables).begin(request()).release()
+    assert isinstance(make_desk(tables, 'n2').begin(request()), ClaimPermit)
+
+
+def test_a_release_that_failed_is_made_up_for_by_its_owner_alone():
+    """Guards against a takeover of a claim that may have been sent."""
+    tables = FaultyTables()
+    desk = make_desk(tables)
+    permit = desk.begin(request())
+    tables.script = ['down']
+    permit.release()
+    other = make_desk(tables, 'n2')
+    assert refusal(lambda: other.begin(request()))[1] is Outcome.MAY_HAVE_RUN
+    run(desk.begin(request()))
+    assert other.begin(request()) == DONE
+
+
+def test_a_lost_claim_answer_is_settled_by_reading():
+    tables = FaultyTables()
+    tables.script = ['lost']
+    assert isinstance(make_desk(tables).begin(request()), ClaimPermit)
+
+
+def test_nothing_is_sent_after_the_lease():
+    """Guards against a send after a pause between claim and send."""
+    clock = ManualClock()
+    permit = make_desk(FaultyTables(), clock=clock).begin(request())
+    clock.advance(10)
+    assert refusal(permit.before_send) == (
+        Code.CLAIM_LAPSED,
+        Outcome.MAY_HAVE_RUN,
+    )
+
+
+def test_claims_stay_within_the_write_budget():
+    """Guards against more claims than the table service can take."""
+    tables = FaultyTables()
+    clock = ManualClock()
+    desk = make_desk(tables, clock=clock, rate=4.0)
+    run(desk.begin(request('a')))
+    run(desk.begin(request('b')))
+    over = refusal(lambda: desk.begin(request('c')))
+    assert over == (Code.SHED, Outcome.NOT_RUN)
+    assert tables.writes == 4
+    other = make_desk(tables, 'n2', clock, rate=float(0))
+    assert other.begin(request('a')) == DONE
+    clock.advance(1)
+    run(desk.begin(request('c')))
+
+
+def test_long_keys_are_refused_and_odd_ones_kept_apart():
+    desk = make_desk(FaultyTables())
+    too_long = refusal(lambda: desk.begin(request('x' * 256)))
+    assert too_long == (Code.KEY_INVALID, Outcome.NOT_RUN)
+    assert (
+        request('a/b').row_key
+        != ClaimRequest('acme/a', 'b', 's', 'd', 0).row_key
+    )
+
+
+FAULT = st.sampled_from(('ok', 'down', 'lost', 'late'))
+FAULTS = st.just([]) | st.just([]) | st.lists(FAULT, max_size=8)
+
+
+class ClaimMachine(stateful.RuleBasedStateMachine):
+    """Two sidecars, one store with faults, and callers that resend."""
+
+    desk_class = ClaimDesk
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.tables = FaultyTables()
+        self.desks = [self.start(name) for name in ('n0', 'n1')]
+        self.permits = []
+        self.ran = {}
+
+    def start(self, name):
+        return make_desk(self.tables, name, self.clock, 1e9, self.desk_class)
+
+    @stateful.rule(
+        place=st.integers(0, 1),
+        key=st.sampled_from(('a', 'b')),
+        faults=FAULTS,
+        how=st.sampled_from(('hold', 'answer', 'lose', 'shed')),
+    )
+    def resend(self, place, key, faults, how):
+        before = self.ran.get(key, 0)
+        self.tables.script = list(faults)
+        try:
+            found = self.desks[place].begin(request(key))
+        except RefusalError as refused:
+            if refused.outcome is Outcome.NOT_RUN:
+                assert not before, 'false "not run"'
+            return
+        if isinstance(found, Answer):
+            assert self.ran.get(key) == 1, 'answer without a run'
+            return
+        self.permits.append((found, key, place, self.clock.now()))
+        if how != 'hold':
+            self.proceed(how, len(self.permits) - 1, [])
+
+    @stateful.rule(
+        how=st.sampled_from(('answer', 'lose', 'shed')),
+        pick=st.integers(0, 3),
+        faults=FAULTS,
+    )
+    def proceed(self, how, pick, faults):
+        if not self.permits:
+            return
+        self.tables.script = list(faults)
+        permit, key, _, claimed = self.permits.pop(pick % len(self.permits))
+        try:
+            permit.before_send()
+        except RefusalError:
+            permit.release()
+            return
+        if how == 'shed':
+            permit.release()
+            return
+        assert self.clock.now() < claimed + 10, 'sent after the lease'
+        self.ran[key] = self.ran.get(key, 0) + 1
+        assert self.ran[key] == 1, 'ran twice'
+        permit.finish(DONE if how == 'answer' else LOST_ANSWER)
+
+    @stateful.rule()
+    def deliver_late_writes(self):
+        for writes in self.tables.late:
+            with contextlib.suppress(ConflictError):
+                self.tables.rows.write(writes)
+        self.tables.late = []
+
+    @stateful.rule(place=st.integers(0, 1), seconds=st.sampled_from((1, 11)))
+    def pass_time(self, place, seconds):
+        self.clock.advance(seconds)
+        self.desks[place].flush()
+
+    @stateful.rule(place=st.integers(0, 1))
+    def crash(self, place):
+        self.permits = [held for held in self.permits if held[2] != place]
+        self.desks[place] = self.start(f'n{place}')
+
+
+class EagerDesk(ClaimDesk):
+    """Broken: takes over the claim of another sidecar."""
+
+    def _is_free(self, row):
+        return row.columns.get('state') != ClaimState.ANSWERED
+
+
+class AssumingDesk(ClaimDesk):
+    """Broken: takes a lost answer for a claim that succeeded."""
+
+    def _try_claim(self, wanted, permit, expected):
+        try:
+            return super()._try_claim(wanted, permit, expected)
+        except RefusalError:
+            write = make_write(wanted.row_key, expected, {})
+            return ClaimPermit(self, permit, write)
+
+
+class TimelessDesk(ClaimDesk):
+    """Broken: sends however old its claim is."""
+
+    lease = float('inf')
+
+
+class ForgettingDesk(ClaimDesk):
+    """Broken: releases a claim although its request was sent."""
+
+    def record(self, write):
+        released = {**write.columns, 'state': ClaimState.RELEASED}
+        super().record(make_write(write.key, write.expected, released))
+
+
+def run_machine(desk_class):
+    stateful.run_state_machine_as_test(
+        type('Machine', (ClaimMachine,), {'desk_class': desk_class}),
+        settings=settings(
+            max_examples=400,
+            stateful_step_count=20,
+            derandomize=True,
+            deadline=None,
+            database=None,
+            report_multiple_bugs=False,
+        ),
+    )
+
+
+def test_no_interleaving_runs_a_chosen_key_twice():
+    run_machine(ClaimDesk)
+
+
+@pytest.mark.parametrize(
+    'broken', [EagerDesk, AssumingDesk, TimelessDesk, ForgettingDesk]
+)
+def test_the_interleavings_find_a_broken_claim(broken):
+    """Guards against a state machine that would miss a second run."""
+    with pytest.raises(AssertionError):
+        run_machine(broken)
