--- a/godwitknot/runs.py
+++ b/godwitknot/runs.py
@@ -1,350 +1,323 @@
-"""One run of a request on a backend server: connection, time and end."""
+"""Runs of keyed requests at one sidecar: join, replay, refuse."""
 
-import abc
-import contextlib
-import socket
-from collections.abc import Iterator
+import enum
+import hashlib
+import heapq
+import threading
+from collections.abc import Iterable
+from types import TracebackType
 
 import attrs
-from urllib3.response import HTTPResponse
-
-from godwitknot import headers
-from godwitknot.connections import Channel, ConnectFailedError
-from godwitknot.errors import ProtocolError
-from godwitknot.exchange import (
-    Call,
-    CallerLeftError,
-    CutError,
-    Exchange,
-    ExchangeError,
-    SilentError,
-    answer_headers,
-    answer_length,
-)
+
+from godwitknot.clock import Clock
 from godwitknot.outcomes import Code, Outcome, RefusalError
-from godwitknot.relay import Load, RelayAnswer, RelayRequest
 
-_MILLISECONDS = 1000
-_SERVICE_UNAVAILABLE = 503
-_SERVER_ERROR = 500
-_RETRY_AFTER_SECONDS = 1
-# A reused connection that stays silent this long while the server answers
-# on others is taken for dead.
-_SILENCE_SECONDS = 1.0
-# A reader that blocks the relay for longer than this is the bottleneck, and
-# the server's slot is free for other work.
-_SLOW_READER_SECONDS = 0.25
+KEPT_BODY_BYTES = 65_536
+_ALL_BODIES_BYTES = 67_108_864
+_SWEPT_AT_ONCE = 32
+_RUNNING_EXTENSION_SECONDS = 60.0
+_JOIN_STEP_SECONDS = 0.5
+_FULL_RETRY_SECONDS = 30
+
+
+class RunState(enum.StrEnum):
+    """What became of a key; a key never seen has no run."""
+
+    RUNNING = 'running'
+    ANSWERED = 'answered'
+    UNSENT = 'unsent'
+    MOVED = 'moved'
 
 
 @attrs.frozen
-class Result:
-    """How one run on the server went, as evidence about the server.
+class Answer:
+    """The recorded end of a request that was sent.
 
-    :param seconds: time that the server took, slots and reader excluded.
-    :param failed: whether the server is to blame for a bad end.
-    :param fresh: whether the connection was a new one.
-    :param lost: whether the connection broke with the request in flight.
+    :param code: set where no response can be replayed; ``outcome`` then
+        says what is known.
     """
 
-    request: RelayRequest
-    seconds: float
-    failed: bool
-    fresh: bool = True
-    lost: bool = False
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b''
+    outcome: Outcome = Outcome.RAN
+    code: Code | None = None
 
+    def check(self) -> 'Answer':
+        """Give this answer if it can be replayed.
 
-class RunHost(abc.ABC):
-    """The server on which a run takes place."""
+        :raises RefusalError: if there is no response to replay.
+        """
+        if self.code is None:
+            return self
+        raise RefusalError(self.code, self.outcome, detail='first attempt')
 
-    @abc.abstractmethod
-    def open_channel(self, *, fresh: bool) -> Channel:
-        """Get a connection to the server.
 
-        :raises ConnectFailedError: if none could be opened.
-        """
+LOST_ANSWER = Answer(outcome=Outcome.MAY_HAVE_RUN, code=Code.CONNECTION_LOST)
+NOT_KEPT_ANSWER = Answer(outcome=Outcome.RAN, code=Code.ANSWER_NOT_KEPT)
+
 
-    @abc.abstractmethod
-    def make_exchange(self, channel: Channel) -> Exchange:
-        """Give an exchange on a connection of this server."""
+class AnswerRecorder:
+    """Collects a response while it is passed on."""
 
-    @abc.abstractmethod
-    def now(self) -> float:
-        """Give the time on the node's clock."""
+    def __init__(self, status: int, headers: Iterable[tuple[str, str]]) -> None:
+        """Begin with the head of the response."""
+        self._status = status
+        self._headers = tuple(headers)
+        self._body = bytearray()
+        self._whole = True
 
-    @abc.abstractmethod
-    def load(self) -> Load:
-        """Give the load that this node counts."""
+    def feed(self, chunk: bytes) -> None:
+        """Take the next part of the body."""
+        if len(self._body) + len(chunk) > KEPT_BODY_BYTES:
+            self._whole = False
+            self._body.clear()
+        if self._whole:
+            self._body += chunk
 
-    @abc.abstractmethod
-    def answered_since(self, moment: float) -> bool:
-        """Tell whether any request was answered after a moment."""
+    def complete(self) -> Answer:
+        """Give the answer once the whole body was received."""
+        if not self._whole:
+            return NOT_KEPT_ANSWER
+        return Answer(self._status, self._headers, bytes(self._body))
 
-    @abc.abstractmethod
-    def forget_connections(self) -> None:
-        """Drop idle connections, for example after a restart."""
 
-    @abc.abstractmethod
-    def note_sent(self, request: RelayRequest) -> None:
-        """Note that a request may be on the server from now on."""
+@attrs.define
+class Run:
+    """What a sidecar knows of one key.
 
-    @abc.abstractmethod
-    def note_answer(self) -> None:
-        """Note that the server answered something."""
+    :param identity: names the key within this sidecar.
+    :param digest: of the request that came first.
+    :param expires: wall-clock seconds after which it may be forgotten.
+    :param moved_to: key that carries the transferred right.
+    """
 
-    @abc.abstractmethod
-    def note_body(self, attempt_id: str, body: 'AnswerBody') -> None:
-        """Note that an answer is being passed on."""
+    identity: str
+    digest: str
+    expires: float
+    state: RunState = RunState.RUNNING
+    answer: Answer | None = None
+    moved_to: str = ''
 
-    @abc.abstractmethod
-    def note_result(self, result: Result) -> None:
-        """Pass on how a run went."""
 
+@attrs.frozen
+class RunLimits:
+    """Bounds on memory.
 
-class Run:
-    """One run: the connection, its time and its end."""
+    :param runs: keys remembered; more are refused.
+    :param body_bytes: kept bodies; above it answers are not kept.
+    """
 
-    def __init__(
+    runs: int = 40_000
+    body_bytes: int = _ALL_BODIES_BYTES
+
+
+class Permit:
+    """The right of one thread to send the request of a run.
+
+    As a context manager it ends the run if nothing else did: as lost if
+    the request may have been sent, otherwise as unsent.
+    """
+
+    def __init__(self, table: 'RunTable', run: Run, deadline: float) -> None:
+        """Hold a run.
+
+        :param deadline: monotonic seconds until which it may be sent.
+        """
+        self.run = run
+        self.table = table
+        self.deadline = deadline
+        self._sent = False
+        self.ended = False
+
+    def __enter__(self) -> 'Permit':
+        """Keep the run until the block ends."""
+        return self
+
+    def __exit__(
         self,
-        server: RunHost,
-        request: RelayRequest,
-        caller: socket.socket | None,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
     ) -> None:
-        self._server = server
-        self._request = request
-        self._caller = caller
-        self._exchange: Exchange | None = None
-        self._sent = float(0)
-        self._seconds = float(0)
-        self._reported = False
-
-    def start(self) -> HTTPResponse:
-        """Send the request and wait for the head of the answer."""
-        never_repeat = self._request.tag.never_repeat
-        # A server may close an idle connection just as a request is sent,
-        # and then nobody knows whether it ran.
-        response = self._try_once(fresh=never_repeat)
-        if response is None:
-            response = self._try_once(fresh=True)
-        return self._check(response)
-
-    def stream(
-        self,
-        response: HTTPResponse,
-        held: contextlib.ExitStack,
-    ) -> RelayAnswer:
-        """Give the answer; its slot is held until the body is read."""
-        try:
-            length = answer_length(response)
-        except ProtocolError as error:
-            held.close()
-            self.end(None)
-            raise self._refuse_bad_answer() from error
-        failed = response.status >= _SERVER_ERROR
-        chunks = self._exchange.chunks(self._request.method)
-        body = AnswerBody(self, chunks, held, failed=failed)
-        self._server.note_body(self._request.attempt_id, body)
-        return RelayAnswer(
-            status=response.status,
-            reason=response.reason or '',
-            headers=headers.strip_own(answer_headers(response)),
-            chunks=body.read(),
-            length=length,
-            close=body.close,
-            load=self._server.load(),
-            server_seconds=self._seconds,
-        )
-
-    def add_time(self, seconds: float) -> None:
-        """Count time that the server itself took for the body."""
-        self._seconds += seconds
-
-    def now(self) -> float:
-        """Give the time on the node's clock."""
-        return self._server.now()
-
-    def end(self, failed: bool | None) -> None:
-        """Report the end of the run once.
-
-        :param failed: ``None`` if it says nothing about the server.
-        """
-        self._exchange.abort()
-        if self._reported:
+        """End the run if it is still open."""
+        if self.ended:
             return
-        self._reported = True
-        if failed is None:
-            self._server.note_result(
-                Result(self._request, -1, failed=False, fresh=False),
-            )
+        if self._sent:
+            self.finish(LOST_ANSWER)
+        else:
+            self.release()
+
+    def limit(self, deadline: float) -> None:
+        """Shorten the time in which the request may be sent.
+
+        :param deadline: monotonic seconds.
+        """
+        self.deadline = min(self.deadline, deadline)
+
+    def before_send(self) -> None:
+        """Check the clock, then count the request as sent.
+
+        :raises RefusalError: if the right has lapsed; nothing may be sent.
+        """
+        if self.ended or self.table.clock.now() >= self.deadline:
+            raise RefusalError(Code.CLAIM_LAPSED, Outcome.MAY_HAVE_RUN)
+        self._sent = True
+
+    def finish(self, answer: Answer) -> None:
+        """Record the answer of the server, or that it was lost."""
+        self._end(RunState.ANSWERED, answer=answer)
+
+    def release(self) -> None:
+        """Record that the request certainly did not run."""
+        self._end(RunState.UNSENT)
+
+    def move(self, key: str) -> None:
+        """Record the transfer of the right; call before telling anyone.
+
+        :param key: the key that carries the right from now on.
+        """
+        self._end(RunState.MOVED, moved_to=key)
+
+    def _end(
+        self, state: RunState, answer: Answer | None = None, moved_to: str = ''
+    ) -> None:
+        if self.ended:
             return
-        self._report(failed=failed)
-
-    def _try_once(self, *, fresh: bool) -> HTTPResponse | None:
-        """Give the answer, or ``None`` to try a new connection."""
-        try:
-            channel = self._server.open_channel(fresh=fresh)
-        except ConnectFailedError as error:
-            self._report(failed=True)
-            raise RefusalError(
-                Code.UNREACHABLE,
-                retry_after=_RETRY_AFTER_SECONDS,
-            ) from error
-        self._exchange = self._server.make_exchange(channel)
-        call = Call(
-            self._request.method,
-            self._request.target,
-            self._make_headers(),
-            self._request.body,
-            self._request.deadline,
-            self._caller,
-        )
-        self._sent = self._server.now()
-        self._server.note_sent(self._request)
-        return self._exchange_call(call)
-
-    def _exchange_call(self, call: Call) -> HTTPResponse | None:
-        try:
-            self._exchange.send(call)
-            response = self._exchange.wait(
-                call, _SILENCE_SECONDS, self._check_silence
-            )
-        except _DeadConnectionError:
-            return None
-        except ProtocolError as error:
-            self.end(None)
-            raise RefusalError(
-                Code.BAD_REQUEST,
-                Outcome.MAY_HAVE_RUN,
-                detail=str(error),
-            ) from error
-        except ExchangeError as error:
-            if isinstance(error, CutError) and self._can_resend():
-                return None
-            raise self._explain(error) from error
-        self._seconds = self._server.now() - self._sent
-        self._server.note_answer()
-        return response
-
-    def _check_silence(self) -> None:
-        """Give up a reused connection if the server answers on others."""
-        if self._can_resend() and self._server.answered_since(self._sent):
-            self._server.forget_connections()
-            raise _DeadConnectionError
-
-    def _explain(self, error: ExchangeError) -> RefusalError:
-        self._seconds = self._server.now() - self._sent
-        if isinstance(error, CallerLeftError):
-            self.end(None)
-            return RefusalError(Code.CANCELLED, Outcome.MAY_HAVE_RUN)
-        if isinstance(error, SilentError):
-            self._report(failed=True)
-            return RefusalError(Code.DEADLINE_PASSED, Outcome.MAY_HAVE_RUN)
-        self._report(failed=True, lost=True)
-        return RefusalError(Code.CONNECTION_LOST, Outcome.MAY_HAVE_RUN)
-
-    def _can_resend(self) -> bool:
-        if self._request.tag.never_repeat or not self._exchange.reused:
-            return False
-        return self._request.body.replayable
-
-    def _report(self, *, failed: bool, lost: bool = False) -> None:
-        self._reported = True
-        fresh = self._exchange is None or not self._exchange.reused
-        self._server.note_result(
-            Result(self._request, self._seconds, failed, fresh, lost),
-        )
-
-    def _check(self, response: HTTPResponse) -> HTTPResponse:
-        shed = response.headers.get(headers.NOT_RUN, '').lower() == 'true'
-        if response.status == _SERVICE_UNAVAILABLE and shed:
-            self.end(None)
-            raise RefusalError(
-                Code.SERVER_SHED,
-                retry_after=_RETRY_AFTER_SECONDS,
-            )
-        echoed = response.headers.get(headers.REQUEST_ID)
-        if echoed and echoed != self._request.request_id:
-            raise self._refuse_bad_answer()
-        return response
-
-    def _refuse_bad_answer(self) -> RefusalError:
-        self._exchange.abort()
-        if not self._reported:
-            self._report(failed=True)
-        return RefusalError(Code.BAD_ANSWER, Outcome.RAN)
-
-    def _make_headers(self) -> headers.Pairs:
-        left = max(0, self._request.deadline - self._server.now())
-        own = {
-            headers.REQUEST_ID.lower(),
-            headers.TIME_LEFT.lower(),
-        }
-        passed = [
-            (name, text)
-            for name, text in self._request.headers
-            if name.lower() not in own
-        ]
-        passed.append((headers.REQUEST_ID, self._request.request_id))
-        passed.append((headers.TIME_LEFT, str(int(left * _MILLISECONDS))))
-        if self._request.key:
-            passed.append((headers.IDEMPOTENCY_KEY, self._request.key))
-        return passed
-
-
-class _DeadConnectionError(ExchangeError):
-    """A reused connection is dead; the request goes to a new one."""
-
-
-class AnswerBody:
-    """The body of an answer, with the time that the server took for it."""
+        self.ended = True
+        self.table.end(self.run, state, answer, moved_to)
+
+
+class RunTable:
+    """All runs of one kind of key; at most one permit a key at a time."""
 
     def __init__(
+        self, clock: Clock, limits: RunLimits, unknown: Outcome
+    ) -> None:
+        """Start empty.
+
+        :param unknown: what is known of a key that has no run here.
+        """
+        self.clock = clock
+        self.changed = threading.Condition()
+        self.runs: dict[str, Run] = {}
+        self.forgotten_until = float(0)
+        self.closed = False
+        self._limits = limits
+        self._unknown = unknown
+        self._expiries: list[tuple[float, str]] = []
+        self._body_bytes = 0
+
+    def begin(
+        self, fresh: Run, lifetime: float, patience: float
+    ) -> Permit | Run:
+        """Start, join or look up the run of a key.
+
+        :param fresh: the run to start if there is none.
+        :param lifetime: seconds in which it may be sent.
+        :param patience: seconds to wait for a run in progress.
+        :returns: a permit, or a run that is answered or moved.
+        :raises RefusalError: if the key is used for another request, the
+            run outlasts the patience, or the table is full or closed.
+        """
+        now = self.clock.now()
+        with self.changed:
+            self._sweep()
+            while True:
+                run = self.runs.get(fresh.identity)
+                if run is None:
+                    run = self._add(fresh)
+                    return Permit(self, run, now + lifetime)
+                if run.digest != fresh.digest:
+                    raise RefusalError(Code.KEY_REUSED, Outcome.MAY_HAVE_RUN)
+                if run.state in {RunState.ANSWERED, RunState.MOVED}:
+                    return run
+                if run.state is RunState.UNSENT:
+                    self._check_open()
+                    run.state = RunState.RUNNING
+                    return Permit(self, run, now + lifetime)
+                self._join(now + patience)
+
+    def end(
         self,
         run: Run,
-        chunks: Iterator[bytes],
-        held: contextlib.ExitStack,
-        *,
-        failed: bool,
+        state: RunState,
+        answer: Answer | None,
+        moved_to: str,
     ) -> None:
-        self._run = run
-        self._failed = failed
-        self._chunks = chunks
-        self._held = held
-        self._closed = False
-        self._yielded: float | None = None
-
-    def free_slot(self, now: float) -> None:
-        """Give the slot back if the reader keeps the relay waiting."""
-        since = self._yielded
-        if since is not None and now - since > _SLOW_READER_SECONDS:
-            self._held.close()
-
-    def read(self) -> Iterator[bytes]:
-        """Give the chunks.
-
-        :raises ProtocolError: if the server cut the body short.
-        """
-        while True:
-            started = self._run.now()
-            try:
-                chunk = next(self._chunks, b'')
-            except ProtocolError:
-                self._finish(failed=True)
-                raise
-            self._run.add_time(self._run.now() - started)
-            if not chunk:
-                break
-            self._yielded = self._run.now()
-            yield chunk
-            self._yielded = None
-        self._finish(failed=self._failed)
-
-    def close(self) -> None:
-        """Release the slot and the connection."""
-        self._finish(failed=None)
-
-    def _finish(self, failed: bool | None) -> None:
-        if self._closed:
-            return
-        self._closed = True
-        self._held.close()
-        self._run.end(failed)
+        """Record how a run ended and wake those that joined it."""
+        with self.changed:
+            if answer is not None:
+                answer = self._keep(answer)
+            run.answer = answer
+            run.moved_to = moved_to
+            run.state = state
+            self.changed.notify_all()
+
+    def insert(self, run: Run) -> None:
+        """Take over a run of another process; the caller holds the lock."""
+        if run.answer is not None:
+            run.answer = self._keep(run.answer)
+        self.runs[run.identity] = run
+        heapq.heappush(self._expiries, (run.expires, run.identity))
+
+    def has_room(self, count: int) -> bool:
+        """Tell whether so many more runs fit."""
+        return len(self.runs) + count <= self._limits.runs
+
+    def _add(self, run: Run) -> Run:
+        self._check_open()
+        # A wall clock that was set back makes an expired key look valid
+        # again, when its run has already been forgotten.
+        counts_as_new = self._unknown is Outcome.NOT_RUN
+        if counts_as_new and run.expires <= self.forgotten_until:
+            raise RefusalError(Code.KEY_INVALID, Outcome.MAY_HAVE_RUN)
+        if not self.has_room(1):
+            raise RefusalError(
+                Code.QUEUE_FULL, self._unknown, _FULL_RETRY_SECONDS
+            )
+        self.insert(run)
+        return run
+
+    def _check_open(self) -> None:
+        if self.closed:
+            raise RefusalError(Code.KEY_OWNER_GONE, Outcome.MAY_HAVE_RUN)
+
+    def _keep(self, answer: Answer) -> Answer:
+        size = self._body_bytes + len(answer.body)
+        if size > self._limits.body_bytes:
+            return NOT_KEPT_ANSWER
+        self._body_bytes = size
+        return answer
+
+    def _join(self, deadline: float) -> None:
+        left = deadline - self.clock.now()
+        if left <= 0:
+            raise RefusalError(Code.DEADLINE_PASSED, Outcome.MAY_HAVE_RUN)
+        self.changed.wait(min(left, _JOIN_STEP_SECONDS))
+
+    def _sweep(self) -> None:
+        """Forget some expired runs; later keys that expired are refused."""
+        wall = self.clock.wall()
+        for _ in range(_SWEPT_AT_ONCE):
+            if not self._expiries or self._expiries[0][0] > wall:
+                return
+            expires, identity = heapq.heappop(self._expiries)
+            run = self.runs[identity]
+            if run.state is RunState.RUNNING:
+                later = wall + _RUNNING_EXTENSION_SECONDS
+                heapq.heappush(self._expiries, (later, identity))
+                continue
+            self.forgotten_until = max(self.forgotten_until, run.expires)
+            if run.answer is not None:
+                self._body_bytes -= len(run.answer.body)
+            self.runs.pop(identity)
+
+
+def digest_request(method: str, target: str, body: bytes) -> str:
+    """Digest a request, to notice a key used for another one.
+
+    :param target: path and query.
+    """
+    head = f'{method} {target}\n'.encode()
+    return hashlib.sha256(head + body).hexdigest()
