Add configuration in force with conditional commit and adoption

Cause: an accepted change must be in force on every node and never revert, although the store loses answers, is down for hours, or holds a truncated text, and two operators may apply at once. Result: 16 tests pass, with a Hypothesis state machine of two operators and three nodes (200 runs of 30 steps) that also fails on two broken keepers.

--- a/godwitknot/errors.py
+++ b/godwitknot/errors.py
@@ -1,5 +1,7 @@
 """Exception tree: every failure of the package has a type here."""
 
+from collections.abc import Sequence
+
 import attrs
 
 
@@ -59,10 +61,31 @@
 
 
 class ConfigurationConflictError(UserError):
-    """Somebody else changed the configuration first."""
+    """Somebody else changed the configuration first.
+
+    ``version`` is the one in force; ``changes`` has one line for each key
+    that differs from the version that the operator expected.
+    """
 
     exit_code = 4
 
+    def __init__(
+        self,
+        message: str,
+        version: int = 0,
+        changes: Sequence[str] = (),
+    ) -> None:
+        """Keep what the other change did.
+
+        :param message: one sentence that names the author and version.
+        :param version: version in force.
+        :param changes: differences, one line each.
+        """
+        super().__init__('\n'.join([message, *changes]))
+        self.message = message
+        self.version = version
+        self.changes = tuple(changes)
+
 
 class OperationRefusedError(UserError):
     """The fleet refused an operator's request; the text says why."""
--- /dev/null
+++ b/godwitknot/headstore.py
@@ -0,0 +1,160 @@
+"""The configuration in the platform's table service and object store."""
+
+import contextlib
+import hashlib
+
+from godwitknot.declaration import Declaration
+from godwitknot.differences import compare_texts
+from godwitknot.errors import (
+    ConfigurationConflictError,
+    ConflictError,
+    CorruptObjectError,
+    LostAnswerError,
+    MissingObjectError,
+    StoreDownError,
+    StoreError,
+)
+from godwitknot.heads import Head, head_columns, read_columns
+from godwitknot.logs import log_event
+from godwitknot.metrics import Metrics
+from godwitknot.store import ABSENT, ObjectStore, TableService, Write
+
+HEAD_KEY = 'configuration/head'
+_COMMIT_ATTEMPTS = 3
+_DIGEST_SHOWN = 12
+
+
+class HeadStore:
+    """Reads and writes the head row and the texts."""
+
+    def __init__(
+        self,
+        tables: TableService,
+        objects: ObjectStore,
+        metrics: Metrics,
+    ) -> None:
+        """Take the clients of the platform."""
+        self._tables = tables
+        self._objects = objects
+        self._metrics = metrics
+        self._corrupt: set[str] = set()
+
+    def read_head(self) -> Head:
+        """Read the head; one without changes if there is no row.
+
+        :raises StoreDownError: if the table service does not answer.
+        :raises CorruptObjectError: if the row is malformed.
+        """
+        row = self._tables.read(HEAD_KEY)
+        if row.version == ABSENT:
+            return Head()
+        head = read_columns(dict(row.columns))
+        if head.version != row.version:
+            raise CorruptObjectError('the head row has another version')
+        return head
+
+    def put_text(self, declaration: Declaration) -> None:
+        """Store the text of a declaration and check that it can be read.
+
+        :raises StoreDownError: if it was not stored.
+        :raises CorruptObjectError: if the store gives back another text.
+        """
+        text = declaration.text.encode()
+        with contextlib.suppress(LostAnswerError):
+            self._objects.put(declaration.digest, text)
+        # Read back before the head names it: a truncated object would
+        # leave the fleet without the text once this node is gone.
+        try:
+            self.get_text(declaration.digest)
+        except MissingObjectError as error:
+            raise StoreDownError('the text was not stored') from error
+
+    def get_text(self, digest: str) -> str:
+        """Fetch a text.
+
+        :raises CorruptObjectError: if it does not match its digest.
+        :raises MissingObjectError: if there is none.
+        :raises StoreDownError: if the object store does not answer.
+        """
+        text = self._objects.get(digest)
+        if hashlib.sha256(text).hexdigest() == digest:
+            return text.decode()
+        self._metrics.count('configuration.corrupt')
+        if digest not in self._corrupt:
+            self._corrupt.add(digest)
+            log_event('configuration text corrupt', digest=digest)
+        raise CorruptObjectError(f'text {digest[:_DIGEST_SHOWN]} is corrupt')
+
+    def commit(self, head: Head) -> None:
+        """Write a head that has one change more than the row.
+
+        :raises ConfigurationConflictError: if another change came first.
+        :raises LostAnswerError: if it is unknown whether it took effect.
+        :raises StoreDownError: if nothing was written.
+        """
+        apply_id = head.changes[0].apply_id
+        expected = head.version - 1
+        write = Write(
+            key=HEAD_KEY,
+            expected=expected,
+            columns=head_columns(head),
+            write_id=f'configuration-{apply_id}-{expected}',
+        )
+        uncertain = False
+        for _ in range(_COMMIT_ATTEMPTS):
+            try:
+                self._tables.write([write])
+            except (LostAnswerError, ConflictError):
+                uncertain = True
+            except StoreDownError:
+                if uncertain:
+                    break
+                raise
+            else:
+                return
+            if self._read_back(apply_id, expected):
+                return
+        raise _answer_lost()
+
+    def _read_back(self, apply_id: str, expected: int) -> bool:
+        """Tell whether a write whose answer is unknown took effect."""
+        try:
+            head = self.read_head()
+        except StoreDownError as error:
+            raise _answer_lost() from error
+        if head.find_apply(apply_id):
+            return True
+        if head.version != expected:
+            raise self.describe_conflict(head, expected)
+        return False
+
+    def describe_conflict(
+        self,
+        head: Head,
+        expected: int,
+    ) -> ConfigurationConflictError:
+        """Describe who changed what since the version expected."""
+        others = [
+            f'version {change.version} by {change.author}'
+            for change in reversed(head.changes)
+            if change.version > expected
+        ]
+        authors = ', '.join(others) or 'nothing changed since'
+        message = (
+            f'version {expected} was expected but version {head.version} is '
+            f'in force ({authors})'
+        )
+        changes: tuple = ()
+        base = head.find_version(expected)
+        with contextlib.suppress(StoreError):
+            old = self.get_text(base.digest) if base else ''
+            changes = compare_texts(old, self.get_text(head.changes[0].digest))
+        return ConfigurationConflictError(
+            message, head.version, [str(change) for change in changes]
+        )
+
+
+def _answer_lost() -> LostAnswerError:
+    return LostAnswerError(
+        'the change may have been accepted; repeat it with the same apply id',
+    )
--- /dev/null
+++ b/tests/godwitknot/test_configuration.py
@@ -0,0 +1,379 @@
+import attrs
+import pytest
+from fake_platform import FakeObjects, FakeTables
+from hypothesis import Phase, settings, strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from godwitknot.census import Census, ServiceCount
+from godwitknot.clock import ManualClock
+from godwitknot.configuration import ConfigurationKeeper
+from godwitknot.errors import (
+    ConfigurationConflictError,
+    CorruptObjectError,
+    LostAnswerError,
+    MissingObjectError,
+    OperationRefusedError,
+    ProtocolError,
+    StoreDownError,
+)
+from godwitknot.headstore import HEAD_KEY
+from godwitknot.keys import FleetKeys
+from godwitknot.metrics import Metrics
+
+KEYS = FleetKeys('k1', {'k1': b'0' * 16})
+TEXT = """
+[fleet]
+owner = lapjeswerk
+
+[service storefront]
+floor = 2
+
+[class browse]
+service = storefront
+match = GET /*
+success = 99%
+latency = 95% within {latency}ms
+"""
+
+
+class FixedCensus(Census):
+    def __init__(self, known=5, serving=5):
+        self.answer = ServiceCount(known, serving)
+
+    def count(self, service):
+        return self.answer
+
+
+class Platform:
+    def __init__(self):
+        self.tables = FakeTables()
+        self.objects = FakeObjects()
+
+    def keeper(self, kind=ConfigurationKeeper):
+        clock = ManualClock()
+        return kind(self.tables, self.objects, KEYS, clock, Metrics())
+
+
+def write_text(latency):
+    return TEXT.format(latency=latency)
+
+
+def apply(keeper, latency, expected, apply_id='a', author='mies', census=None):
+    text = write_text(latency)
+    return keeper.accept(
+        text, expected, apply_id, author, census or FixedCensus()
+    )
+
+
+@pytest.fixture
+def platform():
+    return Platform()
+
+
+def test_accepted_text_is_in_force_here_and_elsewhere(platform):
+    first, second = platform.keeper(), platform.keeper()
+    assert not second.start(list)
+    assert apply(first, 100, 0).version == 1
+    assert second.poll()
+    assert second.current.declaration.text == write_text(100)
+    assert not second.poll()
+
+
+@pytest.mark.parametrize('fault', ['before', 'after'])
+def test_lost_answer_is_settled_by_reading_back(platform, fault):
+    """Guards against a change that is applied twice or reported failed."""
+    keeper = platform.keeper()
+    platform.tables.lose = [fault]
+    assert apply(keeper, 100, 0).version == 1
+    assert platform.tables.rows[HEAD_KEY].version == 1
+
+
+def test_lost_answer_before_an_outage_is_settled_by_the_retry(platform):
+    """Guards against a second acceptance of a retried apply."""
+    keeper = platform.keeper()
+    platform.tables.lose = ['after']
+    read = platform.tables.read
+    calls = iter([read, read, None])
+
+    def read_until_outage(key):
+        call = next(calls)
+        if call is None:
+            raise StoreDownError('down')
+        return call(key)
+
+    platform.tables.read = read_until_outage
+    with pytest.raises(LostAnswerError):
+        apply(keeper, 100, 0)
+    platform.tables.read = read
+    assert apply(keeper, 100, 0).version == 1
+    assert keeper.version == 1
+
+
+def test_retry_after_a_later_change_gives_the_first_acceptance(platform):
+    """Guards against a retried apply that reverts a later change."""
+    keeper = platform.keeper()
+    apply(keeper, 100, 0, 'a')
+    apply(keeper, 200, 1, 'b')
+    assert apply(keeper, 100, 0, 'a').version == 1
+    assert keeper.current.declaration.text == write_text(200)
+    with pytest.raises(OperationRefusedError, match='another text'):
+        apply(keeper, 300, 0, 'a')
+
+
+def test_conflict_shows_what_the_other_changed(platform):
+    """Guards against an operator who overwrites an unseen change."""
+    mine, other = platform.keeper(), platform.keeper()
+    apply(mine, 100, 0, 'a')
+    platform.tables.before_write = lambda: apply(other, 250, 1, 'b', 'jan')
+    with pytest.raises(ConfigurationConflictError) as caught:
+        apply(mine, 300, 1, 'c', 'mies')
+    assert caught.value.version == 2
+    assert 'jan' in caught.value.message
+    assert caught.value.changes == (
+        '~ [class browse] latency: 95% within 100ms -> 95% within 250ms',
+    )
+
+
+def test_corrupt_text_is_noticed_and_not_applied(platform):
+    """Guards against a truncated object in force."""
+    first, second = platform.keeper(), platform.keeper()
+    apply(first, 100, 0)
+    name, content = next(iter(platform.objects.objects.items()))
+    platform.objects.objects[name] = content[:-20]
+    with pytest.raises(CorruptObjectError):
+        second.poll()
+    assert second.current is None
+    assert second.adopt_serialized(first.serialize())
+    del platform.objects.objects[name]
+    with pytest.raises(MissingObjectError):
+        platform.keeper().poll()
+
+
+def test_truncated_write_is_not_committed(platform):
+    """Guards against a head row that names an unreadable text."""
+    platform.objects.truncate = 30
+    with pytest.raises(CorruptObjectError):
+        apply(platform.keeper(), 100, 0)
+    assert HEAD_KEY not in platform.tables.rows
+
+
+def test_start_without_store_takes_the_highest_of_the_peers(platform):
+    """Guards against a node that is ready with an older configuration."""
+    old, new = platform.keeper(), platform.keeper()
+    apply(old, 100, 0, 'a')
+    new.poll()
+    apply(new, 200, 1, 'b')
+    platform.tables.down = True
+    third = platform.keeper()
+    seen = []
+    third.subscribe(lambda adopted: seen.append(adopted.version))
+    assert not third.start(lambda: [b'', b'{"garbage": 1}'])
+    assert third.start(lambda: [old.serialize(), new.serialize(), b'x'])
+    assert seen == [2]
+    assert not third.adopt_serialized(old.serialize())
+
+
+def test_unsigned_or_changed_copy_is_refused(platform):
+    """Guards against a configuration from outside the fleet."""
+    first, second = platform.keeper(), platform.keeper()
+    apply(first, 100, 0)
+    for payload in (
+        first.serialize().replace(b'100ms', b'900ms'),
+        first.serialize().replace(b'"k1"', b'"k2"'),
+        b'[]',
+    ):
+        with pytest.raises(ProtocolError):
+            second.adopt_serialized(payload)
+    assert second.current is None
+
+
+@pytest.mark.parametrize(
+    ('census', 'reason'),
+    [
+        (FixedCensus(0, 0), 'announced'),
+        (FixedCensus(1, 1), 'at most 1'),
+        (FixedCensus(5, 0), r'\[class browse\] service'),
+    ],
+)
+def test_misfit_is_refused_with_the_reason(platform, census, reason):
+    """Guards against a declaration that the fleet cannot fulfil."""
+    with pytest.raises(OperationRefusedError, match=reason):
+        apply(platform.keeper(), 100, 0, census=census)
+    assert HEAD_KEY not in platform.tables.rows
+
+
+@attrs.define
+class Attempt:
+    """One apply of one operator, kept for its retries."""
+
+    latency: int
+    expected: int
+    apply_id: str
+    settled: bool = False
+
+
+class OperatorsAndNodes(RuleBasedStateMachine):
+    """Two operators and three nodes under store faults and restarts."""
+
+    keeper_class = ConfigurationKeeper
+    nodes = strategies.integers(0, 2)
+    operators = strategies.integers(0, 1)
+
+    @initialize()
+    def begin(self):
+        self.platform = Platform()
+        self.keepers = [self._make() for _ in range(3)]
+        self.seen = [0, 0]
+        self.attempts = [None, None]
+        self.count = 0
+        self.accepted = {}
+        self.texts = {}
+        self.reached = [0, 0, 0]
+
+    def _make(self):
+        return self.platform.keeper(self.keeper_class)
+
+    @rule(
+        operator=operators,
+        node=nodes,
+        faults=strategies.lists(
+            strategies.sampled_from(['', 'before', 'after']), max_size=3
+        ),
+    )
+    def apply_new(self, operator, node, faults):
+        self.count += 1
+        latency = 100 + self.count
+        self.attempts[operator] = Attempt(
+            latency, self.seen[operator], f'id{self.count}'
+        )
+        self.platform.tables.lose = faults
+        self._send(operator, node)
+        self.platform.tables.lose = []
+
+    @rule(operator=operators, node=nodes)
+    def repeat_last_apply(self, operator, node):
+        if self.attempts[operator] is not None:
+            self._send(operator, node)
+
+    def _send(self, operator, node):
+        attempt = self.attempts[operator]
+        keeper = self.keepers[node]
+        try:
+            change = apply(
+                keeper, attempt.latency, attempt.expected, attempt.apply_id
+            )
+        except (StoreDownError, LostAnswerError):
+            return
+        except ConfigurationConflictError as error:
+            assert not attempt.settled, 'accepted, then a conflict'
+            self.seen[operator] = error.version
+            return
+        attempt.settled = True
+        self.seen[operator] = max(self.seen[operator], change.version)
+        before = self.accepted.setdefault(attempt.apply_id, change.version)
+        assert before == change.version, 'accepted twice'
+
+    @rule(node=nodes)
+    def poll(self, node):
+        try:
+            self.keepers[node].poll()
+        except StoreDownError:
+            assert self.platform.tables.down or self.platform.objects.down
+
+    @rule(node=nodes, peer=nodes)
+    def fetch_from_peer(self, node, peer):
+        payload = self.keepers[peer].serialize()
+        self.keepers[node].adopt_serialized(payload)
+        assert self.keepers[node].version >= self.keepers[peer].version
+
+    @rule(node=nodes)
+    def restart(self, node):
+        peers = [self.keepers[at] for at in range(3) if at != node]
+        self.keepers[node] = self._make()
+        self.reached[node] = 0
+        ready = self.keepers[node].start(
+            lambda: [peer.serialize() for peer in peers]
+        )
+        highest = max(peer.version for peer in peers)
+        assert not (highest and self.platform.tables.down) or ready
+        if ready and self.platform.tables.down:
+            assert self.keepers[node].version == highest
+
+    @rule(down=strategies.sampled_from(['', '', 'tables', 'objects', 'both']))
+    def change_store(self, down):
+        self.platform.tables.down = down in {'tables', 'both'}
+        self.platform.objects.down = down in {'objects', 'both'}
+
+    @invariant()
+    def versions_never_revert(self):
+        if not hasattr(self, 'keepers'):
+            return
+        for at, keeper in enumerate(self.keepers):
+            assert keeper.version >= self.reached[at], 'reverted'
+            self.reached[at] = keeper.version
+            if keeper.current is None:
+                continue
+            text = keeper.current.declaration.text
+            known = self.texts.setdefault(keeper.version, text)
+            assert known == text, 'one version with two texts'
+
+    @invariant()
+    def each_version_has_one_author(self):
+        if hasattr(self, 'accepted'):
+            versions = list(self.accepted.values())
+            assert len(versions) == len(set(versions)), 'shared version'
+
+
+class RevertingKeeper(ConfigurationKeeper):
+    """Adopts whatever a peer gives."""
+
+    def _supersedes(self, configuration):
+        return configuration.version != self.version
+
+
+class ForgetfulKeeper(ConfigurationKeeper):
+    """Takes a retried apply for a new one on top of the head."""
+
+    def accept(self, text, expected_version, apply_id, author, census):
+        head = self._store.read_head()
+        fresh = f'{apply_id}-{head.version}'
+        return super().accept(text, head.version, fresh, author, census)
+
+
+MACHINE_SETTINGS = settings(
+    max_examples=200,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+    database=None,
+)
+
+
+def test_configuration_never_reverts():
+    """Guards against any sequence of faults that reverts or repeats."""
+    run_state_machine_as_test(OperatorsAndNodes, settings=MACHINE_SETTINGS)
+
+
+class RevertingMachine(OperatorsAndNodes):
+    keeper_class = RevertingKeeper
+
+
+class ForgetfulMachine(OperatorsAndNodes):
+    keeper_class = ForgetfulKeeper
+
+
+@pytest.mark.parametrize(
+    ('machine', 'reason'),
+    [(RevertingMachine, 'reverted'), (ForgetfulMachine, 'accepted twice')],
+)
+def test_machine_catches_a_broken_keeper(machine, reason):
+    """Guards against a state machine that could not fail."""
+    without_shrinking = settings(MACHINE_SETTINGS, phases=[Phase.generate])
+    with pytest.raises(AssertionError, match=reason):
+        run_state_machine_as_test(machine, settings=without_shrinking)
