Add accounting and report of error budgets

Cause: operators steer by targets, so they need to see what is left of each budget and what consumed it, over the whole fleet. Change: per class tallies in one-minute buckets for an hour, HDR histograms for the quantiles, merging across nodes, a report with burn rates over 5 min and 1 h, as data and as a table.

--- /dev/null
+++ b/godwitknot/burn.py
@@ -0,0 +1,267 @@
+"""Accounting of requests against the targets of their classes."""
+
+import collections
+import threading
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+import cattrs
+from hdrh.histogram import HdrHistogram
+
+from godwitknot.clock import Clock
+from godwitknot.declaration import WorkClass
+from godwitknot.errors import ProtocolError
+from godwitknot.outcomes import Code
+
+MINUTE_SECONDS = 60
+WINDOW_MINUTES = 60
+# One histogram covers half the window, so that two cover all of it.
+_HISTOGRAM_MINUTES = 30
+_TICKS_PER_SECOND = 10000
+_MOST_SECONDS = 600
+_MOST_TICKS = _MOST_SECONDS * _TICKS_PER_SECOND
+_DIGITS = 2
+# A wall clock that is set back a little must not lose the last minutes.
+_SKEW_MINUTES = 5
+_CONVERTER = cattrs.Converter()
+
+# The caller caused these, so they are no failure of the service.
+_CALLER_CODES = frozenset(
+    (
+        Code.KEY_REQUIRED,
+        Code.KEY_INVALID,
+        Code.KEY_REUSED,
+        Code.BODY_TOO_LARGE,
+        Code.BAD_REQUEST,
+        Code.LENGTH_REQUIRED,
+        Code.CANCELLED,
+    ),
+)
+
+
+@attrs.define
+class Tally:
+    """Counts of requests of one class.
+
+    :param good: answered within the latency target.
+    :param slow: answered, but later than the latency target.
+    :param failed: answered by a server with an error, or the answer lost.
+    :param refused: refused by the fleet, by code.
+    :param excluded: faults of the caller, in no objective.
+    """
+
+    good: int = 0
+    slow: int = 0
+    failed: int = 0
+    excluded: int = 0
+    refused: dict[Code, int] = attrs.Factory(dict)
+
+    @property
+    def answered(self) -> int:
+        """Requests that were answered without an error."""
+        return self.good + self.slow
+
+    @property
+    def total(self) -> int:
+        """Requests that count towards the success objective."""
+        return self.answered + self.failed + sum(self.refused.values())
+
+    def add(self, other: 'Tally') -> None:
+        """Add the counts of another tally."""
+        self.good += other.good
+        self.slow += other.slow
+        self.failed += other.failed
+        self.excluded += other.excluded
+        for code, count in other.refused.items():
+            self.refused[code] = self.refused.get(code, 0) + count
+
+
+@attrs.define
+class ClassCounts:
+    """Counts of one class over the window.
+
+    :param minutes: tallies by minute since the epoch.
+    :param latencies: encoded histograms of the answered requests, in units
+        of 0.1 ms.
+    """
+
+    minutes: dict[int, Tally] = attrs.Factory(dict)
+    latencies: tuple[str, ...] = ()
+
+    def sum_since(self, minute: int) -> Tally:
+        """Add up the minutes from one on."""
+        tally = Tally()
+        for at, counts in self.minutes.items():
+            if at >= minute:
+                tally.add(counts)
+        return tally
+
+    def find_quantile(self, share: float) -> float:
+        """Give a latency quantile.
+
+        :param share: from 0 to 1.
+        :returns: seconds, 0 without requests.
+        """
+        merged = _make_histogram()
+        for text in self.latencies:
+            merged.add(HdrHistogram.decode(text))
+        ticks = merged.get_value_at_percentile(share * 100)
+        return ticks / _TICKS_PER_SECOND
+
+
+@attrs.define
+class BurnSnapshot:
+    """Counts of all classes, of one node or of several.
+
+    :param nodes: ids of the nodes counted.
+    """
+
+    nodes: tuple[str, ...] = ()
+    classes: dict[str, ClassCounts] = attrs.Factory(dict)
+
+
+def merge_snapshots(snapshots: Iterable[BurnSnapshot]) -> BurnSnapshot:
+    """Add up the counts of several nodes."""
+    merged = BurnSnapshot()
+    for snapshot in snapshots:
+        merged.nodes = (*merged.nodes, *snapshot.nodes)
+        for name, counts in snapshot.classes.items():
+            total = merged.classes.setdefault(name, ClassCounts())
+            total.latencies = (*total.latencies, *counts.latencies)
+            for minute, tally in counts.minutes.items():
+                total.minutes.setdefault(minute, Tally()).add(tally)
+    return merged
+
+
+def snapshot_to_json(snapshot: BurnSnapshot) -> dict[str, Any]:
+    """Give a form that the JSON encoder takes."""
+    return _CONVERTER.unstructure(snapshot)
+
+
+def snapshot_from_json(raw: Any) -> BurnSnapshot:
+    """Read what :func:`snapshot_to_json` gave at another node.
+
+    :raises ProtocolError: if it is malformed.
+    """
+    try:
+        return _CONVERTER.structure(raw, BurnSnapshot)
+    except cattrs.BaseValidationError as error:
+        raise ProtocolError('malformed counts of a peer') from error
+
+
+class BurnLedger:
+    """Counts the requests that this node accepted as ingress.
+
+    Memory is bounded: tallies of the last hour and two histograms for each
+    class, about 20 KB a class.
+    """
+
+    def __init__(self, node_id: str, clock: Clock) -> None:
+        """Start without counts."""
+        self._node_id = node_id
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._classes: dict[str, _ClassLedger] = {}
+
+    def note_answer(self, work: WorkClass, seconds: float) -> None:
+        """Count an answered request.
+
+        :param work: its class.
+        :param seconds: from acceptance to the first byte of the answer.
+        """
+        with self._lock:
+            ledger, tally = self._open(work)
+            if seconds > work.latency.seconds:
+                tally.slow += 1
+            else:
+                tally.good += 1
+            ledger.record(self._minute(), seconds)
+
+    def note_failure(self, work: WorkClass) -> None:
+        """Count a request that a server failed or whose answer was lost."""
+        with self._lock:
+            _, tally = self._open(work)
+            tally.failed += 1
+
+    def note_refusal(self, work: WorkClass, code: Code) -> None:
+        """Count a request that the fleet refused."""
+        with self._lock:
+            _, tally = self._open(work)
+            if code in _CALLER_CODES:
+                tally.excluded += 1
+            else:
+                tally.refused[code] = tally.refused.get(code, 0) + 1
+
+    def snapshot(self) -> BurnSnapshot:
+        """Copy the counts of the last hour."""
+        with self._lock:
+            return BurnSnapshot(
+                nodes=(self._node_id,),
+                classes={
+                    name: ledger.copy(self._minute())
+                    for name, ledger in self._classes.items()
+                },
+            )
+
+    def _minute(self) -> int:
+        return int(self._clock.wall() // MINUTE_SECONDS)
+
+    def _open(self, work: WorkClass) -> tuple['_ClassLedger', Tally]:
+        ledger = self._classes.get(work.name)
+        if ledger is None:
+            ledger = _ClassLedger()
+            self._classes[work.name] = ledger
+        return ledger, ledger.open_minute(self._minute())
+
+
+class _ClassLedger:
+    """Counts of one class; the caller holds the lock."""
+
+    def __init__(self) -> None:
+        self._minutes: dict[int, Tally] = {}
+        # Half-hour number and histogram, the latest last.
+        self._histograms: collections.deque[tuple[int, HdrHistogram]]
+        self._histograms = collections.deque(maxlen=2)
+
+    def open_minute(self, minute: int) -> Tally:
+        tally = self._minutes.get(minute)
+        if tally is None:
+            tally = Tally()
+            self._minutes[minute] = tally
+            self._drop_old(minute)
+        return tally
+
+    def record(self, minute: int, seconds: float) -> None:
+        half_hour = minute // _HISTOGRAM_MINUTES
+        if not self._histograms or self._histograms[-1][0] != half_hour:
+            self._histograms.append((half_hour, _make_histogram()))
+        ticks = min(_MOST_TICKS, max(1, int(seconds * _TICKS_PER_SECOND)))
+        self._histograms[-1][1].record_value(ticks)
+
+    def copy(self, minute: int) -> ClassCounts:
+        self._drop_old(minute)
+        oldest = (minute - WINDOW_MINUTES) // _HISTOGRAM_MINUTES
+        counts = ClassCounts(
+            latencies=tuple(
+                histogram.encode().decode()
+                for half_hour, histogram in self._histograms
+                if half_hour > oldest
+            ),
+        )
+        for at, tally in self._minutes.items():
+            counts.minutes[at] = Tally()
+            counts.minutes[at].add(tally)
+        return counts
+
+    def _drop_old(self, minute: int) -> None:
+        # Minutes far ahead remain from before the wall clock was set back;
+        # they would not expire by themselves.
+        newest = minute + _SKEW_MINUTES
+        for at in list(self._minutes):
+            if not minute - WINDOW_MINUTES < at <= newest:
+                self._minutes.pop(at)
+
+
+def _make_histogram() -> HdrHistogram:
+    return HdrHistogram(1, _MOST_TICKS, _DIGITS)
--- /dev/null
+++ b/godwitknot/burnreport.py
@@ -0,0 +1,241 @@
+"""Report of error budgets: what is left and what consumed it."""
+
+import attrs
+
+from godwitknot.burn import (
+    MINUTE_SECONDS,
+    WINDOW_MINUTES,
+    BurnSnapshot,
+    ClassCounts,
+    Tally,
+)
+from godwitknot.columns import format_columns
+from godwitknot.declaration import Declaration, WorkClass
+
+SHORT_MINUTES = 5
+# An objective of 100% has no budget to divide by; it counts as 99.9999%.
+_LEAST_ALLOWANCE = 0.000001
+_MEDIAN = 0.5
+_HIGH = 0.99
+_FAILED = 'failed'
+_SLOW = 'slow'
+_HEADINGS = (
+    'CLASS',
+    'OBJECTIVE',
+    'REQUESTS',
+    'ACHIEVED',
+    'BUDGET LEFT',
+    'BURN 5 MIN',
+    'BURN 1 H',
+    'CONSUMED BY',
+)
+
+
+@attrs.frozen
+class Consumer:
+    """What consumed part of a budget.
+
+    :param cause: ``failed``, ``slow`` or ``refused CODE``.
+    :param share: part of the whole budget, above 1 if it is overspent.
+    """
+
+    cause: str
+    count: int
+    share: float
+
+
+@attrs.frozen
+class ObjectiveReport:
+    """One objective over the last hour.
+
+    :param objective: as declared.
+    :param target: share of good requests wanted, from 0 to 1.
+    :param requests: requests that count towards it.
+    :param achieved: share of good requests, ``None`` without requests.
+    :param budget_left: 1 is untouched, below 0 is overspent.
+    :param burn_short: budget use over 5 min; 1 would use it up exactly.
+    :param burn_long: the same over 1 h.
+    """
+
+    objective: str
+    target: float
+    requests: int
+    achieved: float | None
+    budget_left: float
+    burn_short: float
+    burn_long: float
+    consumers: tuple[Consumer, ...]
+
+
+@attrs.frozen
+class ClassReport:
+    """The objectives of one class.
+
+    :param median: latency in seconds.
+    :param high: 99th percentile of the latency in seconds.
+    :param excluded: requests that the caller spoilt.
+    """
+
+    work_class: str
+    median: float
+    high: float
+    excluded: int
+    objectives: tuple[ObjectiveReport, ...]
+
+
+@attrs.frozen
+class BurnReport:
+    """All classes of the declaration in force.
+
+    :param version: version of the configuration.
+    :param nodes: nodes counted.
+    :param missing: nodes that did not answer.
+    """
+
+    version: int
+    nodes: tuple[str, ...]
+    missing: tuple[str, ...]
+    classes: tuple[ClassReport, ...]
+
+
+def make_report(
+    declaration: Declaration,
+    version: int,
+    snapshot: BurnSnapshot,
+    missing: tuple[str, ...],
+    now: float,
+) -> BurnReport:
+    """Compare counts with the declared targets.
+
+    :param snapshot: merged counts of the nodes.
+    :param missing: nodes whose counts are not in the snapshot.
+    :param now: seconds since the epoch.
+    """
+    minute = int(now // MINUTE_SECONDS)
+    classes = [
+        _report_class(
+            work, snapshot.classes.get(work.name, ClassCounts()), minute
+        )
+        for work in declaration.classes.values()
+    ]
+    nodes = tuple(sorted(snapshot.nodes))
+    return BurnReport(version, nodes, missing, tuple(classes))
+
+
+def _report_class(
+    work: WorkClass,
+    counts: ClassCounts,
+    minute: int,
+) -> ClassReport:
+    tallies = (
+        counts.sum_since(minute - SHORT_MINUTES + 1),
+        counts.sum_since(minute - WINDOW_MINUTES + 1),
+    )
+    success = f'success {_percent(work.success)}'
+    quantile = _percent(work.latency.quantile)
+    milliseconds = work.latency.seconds * 1000
+    return ClassReport(
+        work_class=work.name,
+        median=counts.find_quantile(_MEDIAN),
+        high=counts.find_quantile(_HIGH),
+        excluded=tallies[1].excluded,
+        objectives=(
+            _report_objective(
+                success,
+                work.success,
+                [_Spending.on_success(tally) for tally in tallies],
+            ),
+            _report_objective(
+                f'{quantile} within {milliseconds:g}ms',
+                work.latency.quantile,
+                [_Spending.on_latency(tally) for tally in tallies],
+            ),
+        ),
+    )
+
+
+@attrs.frozen
+class _Spending:
+    """Requests of one objective in one window, with the bad ones."""
+
+    total: int
+    bad: dict[str, int]
+
+    @classmethod
+    def on_success(cls, tally: Tally) -> '_Spending':
+        bad = {f'refused {code}': tally.refused[code] for code in tally.refused}
+        return cls(tally.total, {_FAILED: tally.failed, **bad})
+
+    @classmethod
+    def on_latency(cls, tally: Tally) -> '_Spending':
+        return cls(tally.answered, {_SLOW: tally.slow})
+
+    @property
+    def bad_share(self) -> float:
+        return sum(self.bad.values()) / self.total if self.total else 0
+
+
+def _report_objective(
+    objective: str,
+    target: float,
+    windows: list[_Spending],
+) -> ObjectiveReport:
+    short, long = windows
+    allowance = max(1 - target, _LEAST_ALLOWANCE)
+    burn = long.bad_share / allowance
+    consumers = [
+        Consumer(cause, count, count / long.total / allowance)
+        for cause, count in long.bad.items()
+        if count
+    ]
+    consumers.sort(key=lambda consumer: (-consumer.count, consumer.cause))
+    return ObjectiveReport(
+        objective=objective,
+        target=target,
+        requests=long.total,
+        achieved=1 - long.bad_share if long.total else None,
+        budget_left=1 - burn,
+        burn_short=short.bad_share / allowance,
+        burn_long=burn,
+        consumers=tuple(consumers),
+    )
+
+
+def format_report(report: BurnReport) -> str:
+    """Format a report as a table for a person."""
+    rows = [_HEADINGS]
+    for work in report.classes:
+        name = work.work_class
+        for objective in work.objectives:
+            rows.append((name, *_format_objective(objective)))
+            name = ''
+    lines = [
+        f'last hour, {len(report.nodes)} nodes, '
+        f'configuration version {report.version}',
+        format_columns(rows),
+    ]
+    if report.missing:
+        names = ', '.join(report.missing)
+        lines.append(f'not counted, no answer: {names}')
+    return '\n'.join(lines)
+
+
+def _format_objective(objective: ObjectiveReport) -> list[str]:
+    achieved = objective.achieved
+    consumers = [
+        f'{consumer.cause} {consumer.share:.0%} ({consumer.count})'
+        for consumer in objective.consumers
+    ]
+    return [
+        objective.objective,
+        str(objective.requests),
+        '-' if achieved is None else f'{achieved:.3%}',
+        f'{objective.budget_left:.0%}',
+        f'{objective.burn_short:.2f}',
+        f'{objective.burn_long:.2f}',
+        ', '.join(consumers) or '-',
+    ]
+
+
+def _percent(share: float) -> str:
+    return f'{share * 100:.6g}%'
--- /dev/null
+++ b/tests/godwitknot/test_burn.py
@@ -0,0 +1,119 @@
+import json
+
+import pytest
+
+from godwitknot.burn import (
+    BurnLedger,
+    merge_snapshots,
+    snapshot_from_json,
+    snapshot_to_json,
+)
+from godwitknot.burnreport import format_report, make_report
+from godwitknot.clock import ManualClock
+from godwitknot.declaration import parse_declaration
+from godwitknot.errors import ProtocolError
+from godwitknot.outcomes import Code
+
+TEXT = """
+[fleet]
+owner = hafnarvagn
+
+[service booking]
+floor = 1
+
+[class slot-booking]
+service = booking
+match = POST /bookings
+success = 99%
+latency = 90% within 400ms
+"""
+DECLARATION = parse_declaration(TEXT)
+WORK = DECLARATION.classes['slot-booking']
+
+
+def report(clock, *ledgers):
+    raw = [snapshot_to_json(ledger.snapshot()) for ledger in ledgers]
+    copies = [snapshot_from_json(json.loads(json.dumps(one))) for one in raw]
+    merged = merge_snapshots(copies)
+    return make_report(DECLARATION, 3, merged, ('lost-1',), clock.wall())
+
+
+def fill(ledger, good=0, slow=0, failed=0, refused=()):
+    for _ in range(good):
+        ledger.note_answer(WORK, 0.1)
+    for _ in range(slow):
+        ledger.note_answer(WORK, 0.8)
+    for _ in range(failed):
+        ledger.note_failure(WORK)
+    for code in refused:
+        ledger.note_refusal(WORK, code)
+
+
+def test_budget_is_computed_over_all_nodes():
+    """Guards against a report that shows one node's part as the whole."""
+    clock = ManualClock(600000)
+    first, second = BurnLedger('n1', clock), BurnLedger('n2', clock)
+    fill(first, good=900, slow=95, failed=2)
+    fill(second, good=1000, refused=(Code.QUEUE_FULL for _ in range(3)))
+    whole = report(clock, first, second)
+    success, latency = whole.classes[0].objectives
+    assert whole.nodes == ('n1', 'n2')
+    assert success.requests == 2000
+    assert success.budget_left == pytest.approx(0.75)
+    assert [(one.cause, one.count) for one in success.consumers] == [
+        ('refused queue-full', 3),
+        ('failed', 2),
+    ]
+    assert latency.achieved == pytest.approx(1 - 95 / 1995)
+    assert whole.classes[0].median == pytest.approx(0.1, rel=0.02)
+    assert whole.classes[0].high == pytest.approx(0.8, rel=0.02)
+
+
+def test_burn_rates_of_both_windows_and_expiry():
+    """Guards against an old incident that hides or imitates a new one."""
+    clock = ManualClock(600000)
+    ledger = BurnLedger('n1', clock)
+    fill(ledger, good=90, failed=10)
+    clock.advance(600)
+    fill(ledger, good=100)
+    success = report(clock, ledger).classes[0].objectives[0]
+    assert success.burn_short == 0
+    assert success.burn_long == pytest.approx(5)
+    assert success.budget_left == pytest.approx(-4)
+    clock.advance(3600)
+    success = report(clock, ledger).classes[0].objectives[0]
+    assert (success.requests, success.achieved) == (0, None)
+
+
+def test_faults_of_callers_consume_no_budget():
+    """Guards against a caller that burns the budget with bad requests."""
+    clock = ManualClock(600000)
+    ledger = BurnLedger('n1', clock)
+    fill(ledger, good=1, refused=[Code.BAD_REQUEST, Code.CANCELLED])
+    work = report(clock, ledger).classes[0]
+    assert work.excluded == 2
+    assert work.objectives[0].budget_left == 1
+
+
+def test_memory_is_bounded_when_the_wall_clock_jumps():
+    """Guards against minutes that never expire."""
+    clock = ManualClock(600000)
+    ledger = BurnLedger('n1', clock)
+    for step in range(300):
+        fill(ledger, good=1)
+        clock.advance(60 if step != 200 else -9000)
+    counts = ledger.snapshot().classes['slot-booking']
+    assert len(counts.minutes) <= 65
+    assert len(counts.latencies) <= 2
+
+
+def test_malformed_counts_of_a_peer_are_refused():
+    with pytest.raises(ProtocolError):
+        snapshot_from_json({'nodes': 3, 'classes': []})
+
+
+def test_report_as_text(snapshot):
+    clock = ManualClock(600000)
+    ledger = BurnLedger('n1', clock)
+    fill(ledger, good=1900, slow=95, refused=(Code.SHED for _ in range(5)))
+    assert format_report(report(clock, ledger)) == snapshot
