Add the operator port

Cause: operators need one authenticated interface for status, plans, changes and planned stops. A conflict on a fleet without a configuration no longer fails with an index error.

--- a/godwitknot/burnreport.py
+++ b/godwitknot/burnreport.py
@@ -210,7 +210,7 @@
             rows.append((name, *_format_objective(objective)))
             name = ''
     lines = [
-        f'last hour, {len(report.nodes)} nodes, '
+        f'last hour, nodes counted: {len(report.nodes)}, '
         f'configuration version {report.version}',
         format_columns(rows),
     ]
--- a/godwitknot/configuration.py
+++ b/godwitknot/configuration.py
@@ -12,6 +12,7 @@
 from godwitknot.census import Census, find_misfits
 from godwitknot.clock import Clock
 from godwitknot.declaration import Declaration, parse_declaration
+from godwitknot.differences import compare_texts
 from godwitknot.errors import (
     CorruptObjectError,
     OperationRefusedError,
@@ -30,6 +31,7 @@
 from godwitknot.keys import FleetKeys
 from godwitknot.logs import log_event
 from godwitknot.metrics import Metrics
+from godwitknot.operations import Plan
 from godwitknot.store import ABSENT, ObjectStore, TableService
 
 _DIGEST_SHOWN = 12
@@ -126,6 +128,28 @@
         self._adopt(Configuration(head.extend(change), declaration), 'apply')
         return change
 
+    def plan(self, text: str, census: Census) -> Plan:
+        """Compare a declaration with the one in force.
+
+        The store is asked for a higher version first, so that the plan is
+        not based on one that another node has replaced.
+
+        :param text: INI text.
+        :raises DeclarationError: if the text has faults.
+        """
+        declaration = parse_declaration(text)
+        with contextlib.suppress(StoreError):
+            self.poll()
+        current = self._current
+        old = current.declaration.text if current else ''
+        return Plan(
+            version=self.version,
+            digest=declaration.digest,
+            unchanged=old == text,
+            differences=compare_texts(old, text),
+            misfits=tuple(find_misfits(declaration, census)),
+        )
+
     def poll(self) -> bool:
         """Adopt a higher version from the store.
 
--- a/godwitknot/differences.py
+++ b/godwitknot/differences.py
@@ -10,7 +10,7 @@
     """One key that differs.
 
     :param section: section title.
-    :param key: key within the section; empty for a section without keys.
+    :param key: key within the section; empty for the section itself.
     :param old: text before, ``None`` if the key is new.
     :param new: text after, ``None`` if the key is removed.
     """
@@ -24,9 +24,9 @@
         """Format as one line that begins with ``+``, ``-`` or ``~``."""
         place = f'[{self.section}] {self.key}'.rstrip()
         if self.old is None:
-            return f'+ {place} = {self.new}'
+            return f'+ {place} = {self.new}' if self.key else f'+ {place}'
         if self.new is None:
-            return f'- {place} = {self.old}'
+            return f'- {place} = {self.old}' if self.key else f'- {place}'
         return f'~ {place}: {self.old} -> {self.new}'
 
 
--- a/godwitknot/headstore.py
+++ b/godwitknot/headstore.py
@@ -128,6 +128,10 @@
             raise self.describe_conflict(head, expected)
         return False
 
+    def _get_version(self, head: Head, version: int) -> str:
+        change = head.find_version(version)
+        return self.get_text(change.digest) if change else ''
+
     def describe_conflict(
         self,
         head: Head,
@@ -145,10 +149,9 @@
             f'in force ({authors})'
         )
         changes: tuple = ()
-        base = head.find_version(expected)
         with contextlib.suppress(StoreError):
-            old = self.get_text(base.digest) if base else ''
-            changes = compare_texts(old, self.get_text(head.changes[0].digest))
+            old = self._get_version(head, expected)
+            changes = compare_texts(old, self._get_version(head, head.version))
         return ConfigurationConflictError(
             message, head.version, [str(change) for change in changes]
         )
--- /dev/null
+++ b/godwitknot/operatorapi.py
@@ -0,0 +1,280 @@
+"""The operator port: JSON over HTTP with a bearer token."""
+
+import hmac
+import json
+import re
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import cattrs
+import cherrypy
+
+from godwitknot.errors import (
+    ConfigurationConflictError,
+    DeclarationError,
+    GodwitknotError,
+    InvalidFileError,
+    LostAnswerError,
+    OperationRefusedError,
+    StoreDownError,
+    StoreError,
+)
+from godwitknot.logs import log_event
+from godwitknot.metrics import Metrics
+from godwitknot.operations import ApiCode, FleetView, Operations
+
+OPERATOR_HEADER = 'X-Operator'
+MAX_BODY_BYTES = 8388608
+_SCHEME = 'Bearer '
+_OPERATOR = re.compile(r'^[A-Za-z0-9][A-Za-z0-9._@+-]{0,62}$')
+_JSON_TYPE = 'application/json'
+_CONVERTER = cattrs.Converter()
+_UNAUTHORIZED = 401
+_BAD_REQUEST = 400
+_TOO_LARGE = 413
+_UNAVAILABLE = 503
+_INTERNAL = 500
+_GET = 'GET'
+_POST = 'POST'
+# The first type that fits counts, so subclasses come first.
+_ERRORS = (
+    (DeclarationError, ApiCode.INVALID_DECLARATION, 422),
+    (ConfigurationConflictError, ApiCode.CONFLICT, 409),
+    (OperationRefusedError, ApiCode.REFUSED, 403),
+    (LostAnswerError, ApiCode.ANSWER_LOST, _UNAVAILABLE),
+    (StoreDownError, ApiCode.STORE_DOWN, _UNAVAILABLE),
+    (StoreError, ApiCode.STORE_FAILED, _UNAVAILABLE),
+)
+
+
+class ApiError(GodwitknotError):
+    """A request to the operator port is not acceptable."""
+
+    def __init__(self, code: ApiCode, status: int, message: str) -> None:
+        """Keep code, HTTP status and one sentence."""
+        super().__init__(message)
+        self.code = code
+        self.status = status
+
+
+class OperatorApi:
+    """Handlers of the operator port."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        operations: Operations,
+        token: str,
+        metrics: Metrics,
+    ) -> None:
+        """Serve a node.
+
+        :param token: bearer token of the operators.
+        """
+        self._view = view
+        self._operations = operations
+        self._token = token.encode()
+        self._metrics = metrics
+
+    def authorize(self) -> None:
+        """Check the token and the size of the body before it is read.
+
+        :raises ApiError: if either is not acceptable.
+        """
+        headers = cherrypy.request.headers
+        given = headers.get('Authorization', '').removeprefix(_SCHEME)
+        if not hmac.compare_digest(given.encode(), self._token):
+            self._metrics.count('operator.unauthorized')
+            raise ApiError(
+                ApiCode.UNAUTHORIZED, _UNAUTHORIZED, 'a valid token is needed'
+            )
+        length = headers.get('Content-Length', '0')
+        if not length.isdigit() or int(length) > MAX_BODY_BYTES:
+            raise ApiError(
+                ApiCode.BAD_REQUEST,
+                _TOO_LARGE,
+                f'at most {MAX_BODY_BYTES} bytes are accepted',
+            )
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=[_GET])
+    def status(self) -> Any:
+        """Give the fleet as this node knows it."""
+        return _CONVERTER.unstructure(self._view.status())
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=[_GET])
+    def report(self) -> Any:
+        """Give the error budgets of the whole fleet."""
+        return _CONVERTER.unstructure(self._view.report())
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=[_GET])
+    def explain(self, subject: str = '') -> Any:
+        """Explain a server or a request."""
+        return _CONVERTER.unstructure(self._view.explain(subject))
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=[_GET])
+    def configuration(self) -> Any:
+        """Give the configuration in force."""
+        return _CONVERTER.unstructure(self._view.configuration())
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=[_GET])
+    def confirmation(self, version: str) -> Any:
+        """Give the nodes that have a version in force."""
+        if not version.isdigit():
+            raise _bad_request('version', 'a whole number')
+        return _CONVERTER.unstructure(self._view.confirm(int(version)))
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=[_POST])
+    def plan(self) -> Any:
+        """Compare a declaration with the one in force."""
+        text = _read_body('text', str)
+        return _CONVERTER.unstructure(self._operations.plan(text))
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=[_POST])
+    def apply(self) -> Any:
+        """Bring a declaration into force."""
+        text = _read_body('text', str)
+        expected = _read_body('expected_version', int)
+        apply_id = _read_body('apply_id', str)
+        author = _read_operator()
+        return self._change(
+            lambda: self._operations.apply(text, expected, apply_id, author),
+            action='apply',
+            operator=author,
+            apply_id=apply_id,
+        )
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=[_GET, _POST])
+    def stop(self, target: str = '') -> Any:
+        """Start a planned stop, or give the progress of one."""
+        if cherrypy.request.method == _GET:
+            progress = self._operations.watch_stop(target)
+            return _CONVERTER.unstructure(progress)
+        named = _read_body('target', str)
+        author = _read_operator()
+        return self._change(
+            lambda: self._operations.stop(named, author),
+            action='stop',
+            operator=author,
+            target=named,
+        )
+
+    def _change(self, call: Callable[[], Any], **fields: str) -> Any:
+        try:
+            answer = call()
+        except GodwitknotError as error:
+            reason = type(error).__name__
+            log_event('operator change failed', reason=reason, **fields)
+            raise
+        log_event('operator change', **fields)
+        self._metrics.count('operator.changes')
+        return _CONVERTER.unstructure(answer)
+
+
+def make_application(
+    view: FleetView,
+    operations: Operations,
+    token: str,
+    metrics: Metrics,
+) -> cherrypy.Application:
+    """Build the WSGI application of the operator port.
+
+    :param token: bearer token of the operators.
+    """
+    api = OperatorApi(view, operations, token, metrics)
+    application = cherrypy.Application(api, '')
+    application.merge(
+        {
+            '/': {
+                'hooks.on_start_resource': api.authorize,
+                'tools.json_in.on': True,
+                'tools.json_out.on': True,
+                'request.error_response': _answer_error,
+                'request.show_tracebacks': False,
+                'error_page.default': _format_http_error,
+            },
+        }
+    )
+    # The node's log has lines for changes of state, not for requests.
+    application.log.access_log.disabled = True
+    application.log.error_log.disabled = True
+    return application
+
+
+def _read_body(name: str, kind: type) -> Any:
+    body = cherrypy.request.json
+    found = body.get(name) if isinstance(body, dict) else None
+    if not isinstance(found, kind) or isinstance(found, bool):
+        raise _bad_request(name, f'a JSON value of type {kind.__name__}')
+    return found
+
+
+def _read_operator() -> str:
+    name = cherrypy.request.headers.get(OPERATOR_HEADER, '')
+    if not _OPERATOR.match(name):
+        message = f'the header {OPERATOR_HEADER} must name who makes the change'
+        raise ApiError(ApiCode.OPERATOR_REQUIRED, _BAD_REQUEST, message)
+    return name
+
+
+def _bad_request(name: str, expected: str) -> ApiError:
+    message = f'{name}: expected {expected}'
+    return ApiError(ApiCode.BAD_REQUEST, _BAD_REQUEST, message)
+
+
+def _answer_error() -> None:
+    """Answer an exception of a handler as JSON."""
+    error = sys.exc_info()[1]
+    status, body = _describe_error(error)
+    response = cherrypy.serving.response
+    response.status = status
+    response.headers.pop('Content-Length', None)
+    response.headers['Content-Type'] = _JSON_TYPE
+    response.body = json.dumps({'error': body}).encode()
+
+
+def _describe_error(
+    error: BaseException | None,
+) -> tuple[int, dict[str, Any]]:
+    if isinstance(error, ApiError):
+        return error.status, {'code': error.code, 'message': str(error)}
+    for kind, code, status in _ERRORS:
+        if isinstance(error, kind):
+            return status, {
+                'code': code,
+                'message': str(error),
+                **_describe_details(error),
+            }
+    log_event('operator request failed', error=repr(error))
+    message = 'the node failed to answer; its log has the reason'
+    return _INTERNAL, {'code': ApiCode.INTERNAL, 'message': message}
+
+
+def _describe_details(error: GodwitknotError) -> dict[str, Any]:
+    if isinstance(error, ConfigurationConflictError):
+        return {
+            'message': error.message,
+            'version': error.version,
+            'changes': list(error.changes),
+        }
+    if isinstance(error, InvalidFileError):
+        problems = _CONVERTER.unstructure(error.problems)
+        return {'problems': problems}
+    return {}
+
+
+def _format_http_error(status: str, message: str, **_others: str) -> str:
+    """Format an error that cherrypy itself raised."""
+    headers = cherrypy.serving.response.headers
+    headers['Content-Type'] = _JSON_TYPE
+    missing = status.startswith('404')
+    code = ApiCode.NOT_FOUND if missing else ApiCode.BAD_REQUEST
+    return json.dumps({'error': {'code': code, 'message': message}})
