Add the command line

Cause: operators who switch between many systems need commands that they can use without knowing details.

--- /dev/null
+++ b/godwitknot/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line by ``python -m godwitknot``."""
+
+from godwitknot.commands import main
+
+main()
--- /dev/null
+++ b/godwitknot/operatorclient.py
@@ -0,0 +1,206 @@
+"""Client of the operator port."""
+
+import json
+import time
+import uuid
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import attrs
+import cattrs
+import urllib3
+
+from godwitknot.access import Access, AccessError
+from godwitknot.burnreport import BurnReport
+from godwitknot.errors import (
+    ConfigurationConflictError,
+    DeclarationError,
+    OperationRefusedError,
+    Problem,
+    UserError,
+)
+from godwitknot.heads import Change
+from godwitknot.operations import (
+    ApiCode,
+    ConfigurationView,
+    Confirmation,
+    Explanation,
+    FleetStatus,
+    Plan,
+    StopProgress,
+)
+from godwitknot.units import Address
+
+Answer = TypeVar('Answer')
+
+CONNECT_SECONDS = 2.0
+# A node asks the whole fleet for a report before it answers.
+READ_SECONDS = 15.0
+_APPLY_ATTEMPTS = 5
+_RETRY_SECONDS = 0.5
+_LEAST_ERROR_STATUS = 400
+_GET = 'GET'
+_POST = 'POST'
+_CONVERTER = cattrs.Converter()
+
+
+class NodeUnreachableError(UserError):
+    """No node answered the operator's request."""
+
+
+class NodeFailureError(UserError):
+    """A node answered that it failed, or answered nonsense."""
+
+
+class LostApplyError(NodeUnreachableError):
+    """The answer to an apply was lost; it may have been accepted."""
+
+
+@attrs.frozen
+class _Call:
+    """One request to the operator port."""
+
+    method: str
+    path: str
+    query: dict[str, str] | None = None
+    body: dict[str, Any] | None = None
+
+
+class OperatorClient:
+    """Speaks to the first node of a list that answers."""
+
+    def __init__(
+        self,
+        access: Access,
+        sleep: Callable[[float], None] = time.sleep,
+    ) -> None:
+        """Prepare the client; nothing is sent yet."""
+        self._access = access
+        self._sleep = sleep
+        self._pool = urllib3.PoolManager(
+            retries=False,
+            timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=READ_SECONDS),
+        )
+
+    def status(self) -> FleetStatus:
+        """Ask for the state of the fleet."""
+        return self._ask(FleetStatus, _Call(_GET, '/status'))
+
+    def report(self) -> BurnReport:
+        """Ask for the error budgets."""
+        return self._ask(BurnReport, _Call(_GET, '/report'))
+
+    def explain(self, subject: str) -> Explanation:
+        """Ask why a server or a request is treated as it is."""
+        query = {'subject': subject}
+        return self._ask(Explanation, _Call(_GET, '/explain', query))
+
+    def configuration(self) -> ConfigurationView:
+        """Ask for the configuration in force."""
+        return self._ask(ConfigurationView, _Call(_GET, '/configuration'))
+
+    def confirm(self, version: int) -> Confirmation:
+        """Ask which nodes have a version in force."""
+        query = {'version': str(version)}
+        return self._ask(Confirmation, _Call(_GET, '/confirmation', query))
+
+    def plan(self, text: str) -> Plan:
+        """Ask what an apply would change."""
+        return self._ask(Plan, _Call(_POST, '/plan', body={'text': text}))
+
+    def apply(self, text: str, expected_version: int) -> Change:
+        """Apply a declaration; a lost answer is repeated with the same id.
+
+        :raises LostApplyError: if no repeat was answered.
+        """
+        body = {
+            'text': text,
+            'expected_version': expected_version,
+            'apply_id': uuid.uuid4().hex,
+        }
+        for attempt in range(_APPLY_ATTEMPTS):
+            try:
+                return self._ask(Change, _Call(_POST, '/apply', body=body))
+            except NodeUnreachableError:
+                self._sleep(_RETRY_SECONDS * 2**attempt)
+        raise LostApplyError(
+            'no answer; the change may have been accepted. Run the same '
+            'apply again: it says whether the text is in force.'
+        )
+
+    def stop(self, target: str) -> StopProgress:
+        """Start a planned stop."""
+        return self._ask(
+            StopProgress, _Call(_POST, '/stop', body={'target': target})
+        )
+
+    def watch_stop(self, target: str) -> StopProgress:
+        """Ask for the progress of a planned stop."""
+        query = {'target': target}
+        return self._ask(StopProgress, _Call(_GET, '/stop', query))
+
+    def _ask(self, kind: type[Answer], call: _Call) -> Answer:
+        answer = self._send_to_any(call)
+        try:
+            return _CONVERTER.structure(json.loads(answer.data), kind)
+        except (ValueError, cattrs.BaseValidationError) as error:
+            message = f'unexpected answer to {call.method} {call.path}'
+            raise NodeFailureError(message) from error
+
+    def _send_to_any(self, call: _Call) -> urllib3.BaseHTTPResponse:
+        reasons = []
+        for address in self._access.address:
+            try:
+                answer = self._send(address, call)
+            except urllib3.exceptions.HTTPError as error:
+                reasons.append(f'{address}: {_shorten(error)}')
+                continue
+            if answer.status < _LEAST_ERROR_STATUS:
+                return answer
+            raise _read_error(answer.data)
+        raise NodeUnreachableError(f'no answer from {"; ".join(reasons)}')
+
+    def _send(self, address: Address, call: _Call) -> urllib3.BaseHTTPResponse:
+        headers = {
+            'Authorization': f'Bearer {self._access.token}',
+            'X-Operator': self._access.name,
+        }
+        url = f'http://{address}{call.path}'
+        if call.method == _GET:
+            return self._pool.request(
+                _GET, url, fields=call.query, headers=headers, redirect=False
+            )
+        return self._pool.request(
+            call.method, url, json=call.body, headers=headers, redirect=False
+        )
+
+
+def _shorten(error: Exception) -> str:
+    text = str(error).rpartition(': ')[2]
+    return text.strip("')( ") or type(error).__name__
+
+
+def _read_error(content: bytes) -> UserError:
+    try:
+        error = json.loads(content)['error']
+        return _make_error(ApiCode(error['code']), error)
+    except (ValueError, LookupError, TypeError):
+        return NodeFailureError('the node answered with an unknown error')
+
+
+def _make_error(code: ApiCode, error: dict[str, Any]) -> UserError:
+    message = str(error['message'])
+    if code is ApiCode.CONFLICT:
+        return ConfigurationConflictError(
+            message, error['version'], error['changes']
+        )
+    if code is ApiCode.INVALID_DECLARATION:
+        problems = [Problem(**problem) for problem in error['problems']]
+        return DeclarationError(problems)
+    if code is ApiCode.REFUSED:
+        return OperationRefusedError(message)
+    if code in {ApiCode.UNAUTHORIZED, ApiCode.OPERATOR_REQUIRED}:
+        return AccessError(message)
+    if code is ApiCode.ANSWER_LOST:
+        return NodeUnreachableError(message)
+    return NodeFailureError(f'{code}: {message}')
--- /dev/null
+++ b/godwitknot/renderings.py
@@ -0,0 +1,99 @@
+"""Answers of a node as text for a person."""
+
+from collections.abc import Sequence
+
+from godwitknot.columns import format_columns
+from godwitknot.operations import (
+    Confirmation,
+    Explanation,
+    FleetStatus,
+    Plan,
+    StopProgress,
+)
+
+_READY = 'ready'
+_INDENT = '  '
+
+
+def format_status(status: FleetStatus) -> str:
+    """Format the state of the fleet: services, then what is unusual."""
+    store = 'up' if status.store else 'down'
+    version = 'none'
+    if status.version:
+        version = f'version {status.version} by {status.author}'
+    lines = [
+        f'node {status.node_id} is {status.state}, nodes known: {status.nodes}',
+        f'configuration: {version}',
+        f'store: {store}',
+    ]
+    if status.services:
+        lines.extend(['', _format_services(status)])
+    unusual = [one for one in status.servers if one.state != _READY]
+    if unusual:
+        rows = [('SERVER', 'SERVICE', 'FAILURE DOMAIN', 'STATE')]
+        rows.extend(
+            (
+                f'{one.node_id}/{one.name}',
+                one.service,
+                one.failure_domain,
+                one.state,
+            )
+            for one in unusual
+        )
+        lines.extend(['', format_columns(rows)])
+    if status.unreachable:
+        lines.extend(['', f'unreachable: {", ".join(status.unreachable)}'])
+    lines.extend(f'warning: {warning}' for warning in status.warnings)
+    return '\n'.join(lines)
+
+
+def _format_services(status: FleetStatus) -> str:
+    rows = [('SERVICE', 'SERVING', 'KNOWN', 'FLOOR')]
+    rows.extend(
+        (one.name, str(one.serving), str(one.known), str(one.floor))
+        for one in status.services
+    )
+    return format_columns(rows)
+
+
+def format_plan(plan: Plan) -> str:
+    """Format what an apply would change and why it may be refused."""
+    if plan.unchanged:
+        return f'nothing to change: version {plan.version} has this text'
+    lines = [f'changes to version {plan.version}:']
+    lines.extend(f'{_INDENT}{one}' for one in plan.differences)
+    if plan.misfits:
+        lines.append('the fleet would refuse it:')
+        lines.extend(f'{_INDENT}{one}' for one in plan.misfits)
+    return '\n'.join(lines)
+
+
+def format_confirmation(confirmation: Confirmation) -> str:
+    """Format which nodes have a version in force."""
+    count = len(confirmation.confirmed)
+    line = f'version {confirmation.version}: in force on nodes: {count}'
+    return '\n'.join([line, *list_missing(confirmation)])
+
+
+def list_missing(confirmation: Confirmation) -> Sequence[str]:
+    """Give one line for each node that has not confirmed."""
+    return [
+        f'not confirmed: {node_id} ({confirmation.missing[node_id]})'
+        for node_id in sorted(confirmation.missing)
+    ]
+
+
+def format_explanation(explanation: Explanation) -> str:
+    """Format statements, then the numbers behind them."""
+    lines = list(explanation.lines)
+    if explanation.facts:
+        lines.append('')
+        facts = sorted(explanation.facts.items())
+        lines.append(format_columns(facts))
+    return '\n'.join(lines)
+
+
+def format_progress(progress: StopProgress) -> str:
+    """Format the progress of a planned stop as one line."""
+    line = f'{progress.target}: {progress.state}, {progress.running} running'
+    return f'{line}, {progress.detail}' if progress.detail else line
