Add the thread that polls the configuration

Cause: nodes must follow the store through outages and must not read it all in the same moment. Change: poller with 25% jitter that counts failures and logs changes only.

--- /dev/null
+++ b/godwitknot/poller.py
@@ -0,0 +1,73 @@
+"""Keeps the configuration of a node up to date from the store."""
+
+import random
+import threading
+from collections.abc import Callable
+
+from godwitknot.configuration import ConfigurationKeeper
+from godwitknot.errors import StoreDownError, StoreError
+from godwitknot.logs import log_event
+from godwitknot.metrics import Metrics
+
+# Spreads the reads of nodes that were started together.
+_JITTER = 0.25
+
+
+class ConfigurationPoller:
+    """A thread that polls the store with jitter."""
+
+    def __init__(
+        self,
+        keeper: ConfigurationKeeper,
+        interval: float,
+        metrics: Metrics,
+        jitter: Callable[[float, float], float] = random.uniform,
+    ) -> None:
+        """Prepare the thread.
+
+        :param interval: mean seconds between polls.
+        :param jitter: draws a number between two bounds.
+        """
+        self._keeper = keeper
+        self._interval = interval
+        self._metrics = metrics
+        self._jitter = jitter
+        self._stopped = threading.Event()
+        self._failure = ''
+        self._thread = threading.Thread(
+            target=self._run, name='configuration-poller', daemon=True
+        )
+
+    @property
+    def store_up(self) -> bool:
+        """Whether the latest poll reached the store."""
+        return self._failure != StoreDownError.__name__
+
+    def start(self) -> None:
+        """Start polling."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop polling."""
+        self._stopped.set()
+
+    def poll(self) -> None:
+        """Poll once; a failure is counted, and logged when it changes."""
+        failure = ''
+        try:
+            self._keeper.poll()
+        except StoreError as error:
+            failure = type(error).__name__
+            self._metrics.count('configuration.poll-failed')
+        if failure != self._failure:
+            self._failure = failure
+            log_event('configuration poll', result=failure or 'up')
+
+    def draw_delay(self) -> float:
+        """Give the seconds until the next poll."""
+        spread = self._interval * _JITTER
+        return self._interval + self._jitter(-spread, spread)
+
+    def _run(self) -> None:
+        while not self._stopped.wait(self.draw_delay()):
+            self.poll()
