--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,87 @@
+"""The pages and examples agree with the code."""
+
+import ast
+import pathlib
+
+import attrs
+import pytest
+
+from godwitknot.access import Access
+from godwitknot.declaration import (
+    FleetSection,
+    Migration,
+    Service,
+    WorkClass,
+    load_declaration,
+)
+from godwitknot.inifile import ini_key
+from godwitknot.operations import ApiCode
+from godwitknot.outcomes import Code, Outcome
+from godwitknot.settings import (
+    NodeSection,
+    ServerSection,
+    StoreSection,
+    load_settings,
+)
+
+ROOT = pathlib.Path(__file__).parent.parent
+SECTIONS = {
+    '### `[fleet]`': FleetSection,
+    '### `[service NAME]`': Service,
+    '### `[class NAME]`': WorkClass,
+    '### `[migration NAME]`': Migration,
+    '### `[node]`': NodeSection,
+    '### `[store]`': StoreSection,
+    '### `[server NAME]`': ServerSection,
+    '### `[operator]`': Access,
+}
+
+
+def read_page(name):
+    return (ROOT / 'docs' / name).read_text(encoding='utf-8')
+
+
+@pytest.mark.parametrize('title', SECTIONS)
+def test_reference_lists_each_key(title):
+    """Guards against keys that nobody can look up."""
+    _, _, rest = read_page('configuration.md').partition(f'{title}\n')
+    section = rest.partition('\n#')[0]
+    rows = [line for line in section.splitlines() if line.startswith('| `')]
+    listed = [row.split('`')[1] for row in rows]
+    fields = attrs.fields(SECTIONS[title])
+    keys = [ini_key(field.name) for field in fields if field.metadata]
+    assert listed == keys
+
+
+def find_literals(functions):
+    """Find the constant first arguments of some calls in the package."""
+    found = set()
+    for path in sorted((ROOT / 'godwitknot').glob('*.py')):
+        for call in ast.walk(ast.parse(path.read_text(encoding='utf-8'))):
+            if not isinstance(call, ast.Call) or not call.args:
+                continue
+            name = ast.unparse(call.func).rpartition('metrics.')[2]
+            first = call.args[0]
+            if name in functions and isinstance(first, ast.Constant):
+                found.add(first.value)
+    return found
+
+
+def test_operations_page_lists_codes_metrics_and_events():
+    """Guards against codes and names that an operator cannot look up."""
+    page = read_page('operations.md')
+    named = {*Code, *ApiCode, *Outcome}
+    named |= find_literals({'count', 'time', 'gauge'})
+    named |= find_literals({'log_event'})
+    missing = [name for name in sorted(named) if f'`{name}`' not in page]
+    assert not missing
+
+
+@pytest.mark.parametrize('name', ['lapjeswerk', 'hafnarvagn'])
+def test_example_declarations_are_valid(name):
+    declaration = load_declaration(ROOT / 'examples' / f'{name}.ini')
+    assert declaration.service_names() == set(declaration.services)
+
+
+def test_example_settings_are_valid():
+    assert load_settings(ROOT / 'examples' / 'node.ini').servers
