--- a/godwitknot/commands.py
+++ b/godwitknot/commands.py
@@ -4,7 +4,6 @@
 import json
 import pathlib
 import sys
-import time
 from typing import Any
 
 import attrs
@@ -20,7 +19,6 @@
     DeclarationError,
     InvalidFileError,
     OperationRefusedError,
-    OperationTimeoutError,
     UserError,
 )
 from godwitknot.operatorclient import OperatorClient
@@ -31,12 +29,16 @@
     strip_version,
     update_version,
 )
+from godwitknot.waiting import (
+    await_confirmation,
+    await_stop,
+    require_confirmed,
+)
 
 _CONFLICT_HINT = (
     'Nothing was applied. Take the change above into your file and apply it '
     'with --expect and the version in force.'
 )
-_POLL_SECONDS = 0.5
 _CONVERTER = cattrs.Converter()
 
 app = typer.Typer(
@@ -196,7 +198,9 @@
             print(f'version {version} accepted from {change.author}')
     update_version(file, declaration.text, version)
     if wait:
-        _await_confirmation(client, version, timeout, as_json=as_json)
+        confirmation = await_confirmation(client, version, timeout)
+        _print_answer(confirmation, as_json, renderings.format_confirmation)
+        require_confirmed(confirmation)
     elif as_json:
         _print_json({'version': version})
 
@@ -236,14 +240,14 @@
     """
     client = context.obj.connect()
     progress = client.stop(target)
-    deadline = time.monotonic() + timeout
-    while wait and not progress.done:
-        if time.monotonic() > deadline:
-            line = renderings.format_progress(progress)
-            raise OperationTimeoutError(f'still stopping: {line}')
-        _print_step(renderings.format_progress(progress), as_json=as_json)
-        time.sleep(_POLL_SECONDS)
-        progress = client.watch_stop(progress.target)
+    if wait:
+        stream = sys.stderr if as_json else sys.stdout
+        progress = await_stop(
+            client,
+            progress,
+            timeout,
+            lambda line: print(line, file=stream, flush=True),
+        )
     _print_answer(progress, as_json, renderings.format_progress)
 
 
@@ -308,27 +312,3 @@
 
 def _print_json(content: Any) -> None:
     print(json.dumps(_CONVERTER.unstructure(content), indent=2))
-
-
-def _print_step(line: str, *, as_json: bool) -> None:
-    print(line, file=sys.stderr if as_json else sys.stdout, flush=True)
-
-
-def _await_confirmation(
-    client: OperatorClient,
-    version: int,
-    timeout: float,
-    *,
-    as_json: bool,
-) -> None:
-    deadline = time.monotonic() + timeout
-    confirmation = client.confirm(version)
-    while confirmation.missing and time.monotonic() < deadline:
-        time.sleep(_POLL_SECONDS)
-        confirmation = client.confirm(version)
-    _print_answer(confirmation, as_json, renderings.format_confirmation)
-    if confirmation.missing:
-        names = ', '.join(sorted(confirmation.missing))
-        raise OperationTimeoutError(
-            f'version {version} is accepted, but not confirmed by {names}'
-        )
--- a/godwitknot/configuration.py
+++ b/godwitknot/configuration.py
@@ -27,7 +27,7 @@
     open_copy,
     seal_copy,
 )
-from godwitknot.headstore import HeadStore
+from godwitknot.headstore import HeadStore, require_same_text
 from godwitknot.keys import FleetKeys
 from godwitknot.logs import log_event
 from godwitknot.metrics import Metrics
@@ -246,10 +246,7 @@
         return configuration.version > self.version
 
     def _settle(self, settled: Change, declaration: Declaration) -> Change:
-        if settled.digest != declaration.digest:
-            raise OperationRefusedError(
-                'this apply id was accepted with another text',
-            )
+        require_same_text(settled, declaration.digest)
         with contextlib.suppress(StoreError):
             self.poll()
         return settled
--- a/godwitknot/headstore.py
+++ b/godwitknot/headstore.py
@@ -11,16 +11,18 @@
     CorruptObjectError,
     LostAnswerError,
     MissingObjectError,
+    OperationRefusedError,
     StoreDownError,
     StoreError,
 )
-from godwitknot.heads import Head, head_columns, read_columns
+from godwitknot.heads import Change, Head, head_columns, read_columns
 from godwitknot.logs import log_event
 from godwitknot.metrics import Metrics
 from godwitknot.store import ABSENT, ObjectStore, TableService, Write
 
 HEAD_KEY = 'configuration/head'
 _COMMIT_ATTEMPTS = 3
+_PUT_ATTEMPTS = 3
 _DIGEST_SHOWN = 12
 
 
@@ -56,18 +58,24 @@
     def put_text(self, declaration: Declaration) -> None:
         """Store the text of a declaration and check that it can be read.
 
-        :raises StoreDownError: if it was not stored.
+        :raises StoreDownError: if the object store does not answer.
+        :raises MissingObjectError: if the store did not keep it.
         :raises CorruptObjectError: if the store gives back another text.
         """
         text = declaration.text.encode()
-        with contextlib.suppress(LostAnswerError):
-            self._objects.put(declaration.digest, text)
-        # Read back before the head names it: a truncated object would
-        # leave the fleet without the text once this node is gone.
-        try:
-            self.get_text(declaration.digest)
-        except MissingObjectError as error:
-            raise StoreDownError('the text was not stored') from error
+        failure: StoreError = StoreDownError('the text was not stored')
+        for _ in range(_PUT_ATTEMPTS):
+            with contextlib.suppress(LostAnswerError):
+                self._objects.put(declaration.digest, text)
+            # Read back before the head names it: a truncated object would
+            # leave the fleet without the text once this node is gone.
+            try:
+                self.get_text(declaration.digest)
+            except (MissingObjectError, CorruptObjectError) as error:
+                failure = error
+            else:
+                return
+        raise failure
 
     def get_text(self, digest: str) -> str:
         """Fetch a text.
@@ -92,13 +100,13 @@
         :raises LostAnswerError: if it is unknown whether it took effect.
         :raises StoreDownError: if nothing was written.
         """
-        apply_id = head.changes[0].apply_id
+        change = head.changes[0]
         expected = head.version - 1
         write = Write(
             key=HEAD_KEY,
             expected=expected,
             columns=head_columns(head),
-            write_id=f'configuration-{apply_id}-{expected}',
+            write_id=f'{change.apply_id}-{expected}-{change.digest}',
         )
         uncertain = False
         for _ in range(_COMMIT_ATTEMPTS):
@@ -112,18 +120,21 @@
                 raise
             else:
                 return
-            if self._read_back(apply_id, expected):
+            if self._read_back(change):
                 return
         raise _answer_lost()
 
-    def _read_back(self, apply_id: str, expected: int) -> bool:
+    def _read_back(self, change: Change) -> bool:
         """Tell whether a write whose answer is unknown took effect."""
         try:
             head = self.read_head()
         except StoreDownError as error:
             raise _answer_lost() from error
-        if head.find_apply(apply_id):
+        found = head.find_apply(change.apply_id)
+        if found is not None:
+            require_same_text(found, change.digest)
             return True
+        expected = change.version - 1
         if head.version != expected:
             raise self.describe_conflict(head, expected)
         return False
@@ -157,6 +168,18 @@
         )
 
 
+def require_same_text(settled: Change, digest: str) -> None:
+    """Check that an apply id stands for one text.
+
+    :param settled: the change that the apply id made.
+    :raises OperationRefusedError: if its text is another one.
+    """
+    if settled.digest != digest:
+        raise OperationRefusedError(
+            'this apply id was accepted with another text',
+        )
+
+
 def _answer_lost() -> LostAnswerError:
     return LostAnswerError(
         'the change may have been accepted; repeat it with the same apply id',
--- a/godwitknot/operatorclient.py
+++ b/godwitknot/operatorclient.py
@@ -118,11 +118,18 @@
             'expected_version': expected_version,
             'apply_id': uuid.uuid4().hex,
         }
+        uncertain = False
         for attempt in range(_APPLY_ATTEMPTS):
             try:
                 return self._ask(Change, _Call(_POST, '/apply', body=body))
             except NodeUnreachableError:
-                self._sleep(_RETRY_SECONDS * 2**attempt)
+                uncertain = True
+            except NodeFailureError:
+                # After a lost answer only an acceptance, a conflict or a
+                # refusal is certain; a failure of the store is not.
+                if not uncertain:
+                    raise
+            self._sleep(_RETRY_SECONDS * 2**attempt)
         raise LostApplyError(
             'no answer; the change may have been accepted. Run the same '
             'apply again: it says whether the text is in force.'
