Refuse an apply on a head row that was lost

Cause: if the head row is lost or restored from an old copy, the next accepted version is lower than the one in force, and no node adopts it. Change: an apply compares the head with the version in force. Result: the new test fails before the change and passes after it.

--- a/godwitknot/configuration.py
+++ b/godwitknot/configuration.py
@@ -100,7 +100,13 @@
             the caller has to repeat it with the same apply id.
         """
         declaration = parse_declaration(text)
+        held = self.version
         head = self._store.read_head()
+        if head.version < held:
+            # No node would adopt the next version of a head that was lost.
+            raise CorruptObjectError(
+                f'the store has version {head.version}, but {held} is in force'
+            )
         settled = head.find_apply(apply_id)
         if settled is not None:
             return self._settle(settled, declaration)
--- a/tests/godwitknot/test_configuration.py
+++ b/tests/godwitknot/test_configuration.py
@@ -163,6 +163,16 @@
     assert HEAD_KEY not in platform.tables.rows
 
 
+def test_apply_on_a_lost_head_row_is_refused(platform):
+    """Guards against an accepted version that no node adopts."""
+    keeper = platform.keeper()
+    apply(keeper, 100, 0)
+    platform.tables.rows.clear()
+    with pytest.raises(CorruptObjectError, match='but 1 is in force'):
+        apply(keeper, 200, 0, 'b')
+    assert not platform.tables.rows
+
+
 def test_one_apply_id_stands_for_one_text(platform):
     """Guards against two texts that both count as accepted."""
     keeper, other = platform.keeper(), platform.keeper()
