--- /dev/null
+++ b/godwitknot/sealing.py
@@ -0,0 +1,61 @@
+"""Signing of outgoing and verifying of incoming control messages."""
+
+import itertools
+
+import attrs
+
+from godwitknot import codec
+from godwitknot.keys import FleetKeys
+from godwitknot.messages import Message
+
+
+@attrs.frozen
+class Datagram:
+    """A signed message.
+
+    :param kind: as in the schema's union.
+    """
+
+    kind: str
+    payload: bytes
+
+
+class Sealer:
+    """Puts messages into signed envelopes of one sender."""
+
+    def __init__(self, keys: FleetKeys, sender: str, incarnation: int) -> None:
+        """Start with sequence 1."""
+        self.sender = sender
+        self._keys = keys
+        self._incarnation = incarnation
+        self._sequence = itertools.count(1)
+
+    def renew(self, incarnation: int) -> None:
+        """Sign as a later incarnation from now on."""
+        self._incarnation = incarnation
+
+    def seal(self, message: Message) -> Datagram:
+        """Encode and sign a message.
+
+        :raises ProtocolError: if a value does not fit its field.
+        """
+        unsigned = codec.Envelope(
+            sender=self.sender,
+            incarnation=self._incarnation,
+            sequence=next(self._sequence),
+            key_id=self._keys.current,
+            body=codec.encode(message),
+        )
+        mac = self._keys.sign(unsigned.signed())
+        payload = codec.encode_envelope(unsigned.with_mac(mac))
+        return Datagram(codec.kind_of(message), payload)
+
+    def open(self, payload: bytes) -> codec.Envelope:
+        """Decode and verify an envelope.
+
+        :raises VerificationError: if the MAC is wrong.
+        :raises ProtocolError: if the bytes are no envelope.
+        """
+        envelope = codec.decode_envelope(payload)
+        self._keys.verify(envelope.key_id, envelope.signed(), envelope.mac)
+        return envelope
