Add node directory

Cause: every node needs the same view of nodes and servers, whatever order messages arrive in and however long a partition lasted. Change: merge by incarnation and version, records in parts and as changes to a base version, tombstones for 2 h, reports of two watchers, paced refutation, peak of servers seen, hash of all entries kept per change.

--- a/godwitknot/errors.py
+++ b/godwitknot/errors.py
@@ -114,3 +114,7 @@
 
 class TicketError(GodwitknotError):
     """An issued idempotency key is malformed, forged or expired."""
+
+
+class SupersededError(GodwitknotError):
+    """Another process with this node id and a later incarnation runs."""
--- /dev/null
+++ b/godwitknot/fingerprints.py
@@ -0,0 +1,70 @@
+"""Hashes of a directory that two nodes compare."""
+
+import xxhash
+
+from godwitknot.records import NodeRecord
+
+BUCKETS = 64
+_BUCKET_MASK = 0xFFFFFFFF
+
+
+def hash_name(name: str) -> int:
+    """Give a 32-bit hash of a node id."""
+    return xxhash.xxh32_intdigest(name.encode())
+
+
+def bucket_of(node_id: str) -> int:
+    """Give the bucket of a node id."""
+    return hash_name(node_id) % BUCKETS
+
+
+def hash_watchers(watchers: frozenset[str]) -> int:
+    """Give a 32-bit hash of a set of watchers, 0 for none."""
+    total = 0
+    for watcher in watchers:
+        total ^= hash_name(watcher)
+    return total
+
+
+def hash_entry(record: NodeRecord, watchers: frozenset[str]) -> int:
+    """Give a 64-bit hash of what a directory holds of one node."""
+    state = f'{record.incarnation} {record.version} {hash_watchers(watchers)}'
+    return xxhash.xxh64_intdigest(f'{record.node_id} {state}'.encode())
+
+
+class DirectoryHash:
+    """Hash of all entries, kept up to date at a cost per change.
+
+    The exclusive or of the entries is the same whatever the order of the
+    changes was, so two directories with equal entries have equal hashes.
+    """
+
+    def __init__(self) -> None:
+        """Start with no entry."""
+        self._entries: dict[str, int] = {}
+        self._buckets = [0 for _ in range(BUCKETS)]
+
+    @property
+    def total(self) -> int:
+        """Hash of the whole directory, 64 bits."""
+        total = 0
+        for bucket in self._buckets:
+            total ^= bucket
+        return total
+
+    @property
+    def buckets(self) -> tuple[int, ...]:
+        """32-bit hash of each bucket."""
+        return tuple(bucket & _BUCKET_MASK for bucket in self._buckets)
+
+    def replace(self, record: NodeRecord, watchers: frozenset[str]) -> None:
+        """Set the entry of a node."""
+        self.remove(record.node_id)
+        entry = hash_entry(record, watchers)
+        self._entries[record.node_id] = entry
+        self._buckets[bucket_of(record.node_id)] ^= entry
+
+    def remove(self, node_id: str) -> None:
+        """Remove the entry of a node, if there is one."""
+        old = self._entries.pop(node_id, 0)
+        self._buckets[bucket_of(node_id)] ^= old
--- /dev/null
+++ b/tests/godwitknot/test_members.py
@@ -0,0 +1,386 @@
+"""Directory: merge rules, tombstones, reachability and own record."""
+
+import random
+
+import attrs
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from fleet import make_record, make_server
+from godwitknot.clock import ManualClock
+from godwitknot.entries import TOMBSTONE_SECONDS
+from godwitknot.errors import SupersededError
+from godwitknot.members import Directory, Merge
+from godwitknot.messages import RecordChange, Unreachable
+from godwitknot.parts import CHANGE_BYTES, find_change, size_of, split_record
+from godwitknot.records import NodeState, ServerState
+from godwitknot.units import Address
+
+
+def make_directory(own='own', others=(), clock=None):
+    directory = Directory(make_record(own), clock or ManualClock())
+    for node_id in others:
+        directory.merge(make_record(node_id))
+    return directory
+
+
+def report(watcher, node_id, incarnation=1, version=1):
+    return Unreachable(watcher, node_id, incarnation, version)
+
+
+class DirectoryMachine(RuleBasedStateMachine):
+    """Owners make versions; three directories see them in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.directories = [
+            make_directory(own, clock=self.clock) for own in 'xyz'
+        ]
+        self.owners = {}
+        self.produced = []
+        self.held = [{} for _ in self.directories]
+
+    def _produce(self, record):
+        old = self.owners.get(record.node_id)
+        self.owners[record.node_id] = record
+        self.produced.extend(split_record(record))
+        if old is not None and old.incarnation == record.incarnation:
+            self.produced.extend(find_change(old, record))
+
+    @rule(node=st.sampled_from('abc'), names=st.sets(st.sampled_from('stuv')))
+    def restart(self, node, names):
+        old = self.owners.get(node)
+        incarnation = old.incarnation + 1 if old else 1
+        servers = [make_server(name) for name in sorted(names)]
+        self._produce(make_record(node, incarnation, 1, servers))
+
+    @rule(
+        node=st.sampled_from('abc'),
+        state=st.sampled_from(list(ServerState)),
+        place=st.integers(0, 3),
+    )
+    def change_server(self, node, state, place):
+        old = self.owners.get(node)
+        if old is None or not old.servers:
+            return
+        servers = list(old.servers)
+        place %= len(servers)
+        servers[place] = attrs.evolve(servers[place], state=state)
+        version = old.version + 1
+        self._produce(
+            attrs.evolve(old, version=version, servers=tuple(servers))
+        )
+
+    @rule(node=st.sampled_from('abc'))
+    def leave(self, node):
+        old = self.owners.get(node)
+        if old is not None:
+            version = old.version + 1
+            gone = {'state': NodeState.GONE, 'servers': ()}
+            self._produce(attrs.evolve(old, version=version, **gone))
+
+    @rule(picks=st.lists(st.tuples(st.integers(0, 2), st.integers(0, 999))))
+    def deliver(self, picks):
+        for index, pick in picks:
+            if self.produced:
+                change = self.produced[pick % len(self.produced)]
+                directory = self.directories[index]
+                outcome = directory.merge_change(change)
+                again = directory.merge_change(change)
+                if outcome is Merge.APPLIED:
+                    assert again is Merge.KNOWN
+
+    @invariant()
+    def no_version_goes_back(self):
+        for directory, held in zip(self.directories, self.held, strict=True):
+            for node_id in self.owners:
+                record = directory.node(node_id)
+                if record is not None:
+                    assert record.freshness >= held.get(node_id, (0, 0))
+                    held[node_id] = record.freshness
+
+    @invariant()
+    def held_version_is_the_owners(self):
+        made = {
+            (change.record.node_id, change.record.freshness): change.record
+            for change in self.produced
+            if not change.base
+        }
+        for directory in self.directories:
+            for node_id in self.owners:
+                record = directory.node(node_id)
+                if record is not None:
+                    whole = made[node_id, record.freshness]
+                    assert set(record.servers) == set(whole.servers)
+                    assert record.state is whole.state
+
+    def teardown(self):
+        rng = random.Random(len(self.produced))
+        hashes = set()
+        for directory in self.directories:
+            rng.shuffle(self.produced)
+            for change in self.produced:
+                directory.merge_change(change)
+            # The own record differs, so it is left out of the comparison.
+            hashes.add(
+                frozenset(
+                    entry
+                    for entry in directory.entries()
+                    if entry.node_id in self.owners
+                )
+            )
+        assert len(hashes) == 1
+
+
+TestDirectoryMachine = DirectoryMachine.TestCase
+TestDirectoryMachine.settings = settings(
+    max_examples=60, stateful_step_count=25, deadline=None, derandomize=True
+)
+
+
+def test_old_incarnation_never_replaces_a_new_one():
+    """Guards against a late message that undoes a restart."""
+    directory = make_directory()
+    assert directory.merge(make_record('a', incarnation=2, version=1))
+    assert not directory.merge(make_record('a', incarnation=1, version=99))
+    assert directory.node('a').incarnation == 2
+
+
+def test_equal_records_give_equal_hashes_in_any_order():
+    """Guards against directories that look different although they agree."""
+    first = make_directory('a', ['b', 'c', 'd'])
+    second = make_directory('d', ['c', 'a', 'b'])
+    assert first.hash == second.hash
+    assert first.buckets == second.buckets
+    second.report_unreachable(report('a', 'b'))
+    assert first.hash != second.hash
+
+
+def test_servers_are_found_by_service():
+    """Guards against an index that keeps servers which left."""
+    directory = make_directory()
+    servers = [make_server('s1'), make_server('s2', 'archive')]
+    directory.merge(make_record('a', servers=servers))
+    assert [each.key for each in directory.servers('booking')] == [('a', 's1')]
+    moved = [make_server('s1', 'archive')]
+    directory.merge(make_record('a', version=2, servers=moved))
+    assert not directory.servers('booking')
+    assert [each.key for each in directory.servers('archive')] == [('a', 's1')]
+
+
+def test_gone_node_is_a_tombstone_for_two_hours():
+    """Guards against a record that returns after a long partition."""
+    clock = ManualClock()
+    directory = make_directory(clock=clock)
+    live = make_record('a', servers=[make_server('s1')])
+    directory.merge(live)
+    directory.merge(make_record('a', version=2, state=NodeState.GONE))
+    assert not directory.merge(live)
+    assert not directory.servers('booking')
+    assert [each.node_id for each in directory.nodes()] == ['own']
+    clock.advance(TOMBSTONE_SECONDS + 1)
+    directory.tick()
+    assert directory.count == 1
+    assert not directory.merge(live), 'another node may forget later'
+    clock.advance(TOMBSTONE_SECONDS + 1)
+    directory.tick()
+    assert directory.tombstone('a') is None
+
+
+def test_node_unreachable_for_two_hours_is_forgotten():
+    """Guards against a directory that grows with every failed instance."""
+    clock = ManualClock()
+    directory = make_directory(others='abcd', clock=clock)
+    directory.report_unreachable(report('b', 'a'))
+    directory.report_unreachable(report('c', 'a'))
+    clock.advance(TOMBSTONE_SECONDS + 1)
+    directory.tick()
+    assert directory.node('a') is None
+    assert directory.tombstone('a').state is NodeState.GONE
+    assert directory.merge(make_record('a', version=2))
+    assert directory.is_reachable('a')
+
+
+def test_two_watchers_make_a_node_unreachable():
+    """Guards against one bad link that takes a node out."""
+    directory = make_directory(others='abcd')
+    changed = []
+    directory.subscribe(lambda record: changed.append(record.node_id))
+    assert directory.report_unreachable(report('b', 'a'))
+    assert not directory.report_unreachable(report('b', 'a'))
+    assert directory.is_reachable('a')
+    assert directory.report_unreachable(report('c', 'a'))
+    assert not directory.is_reachable('a')
+    assert changed == ['a']
+    directory.merge(make_record('a', version=2))
+    assert directory.is_reachable('a')
+
+
+def test_only_watcher_is_enough():
+    """Guards against a fleet of two that never notices a loss."""
+    directory = make_directory(others='a')
+    directory.report_unreachable(report('own', 'a'))
+    assert not directory.is_reachable('a')
+
+
+def test_report_about_another_version_has_no_effect():
+    """Guards against a replayed report that takes a live node out."""
+    directory = make_directory(others='abcd')
+    directory.merge(make_record('a', version=2))
+    assert not directory.report_unreachable(report('b', 'a', 1, 1))
+    assert not directory.report_unreachable(report('c', 'a', 1, 1))
+    assert directory.is_reachable('a')
+
+
+def test_node_refutes_reports_about_itself_at_a_limited_pace():
+    """Guards against a live node that stays out, and against a version war.
+
+    Watchers that can be heard but not reached report each new version.
+    """
+    clock = ManualClock()
+    directory = make_directory(others='abcd', clock=clock)
+    versions = []
+    for _ in range(600):
+        for watcher in 'ab':
+            version = directory.own.version
+            directory.report_unreachable(report(watcher, 'own', 1, version))
+        clock.advance(1)
+        directory.tick()
+        versions.append(directory.own.version)
+    assert versions[0] == 2
+    assert versions[-1] <= 10
+
+
+def test_refutation_that_had_to_wait_is_made():
+    """Guards against a report that is known and so is never answered."""
+    clock = ManualClock()
+    directory = make_directory(others='abcd', clock=clock)
+    for version in (1, 2):
+        for watcher in 'ab':
+            directory.report_unreachable(report(watcher, 'own', 1, version))
+    assert directory.own.version == 2
+    clock.advance(10)
+    directory.tick()
+    assert directory.own.version == 3
+
+
+def test_node_recorded_as_gone_refutes_it():
+    """Guards against a node that others forgot while it was cut off."""
+    directory = make_directory()
+    directory.merge(make_record('own', state=NodeState.GONE))
+    assert directory.own.state is NodeState.READY
+    assert directory.own.version == 2
+
+
+def test_own_record_of_a_process_whose_clock_was_ahead():
+    """Guards against a restarted node whose messages all are dropped."""
+    directory = make_directory()
+    directory.merge(make_record('own', incarnation=50, version=9))
+    assert directory.own.incarnation > 50
+
+
+def test_own_id_in_use_at_another_address_ends_this_process():
+    """Guards against two processes that speak for one id."""
+    directory = make_directory()
+    other = make_record('own', incarnation=50, peer=Address('127.0.0.9', 2))
+    with pytest.raises(SupersededError):
+        directory.merge(other)
+
+
+def test_most_seen_counts_unreachable_servers_for_two_hours():
+    """Guards against a floor that sinks because servers disappear."""
+    clock = ManualClock()
+    directory = make_directory(clock=clock)
+    for node_id in 'abc':
+        record = make_record(node_id, servers=[make_server('s')])
+        directory.merge(record)
+    clock.advance(10)
+    for version, node_id in enumerate('ab', start=2):
+        gone = make_record(node_id, version=version, state=NodeState.GONE)
+        directory.merge(gone)
+    assert len(directory.servers('booking')) == 1
+    assert directory.most_seen('booking') == 3
+    clock.advance(TOMBSTONE_SECONDS + 1)
+    assert directory.most_seen('booking') == 1
+
+
+def test_watched_peers_include_another_failure_domain():
+    """Guards against a failure domain that nobody outside watches."""
+    directory = make_directory(others=[f'n{index}' for index in range(40)])
+    assert len(directory.watched()) == 6
+    directory.merge(make_record('far', failure_domain='east-b'))
+    assert 'far' in {each.node_id for each in directory.watched()}
+
+
+def test_watching_is_mutual():
+    """Guards against a node that watches peers which do not answer it."""
+    names = [f'n{index}' for index in range(60)]
+    watched = {
+        name: {each.node_id for each in make_directory(name, names).watched()}
+        for name in names
+    }
+    for name, peers in watched.items():
+        assert all(name in watched[peer] for peer in peers)
+
+
+def make_large_record(version=1):
+    servers = [
+        make_server(f'{index:02}-{"n" * 60}', 's' * 63) for index in range(16)
+    ]
+    return make_record('a', version=version, servers=servers)
+
+
+def test_large_record_travels_in_parts():
+    """Guards against a node whose record fits no datagram."""
+    record = make_large_record()
+    parts = split_record(record)
+    assert len(parts) > 1
+    assert all(size_of(part) <= CHANGE_BYTES for part in parts)
+    directory = make_directory()
+    for part in reversed(parts[1:]):
+        assert directory.merge_change(part) is Merge.INCOMPLETE
+    assert directory.node('a') is None
+    assert directory.merge_change(parts[0]) is Merge.APPLIED
+    assert directory.node('a') == record
+
+
+def test_parts_of_two_versions_are_not_mixed():
+    """Guards against a record joined from two versions."""
+    old = split_record(make_large_record(1))
+    new = split_record(make_large_record(2))
+    directory = make_directory()
+    for part in (*old[:-1], new[-1], *old):
+        directory.merge_change(part)
+    assert directory.node('a') is None
+    for part in new[:-1]:
+        directory.merge_change(part)
+    assert directory.node('a').version == 2
+
+
+def test_change_without_its_base_is_asked_for():
+    """Guards against a record that lacks the servers of a lost version."""
+    servers = (make_server('s1'), make_server('s2'))
+    first = make_record('a', servers=servers)
+    second = attrs.evolve(first, version=2, servers=servers[:1])
+    changed = make_server('s2', state=ServerState.DRAINING)
+    third = attrs.evolve(first, version=3, servers=(servers[0], changed))
+    change = find_change(first, third)[0]
+    assert [each.name for each in change.record.servers] == ['s2']
+    directory = make_directory()
+    assert directory.merge_change(change) is Merge.BASE_MISSING
+    directory.merge(first)
+    assert directory.merge_change(change) is Merge.APPLIED
+    assert directory.node('a') == third
+    removal = find_change(first, second)[0]
+    assert removal.base == 0
+
+
+def test_change_of_another_incarnation_is_not_applied():
+    """Guards against servers of an ended process in a new record."""
+    directory = make_directory()
+    directory.merge(make_record('a', 1, 5, [make_server('s1')]))
+    change = RecordChange(make_record('a', 2, 6), base=5)
+    assert directory.merge_change(change) is Merge.BASE_MISSING
