--- a/godwitknot/burn.py
+++ b/godwitknot/burn.py
@@ -22,6 +22,7 @@
 _MOST_SECONDS = 600
 _MOST_TICKS = _MOST_SECONDS * _TICKS_PER_SECOND
 _DIGITS = 2
+_LEAST_SERVER_ERROR = 500
 # A wall clock that is set back a little must not lose the last minutes.
 _SKEW_MINUTES = 5
 _CONVERTER = cattrs.Converter()
@@ -164,6 +165,27 @@
         self._lock = threading.Lock()
         self._classes: dict[str, _ClassLedger] = {}
 
+    def note(
+        self,
+        work: WorkClass,
+        status: int,
+        seconds: float,
+        code: Code | None,
+    ) -> None:
+        """Count a request that has ended.
+
+        :param work: its class.
+        :param status: HTTP status that the caller got.
+        :param seconds: from acceptance to the first byte of the answer.
+        :param code: refusal code, ``None`` if a server answered.
+        """
+        if code is not None:
+            self.note_refusal(work, code)
+        elif status >= _LEAST_SERVER_ERROR:
+            self.note_failure(work)
+        else:
+            self.note_answer(work, seconds)
+
     def note_answer(self, work: WorkClass, seconds: float) -> None:
         """Count an answered request.
 
--- a/tests/godwitknot/test_burn.py
+++ b/tests/godwitknot/test_burn.py
@@ -40,13 +40,13 @@
 
 def fill(ledger, good=0, slow=0, failed=0, refused=()):
     for _ in range(good):
-        ledger.note_answer(WORK, 0.1)
+        ledger.note(WORK, 200, 0.1, None)
     for _ in range(slow):
-        ledger.note_answer(WORK, 0.8)
+        ledger.note(WORK, 404, 0.8, None)
     for _ in range(failed):
-        ledger.note_failure(WORK)
+        ledger.note(WORK, 500, 0.1, None)
     for code in refused:
-        ledger.note_refusal(WORK, code)
+        ledger.note(WORK, 503, 0, code)
 
 
 def test_budget_is_computed_over_all_nodes():
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -62,9 +62,20 @@
                 continue
             name = ast.unparse(call.func).rpartition('metrics.')[2]
             first = call.args[0]
-            if name in functions and isinstance(first, ast.Constant):
-                found.add(first.value)
-    return found
+            if name in functions:
+                found.add(read_literal(first))
+    return found - {''}
+
+
+def read_literal(node):
+    """Read a constant; the varying parts of a text in upper case."""
+    if isinstance(node, ast.Constant):
+        return node.value
+    if isinstance(node, ast.FormattedValue):
+        return ast.unparse(node.value).rpartition('.')[2].upper()
+    if isinstance(node, ast.JoinedStr):
+        return ''.join(read_literal(part) for part in node.values)
+    return ''
 
 
 def test_operations_page_lists_codes_metrics_and_events():
