--- a/godwitknot/upstream.py
+++ b/godwitknot/upstream.py
@@ -10,7 +10,7 @@
 from godwitknot.connections import Channel, ChannelPool
 from godwitknot.exchange import Exchange
 from godwitknot.relay import Load, RelayAnswer, RelayRequest
-from godwitknot.runs import AnswerBody, Result, Run, RunHost
+from godwitknot.execution import AnswerBody, Result, Run, RunHost
 from godwitknot.settings import ServerSection
 
 _MOST_IDLE = 8
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for the systems that a fleet meets; for tests and benches."""
+"""Stand-ins for the systems around the fleet, for tests and trials."""
