--- a/godwitknot/errors.py
+++ b/godwitknot/errors.py
@@ -141,5 +141,7 @@
 
 class HeirNamedError(GodwitknotError):
     """The idempotency records may already be with another heir."""
+
+
 class SupersededError(GodwitknotError):
     """Another process with this node id and a later incarnation runs."""
