--- a/godwitknot/claimrows.py
+++ b/godwitknot/claimrows.py
@@ -7,7 +7,7 @@
 import attrs
 
 from godwitknot.outcomes import Code, Outcome
-from godwitknot.runs import Answer
+from godwitknot.keyedruns import Answer
 from godwitknot.store import Row
 
 
@@ -23,7 +23,7 @@
 class ClaimRequest:
     """A request with a key that its caller chose.
 
-    :param digest: see :func:`~godwitknot.runs.digest_request`.
+    :param digest: see :func:`~godwitknot.keyedruns.digest_request`.
     :param patience: seconds to wait for another run of the key.
     """
 
--- a/godwitknot/claims.py
+++ b/godwitknot/claims.py
@@ -14,7 +14,7 @@
 from godwitknot.errors import ConflictError, LostAnswerError, StoreDownError
 from godwitknot.logs import log_event
 from godwitknot.outcomes import Code, Outcome, RefusalError
-from godwitknot.runs import (
+from godwitknot.keyedruns import (
     Answer,
     Permit,
     Run,
--- a/godwitknot/idempotency.py
+++ b/godwitknot/idempotency.py
@@ -7,7 +7,7 @@
 from godwitknot.clock import Clock
 from godwitknot.errors import HeirNamedError, ProtocolError
 from godwitknot.outcomes import Code, Outcome, RefusalError
-from godwitknot.runs import (
+from godwitknot.keyedruns import (
     LOST_ANSWER,
     Answer,
     Permit,
@@ -71,7 +71,7 @@
     ) -> Permit | Answer | Moved:
         """Start, join or replay the request of a key.
 
-        :param digest: see :func:`~godwitknot.runs.digest_request`.
+        :param digest: see :func:`~godwitknot.keyedruns.digest_request`.
         :param patience: seconds to wait for a run in progress.
         :raises RefusalError: if it can be neither run nor replayed.
         """
--- a/tests/godwitknot/test_claims.py
+++ b/tests/godwitknot/test_claims.py
@@ -10,7 +10,7 @@
 from godwitknot.clock import ManualClock
 from godwitknot.errors import ConflictError, LostAnswerError, StoreDownError
 from godwitknot.outcomes import Code, Outcome, RefusalError
-from godwitknot.runs import LOST_ANSWER, Answer
+from godwitknot.keyedruns import LOST_ANSWER, Answer
 from godwitknot.store import TableService
 from godwitknot.storeclient import make_write
 from godwitknot.tickets import Owner
--- a/tests/godwitknot/test_idempotency.py
+++ b/tests/godwitknot/test_idempotency.py
@@ -10,7 +10,7 @@
 from godwitknot.errors import HeirNamedError, ProtocolError
 from godwitknot.idempotency import IdempotencyBook, Moved
 from godwitknot.outcomes import Code, Outcome, RefusalError
-from godwitknot.runs import (
+from godwitknot.keyedruns import (
     KEPT_BODY_BYTES,
     LOST_ANSWER,
     Answer,
