Tell bad links from bad servers in refusals and run ends

Cause: a hop that failed and a server connection that failed had one code, so an ingress would have avoided a node for the fault of one server. Change: own codes for links; each run ends with a typed reason; the chooser learns of refusals by state and of failed links separately.

--- a/godwitknot/chooser.py
+++ b/godwitknot/chooser.py
@@ -17,6 +17,7 @@
     :param incarnation: of the node in front of it.
     :param address: peer address of that node.
     :param local: whether that node is this one.
+    :param last_resort: no other server had room.
     """
 
     node_id: str
@@ -25,7 +26,8 @@
     service: str
     address: Address
     local: bool
-    remote_region: bool = False
+    last_resort: bool = False
+    crosses_region: bool = False
 
     @property
     def key(self) -> tuple[str, str]:
@@ -37,16 +39,16 @@
 class Wish:
     """What is asked for.
 
-    :param excluded: servers already tried.
-    :param last_resort: take also servers that announced no capacity.
+    :param repeatable: whether the class allows a repeat.
+    :param tried: servers already tried.
     :param remaining: seconds until the deadline.
     """
 
     service: str
+    repeatable: bool
     regions: RegionRule
-    excluded: Collection[tuple[str, str]]
+    tried: Collection[tuple[str, str]]
     remaining: float
-    last_resort: bool = False
 
 
 class ServerChooser(abc.ABC):
@@ -72,8 +74,12 @@
         """
 
     @abc.abstractmethod
-    def note_link(self, target: Target, *, reached: bool) -> None:
-        """Note whether the node could be reached."""
+    def note_refused(self, target: Target) -> None:
+        """Note that the sidecar refused because of the server's state."""
+
+    @abc.abstractmethod
+    def note_link_failed(self, target: Target) -> None:
+        """Note that the node could not be reached."""
 
     @abc.abstractmethod
     def note_bytes(self, target: Target, amount: int) -> None:
--- a/godwitknot/dispatch.py
+++ b/godwitknot/dispatch.py
@@ -23,7 +23,18 @@
 _SERVER_ERROR = 500
 _RETRY_AFTER_SECONDS = 1
 # Refusals that say that the node, not the server, could not be reached.
-_LINK_CODES = frozenset((Code.UNREACHABLE, Code.CONNECTION_LOST))
+_LINK_CODES = frozenset((Code.LINK_DOWN, Code.LINK_LOST))
+# Refusals that will be repeated for a while.
+_STATE_CODES = frozenset(
+    (
+        Code.EJECTED,
+        Code.DRAINING,
+        Code.NOT_READY,
+        Code.UNREACHABLE,
+        Code.WRONG_INCARNATION,
+        Code.SERVER_SHED,
+    ),
+)
 
 
 @attrs.frozen
@@ -63,7 +74,6 @@
     sends: int = 0
     outcome: Outcome = Outcome.NOT_RUN
     last: RefusalError | None = None
-    last_resort: bool = False
 
 
 class Dispatcher:
@@ -118,18 +128,14 @@
             raise _conclude(progress)
         wish = Wish(
             job.route.service,
+            not job.tag.never_repeat,
             job.route.work.regions,
             progress.tried,
             job.deadline - self._clock.now(),
-            progress.last_resort,
         )
         target = self._chooser.choose(wish)
         if target is not None:
             return target
-        if not progress.last_resort:
-            progress.last_resort = True
-            progress.tried.clear()
-            return self._choose(job, progress)
         if progress.last is not None:
             raise _conclude(progress)
         raise RefusalError(Code.NO_SERVER, retry_after=_RETRY_AFTER_SECONDS)
@@ -142,21 +148,25 @@
     ) -> RelayAnswer:
         progress.tried.add(target.key)
         progress.sends += 1
-        request = _make_request(job, target, progress.last_resort)
+        request = _make_request(job, target)
         self._chooser.note_sent(target)
         try:
             answer = self._relay(job, target, request)
         except RefusalError as refusal:
             self._chooser.note_ended(target, None)
-            lost = refusal.code in _LINK_CODES and not target.local
-            self._chooser.note_link(target, reached=not lost)
+            self._note_refusal(target, refusal)
             raise
-        self._chooser.note_link(target, reached=True)
         if answer.status < _SERVER_ERROR:
             self._budget(job).note_success()
         close = _Ending(self._chooser, target, answer)
         return attrs.evolve(answer, close=close)
 
+    def _note_refusal(self, target: Target, refusal: RefusalError) -> None:
+        if refusal.code in _LINK_CODES:
+            self._chooser.note_link_failed(target)
+        elif refusal.code in _STATE_CODES:
+            self._chooser.note_refused(target)
+
     def _relay(
         self,
         job: Job,
@@ -244,11 +254,7 @@
         self.chooser.note_ended(self.target, self.answer.load)
 
 
-def _make_request(
-    job: Job,
-    target: Target,
-    last_resort: bool,
-) -> RelayRequest:
+def _make_request(job: Job, target: Target) -> RelayRequest:
     return RelayRequest(
         method=job.method,
         target=job.target,
@@ -263,7 +269,7 @@
         account=job.account,
         deadline=job.deadline,
         key=job.key,
-        last_resort=last_resort,
+        last_resort=target.last_resort,
     )
 
 
--- a/godwitknot/execution.py
+++ b/godwitknot/execution.py
@@ -2,6 +2,7 @@
 
 import abc
 import contextlib
+import enum
 import socket
 from collections.abc import Iterator
 
@@ -36,21 +37,40 @@
 _SLOW_READER_SECONDS = 0.25
 
 
+class RunEnd(enum.StrEnum):
+    """How a run ended, as evidence about the server."""
+
+    ANSWERED = 'answered'
+    FAILED = 'failed'
+    TIMED_OUT = 'timed-out'
+    REFUSED = 'refused'
+    LOST = 'lost'
+    ABANDONED = 'abandoned'
+
+
+_INNOCENT_ENDS = frozenset((RunEnd.ANSWERED, RunEnd.ABANDONED))
+
+
 @attrs.frozen
 class Result:
     """How one run on the server went, as evidence about the server.
 
+    :param started: when it was sent, on the node's clock.
     :param seconds: time that the server took, slots and reader excluded.
-    :param failed: whether the server is to blame for a bad end.
+    :param end: how it ended.
     :param fresh: whether the connection was a new one.
-    :param lost: whether the connection broke with the request in flight.
     """
 
     request: RelayRequest
+    started: float
     seconds: float
-    failed: bool
+    end: RunEnd
     fresh: bool = True
-    lost: bool = False
+
+    @property
+    def failed(self) -> bool:
+        """Whether the server is to blame for a bad end."""
+        return self.end not in _INNOCENT_ENDS
 
 
 class RunHost(abc.ABC):
@@ -84,7 +104,7 @@
         """Drop idle connections, for example after a restart."""
 
     @abc.abstractmethod
-    def note_sent(self, request: RelayRequest) -> None:
+    def note_sent(self, request: RelayRequest, *, fresh: bool) -> None:
         """Note that a request may be on the server from now on."""
 
     @abc.abstractmethod
@@ -137,11 +157,12 @@
             length = answer_length(response)
         except ProtocolError as error:
             held.close()
-            self.end(None)
+            self.end(RunEnd.ABANDONED)
             raise self._refuse_bad_answer() from error
         failed = response.status >= _SERVER_ERROR
+        end = RunEnd.FAILED if failed else RunEnd.ANSWERED
         chunks = self._exchange.chunks(self._request.method)
-        body = AnswerBody(self, chunks, held, failed=failed)
+        body = AnswerBody(self, chunks, held, end)
         self._server.note_body(self._request.attempt_id, body)
         return RelayAnswer(
             status=response.status,
@@ -162,28 +183,19 @@
         """Give the time on the node's clock."""
         return self._server.now()
 
-    def end(self, failed: bool | None) -> None:
-        """Report the end of the run once.
-
-        :param failed: ``None`` if it says nothing about the server.
-        """
+    def end(self, end: RunEnd) -> None:
+        """Report the end of the run once."""
         self._exchange.abort()
-        if self._reported:
-            return
-        self._reported = True
-        if failed is None:
-            self._server.note_result(
-                Result(self._request, -1, failed=False, fresh=False),
-            )
-            return
-        self._report(failed=failed)
+        if not self._reported:
+            self._report(end)
 
     def _try_once(self, *, fresh: bool) -> HTTPResponse | None:
         """Give the answer, or ``None`` to try a new connection."""
         try:
             channel = self._server.open_channel(fresh=fresh)
         except ConnectFailedError as error:
-            self._report(failed=True)
+            self._sent = self._server.now()
+            self._report(RunEnd.REFUSED)
             raise RefusalError(
                 Code.UNREACHABLE,
                 retry_after=_RETRY_AFTER_SECONDS,
@@ -198,7 +210,7 @@
             self._caller,
         )
         self._sent = self._server.now()
-        self._server.note_sent(self._request)
+        self._server.note_sent(self._request, fresh=not channel.reused)
         return self._exchange_call(call)
 
     def _exchange_call(self, call: Call) -> HTTPResponse | None:
@@ -210,7 +222,7 @@
         except _DeadConnectionError:
             return None
         except ProtocolError as error:
-            self.end(None)
+            self.end(RunEnd.ABANDONED)
             raise RefusalError(
                 Code.BAD_REQUEST,
                 Outcome.MAY_HAVE_RUN,
@@ -233,12 +245,12 @@
     def _explain(self, error: ExchangeError) -> RefusalError:
         self._seconds = self._server.now() - self._sent
         if isinstance(error, CallerLeftError):
-            self.end(None)
+            self.end(RunEnd.ABANDONED)
             return RefusalError(Code.CANCELLED, Outcome.MAY_HAVE_RUN)
         if isinstance(error, SilentError):
-            self._report(failed=True)
+            self._report(RunEnd.TIMED_OUT)
             return RefusalError(Code.DEADLINE_PASSED, Outcome.MAY_HAVE_RUN)
-        self._report(failed=True, lost=True)
+        self._report(RunEnd.LOST)
         return RefusalError(Code.CONNECTION_LOST, Outcome.MAY_HAVE_RUN)
 
     def _can_resend(self) -> bool:
@@ -246,17 +258,17 @@
             return False
         return self._request.body.replayable
 
-    def _report(self, *, failed: bool, lost: bool = False) -> None:
+    def _report(self, end: RunEnd) -> None:
         self._reported = True
         fresh = self._exchange is None or not self._exchange.reused
         self._server.note_result(
-            Result(self._request, self._seconds, failed, fresh, lost),
+            Result(self._request, self._sent, self._seconds, end, fresh),
         )
 
     def _check(self, response: HTTPResponse) -> HTTPResponse:
         shed = response.headers.get(headers.NOT_RUN, '').lower() == 'true'
         if response.status == _SERVICE_UNAVAILABLE and shed:
-            self.end(None)
+            self.end(RunEnd.ABANDONED)
             raise RefusalError(
                 Code.SERVER_SHED,
                 retry_after=_RETRY_AFTER_SECONDS,
@@ -269,7 +281,7 @@
     def _refuse_bad_answer(self) -> RefusalError:
         self._exchange.abort()
         if not self._reported:
-            self._report(failed=True)
+            self._report(RunEnd.FAILED)
         return RefusalError(Code.BAD_ANSWER, Outcome.RAN)
 
     def _make_headers(self) -> headers.Pairs:
@@ -302,11 +314,15 @@
         run: Run,
         chunks: Iterator[bytes],
         held: contextlib.ExitStack,
-        *,
-        failed: bool,
+        end: RunEnd,
     ) -> None:
+        """Take over the body.
+
+        :param held: the slot.
+        :param end: how the run ends if the body is whole.
+        """
         self._run = run
-        self._failed = failed
+        self._end = end
         self._chunks = chunks
         self._held = held
         self._closed = False
@@ -328,7 +344,7 @@
             try:
                 chunk = next(self._chunks, b'')
             except ProtocolError:
-                self._finish(failed=True)
+                self._finish(RunEnd.FAILED)
                 raise
             self._run.add_time(self._run.now() - started)
             if not chunk:
@@ -336,15 +352,15 @@
             self._yielded = self._run.now()
             yield chunk
             self._yielded = None
-        self._finish(failed=self._failed)
+        self._finish(self._end)
 
     def close(self) -> None:
         """Release the slot and the connection."""
-        self._finish(failed=None)
+        self._finish(RunEnd.ABANDONED)
 
-    def _finish(self, failed: bool | None) -> None:
+    def _finish(self, end: RunEnd) -> None:
         if self._closed:
             return
         self._closed = True
         self._held.close()
-        self._run.end(failed)
+        self._run.end(end)
--- a/godwitknot/outcomes.py
+++ b/godwitknot/outcomes.py
@@ -32,6 +32,8 @@
     WRONG_INCARNATION = 'wrong-incarnation'
     UNREACHABLE = 'unreachable'
     CONNECTION_LOST = 'connection-lost'
+    LINK_DOWN = 'link-down'
+    LINK_LOST = 'link-lost'
     BAD_ANSWER = 'bad-answer'
     KEY_REQUIRED = 'idempotency-key-required'
     KEY_INVALID = 'idempotency-key-invalid'
@@ -62,6 +64,8 @@
         Code.LENGTH_REQUIRED: 505,
         Code.DEADLINE_PASSED: 504,
         Code.CONNECTION_LOST: 502,
+        Code.LINK_DOWN: 502,
+        Code.LINK_LOST: 502,
         Code.BAD_ANSWER: 502,
         Code.UNREACHABLE: 502,
     }
--- a/godwitknot/peerlink.py
+++ b/godwitknot/peerlink.py
@@ -82,7 +82,7 @@
         try:
             channel = pool.take()
         except ConnectFailedError as error:
-            raise RefusalError(Code.UNREACHABLE) from error
+            raise RefusalError(Code.LINK_DOWN) from error
         exchange = Exchange(pool, channel, self._clock)
         call = Call(
             request.method,
@@ -178,9 +178,9 @@
         if isinstance(error, CallerLeftError):
             return RefusalError(Code.CANCELLED, Outcome.MAY_HAVE_RUN)
         if self._ask_state(address, request) is AttemptState.NOT_RUN:
-            return RefusalError(Code.CONNECTION_LOST)
+            return RefusalError(Code.LINK_LOST)
         late = self._clock.now() >= request.deadline
-        code = Code.DEADLINE_PASSED if late else Code.CONNECTION_LOST
+        code = Code.DEADLINE_PASSED if late else Code.LINK_LOST
         return RefusalError(code, Outcome.MAY_HAVE_RUN)
 
     def _ask_state(
--- a/godwitknot/upstream.py
+++ b/godwitknot/upstream.py
@@ -1,5 +1,6 @@
 """One backend server behind this node: how a request is run on it."""
 
+import abc
 import contextlib
 import socket
 import threading
@@ -10,12 +11,27 @@
 from godwitknot.connections import Channel, ChannelPool
 from godwitknot.exchange import Exchange
 from godwitknot.relay import Load, RelayAnswer, RelayRequest
-from godwitknot.execution import AnswerBody, Result, Run, RunHost
+from godwitknot.execution import AnswerBody, Result, Run, RunEnd, RunHost
 from godwitknot.settings import ServerSection
 
 _MOST_IDLE = 8
 
 
+class RunObserver(abc.ABC):
+    """Learns how the runs on one server go."""
+
+    @abc.abstractmethod
+    def note_sent(self, request: RelayRequest, *, fresh: bool) -> None:
+        """Note that a request was sent.
+
+        :param fresh: whether the connection is a new one.
+        """
+
+    @abc.abstractmethod
+    def note_result(self, result: Result) -> None:
+        """Note how a run ended."""
+
+
 class UpstreamServer(RunHost):
     """Runs requests on one backend server, within its slots."""
 
@@ -23,18 +39,18 @@
         self,
         section: ServerSection,
         clock: Clock,
-        observe: Callable[[Result], None],
+        observer: 'RunObserver',
     ) -> None:
         """Prepare; no connection is opened yet.
 
         :param section: settings of the server.
-        :param observe: gets the result of each run.
+        :param observer: learns of each run.
         """
         self.section = section
         self.gate = Gate(section.name, section.slots, clock)
         self._pool = ChannelPool(section.address, clock, _MOST_IDLE)
         self._clock = clock
-        self._observe = observe
+        self._observer = observer
         self._last_answer = float(0)
         self._lock = threading.Lock()
         self._running: dict[str, tuple[RelayRequest, float]] = {}
@@ -114,10 +130,11 @@
         """Tell whether any request was answered after a moment."""
         return self._last_answer > moment
 
-    def note_sent(self, request: RelayRequest) -> None:
+    def note_sent(self, request: RelayRequest, *, fresh: bool) -> None:
         """Note that a request may be on the server from now on."""
         with self._lock:
             self._running[request.attempt_id] = (request, self.now())
+        self._observer.note_sent(request, fresh=fresh)
 
     def note_answer(self) -> None:
         """Note that the server answered something."""
@@ -131,9 +148,11 @@
     def note_result(self, result: Result) -> None:
         """Pass on how a run went; the first result of an attempt counts."""
         attempt_id = result.request.attempt_id
-        if not result.lost:
+        # A lost run stays listed until the observer knows of it, which
+        # needs all requests in flight when a server crashed.
+        if result.end is not RunEnd.LOST:
             self._forget(attempt_id)
-        self._observe(result)
+        self._observer.note_result(result)
         self._forget(attempt_id)
 
     def _forget(self, attempt_id: str) -> None:
--- a/tests/dataplane.py
+++ b/tests/dataplane.py
@@ -20,7 +20,7 @@
 from godwitknot.settings import ServerSection
 from godwitknot.sidecar import Sidecar
 from godwitknot.units import Address
-from godwitknot.upstream import UpstreamServer
+from godwitknot.upstream import RunObserver, UpstreamServer
 from standins.backend import FakeServer, FakeServerHost
 
 DECLARATION = """
@@ -59,12 +59,11 @@
     def __init__(self, targets):
         self.targets = list(targets)
         self._turn = itertools.count()
-        self.links = []
 
     def choose(self, wish):
         start = next(self._turn) % len(self.targets)
         for target in self.targets[start:] + self.targets[:start]:
-            if target.key not in wish.excluded:
+            if target.key not in wish.tried:
                 return target
         return None
 
@@ -80,13 +79,29 @@
     def note_ended(self, target, load):
         """Count nothing."""
 
-    def note_link(self, target, *, reached):
-        self.links.append((target.key, reached))
+    def note_refused(self, target):
+        """Keep no state."""
+
+    def note_link_failed(self, target):
+        """Keep no state."""
 
     def note_bytes(self, target, amount):
         """Count nothing."""
 
 
+class Results(RunObserver):
+    """Collects the results of runs."""
+
+    def __init__(self, results):
+        self._results = results
+
+    def note_sent(self, request, *, fresh):
+        """Keep nothing."""
+
+    def note_result(self, result):
+        self._results.append(result)
+
+
 class DataPlane:
     """One ingress, and a node with one fake server for each name."""
 
@@ -148,7 +163,7 @@
         if via is not None:
             upstream_address = via(fake_address)
         section = ServerSection(name, 'shop', upstream_address, 4)
-        upstream = UpstreamServer(section, self.clock, self.results.append)
+        upstream = UpstreamServer(section, self.clock, Results(self.results))
         self.upstreams[name] = upstream
         self.sidecar = Sidecar(
             1, {name: upstream}, AttemptLog(self.clock), self.metrics
