Add heartbeats, rumours and anti-entropy

Cause: changes of nodes and servers must reach every node in seconds and within 5 KB/s of control traffic, through partitions and one-way cuts. Change: one thread for each watched peer with confirmation both ways; rumours to 3 random peers that end after heard copies; anti-entropy by bucket hashes; one byte budget for both; crash reports, clearances and configuration versions as rumours with callbacks.

--- /dev/null
+++ b/godwitknot/reconcile.py
@@ -0,0 +1,247 @@
+"""Anti-entropy: two directories exchange the records that differ.
+
+A digest holds one hash of the whole directory. If the peer's differs, it
+answers with the hashes of 64 buckets of node ids. Versions are exchanged for
+the buckets that differ, and records for the versions that differ. So a
+difference of one record costs about 2 KB, whatever the size of the fleet.
+"""
+
+import random
+import threading
+from collections.abc import Iterable
+
+from godwitknot.budgets import ByteBudget
+from godwitknot.clock import Clock
+from godwitknot.fingerprints import BUCKETS, bucket_of
+from godwitknot.members import Directory
+from godwitknot.messages import (
+    Digest,
+    Message,
+    Records,
+    RecordsRequest,
+    Unreachable,
+    VersionEntry,
+    Versions,
+)
+from godwitknot.parts import split_record
+from godwitknot.transport import Endpoint
+from godwitknot.units import Address
+
+INTERVAL_SECONDS = 5.0
+_JITTER = (0.8, 1.2)
+# Until a node that joins holds as many records as its peers.
+_JOIN_INTERVAL_SECONDS = 0.1
+# Bytes of the budget that are left for rumours.
+RUMOR_RESERVE = 2000
+# About 30 bytes each: a message stays within one datagram.
+_MAX_ENTRIES = 32
+_MAX_REQUESTED = 12
+# Tombstones expire at slightly different times on different nodes, so a
+# small difference in number does not mean that this node is joining.
+_JOINED_SHARE = 0.9
+
+
+class Reconciler:
+    """Thread that compares the directory with that of a random peer.
+
+    ``seeds`` are the addresses to ask while no peer is known.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        endpoint: Endpoint,
+        clock: Clock,
+        budget: ByteBudget,
+        rng: random.Random,
+    ) -> None:
+        """Subscribe to the messages of anti-entropy.
+
+        :param budget: for all messages that are sent here.
+        """
+        self._directory = directory
+        self._endpoint = endpoint
+        self._clock = clock
+        self._budget = budget
+        self._rng = rng
+        self._stopped = threading.Event()
+        self._thread: threading.Thread | None = None
+        self.seeds: tuple[Address, ...] = ()
+        self._largest_count = 0
+        endpoint.subscribe(Digest, self._answer_digest)
+        endpoint.subscribe(Versions, self._answer_versions)
+        endpoint.subscribe(RecordsRequest, self._answer_request)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread = threading.Thread(
+            target=self._run, name='reconcile', daemon=True
+        )
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the thread."""
+        self._stopped.set()
+        if self._thread is not None:
+            self._thread.join()
+
+    def request(self, address: Address, node_ids: Iterable[str]) -> None:
+        """Ask a peer for records."""
+        wanted = tuple(node_ids)
+        for start in range(0, len(wanted), _MAX_REQUESTED):
+            part = wanted[start : start + _MAX_REQUESTED]
+            self._send(address, RecordsRequest(part))
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            self._directory.tick()
+            address = self._choose_peer()
+            if address is not None:
+                self._send(address, self._make_digest(self._is_joining()))
+            self._stopped.wait(self._pause())
+
+    def _pause(self) -> float:
+        if self._is_joining():
+            return _JOIN_INTERVAL_SECONDS
+        # Spreads the rounds of nodes that started together.
+        return INTERVAL_SECONDS * self._rng.uniform(*_JITTER)
+
+    def _is_joining(self) -> bool:
+        if self._directory.count == 1 and self.seeds:
+            return True
+        return self._directory.count < self._largest_count * _JOINED_SHARE
+
+    def _choose_peer(self) -> Address | None:
+        own = self._directory.own
+        # Unreachable peers too: so two halves of the fleet find each other
+        # when a partition ends.
+        peers = [
+            record.peer
+            for record in self._directory.nodes()
+            if record.node_id != own.node_id
+        ]
+        candidates = peers or [each for each in self.seeds if each != own.peer]
+        return self._rng.choice(candidates) if candidates else None
+
+    def _make_digest(self, with_buckets: bool) -> Digest:
+        buckets = self._directory.buckets if with_buckets else ()
+        return Digest(self._directory.hash, self._directory.count, buckets)
+
+    def _answer_digest(
+        self, sender: str, address: Address, digest: Digest
+    ) -> None:
+        self._largest_count = digest.count
+        if digest.directory_hash == self._directory.hash:
+            return
+        if not digest.buckets:
+            self._send(address, self._make_digest(with_buckets=True))
+            return
+        differing = [
+            index
+            for index, (mine, other) in enumerate(
+                zip(self._directory.buckets, digest.buckets, strict=False)
+            )
+            if mine != other
+        ]
+        self._send_versions(address, differing)
+
+    def _send_versions(self, address: Address, buckets: list[int]) -> None:
+        """Send the versions of as many buckets as one datagram takes."""
+        self._rng.shuffle(buckets)
+        chosen: list[int] = []
+        entries: list[VersionEntry] = []
+        for bucket in buckets:
+            held = self._directory.entries([bucket])
+            if entries and len(entries) + len(held) > _MAX_ENTRIES:
+                break
+            chosen.append(bucket)
+            entries.extend(held)
+        for start in range(0, max(len(entries), 1), _MAX_ENTRIES):
+            part = tuple(entries[start : start + _MAX_ENTRIES])
+            complete = len(entries) <= _MAX_ENTRIES
+            self._send(address, Versions(part, complete, tuple(chosen)))
+
+    def _answer_versions(
+        self, sender: str, address: Address, versions: Versions
+    ) -> None:
+        theirs = {entry.node_id: entry for entry in versions.entries}
+        buckets = [each for each in versions.buckets if each < BUCKETS]
+        mine = {
+            entry.node_id: entry
+            for entry in self._directory.entries(buckets)
+            if versions.complete or entry.node_id in theirs
+        }
+        newer = [
+            node_id
+            for node_id, entry in theirs.items()
+            if self._directory.is_new(
+                node_id, (entry.incarnation, entry.version)
+            )
+        ]
+        self.request(address, newer)
+        to_send = [
+            entry.node_id
+            for entry in mine.values()
+            if _is_wanted(entry, theirs.get(entry.node_id))
+        ]
+        self._rng.shuffle(to_send)
+        self._send_records(address, to_send)
+        reports = _differing_reports(mine, theirs)
+        self._send_reports(address, reports)
+
+    def _answer_request(
+        self, sender: str, address: Address, request: RecordsRequest
+    ) -> None:
+        self._send_records(address, request.node_ids)
+
+    def _send_records(self, address: Address, node_ids: Iterable[str]) -> None:
+        for node_id in node_ids:
+            record = self._directory.node(node_id)
+            if record is None:
+                continue
+            for change in split_record(record):
+                if not self._send(address, Records(changes=(change,))):
+                    return
+            self._send_reports(address, [node_id])
+
+    def _send_reports(self, address: Address, node_ids: Iterable[str]) -> None:
+        for node_id in node_ids:
+            reports = tuple(self._directory.reports(node_id))
+            if reports:
+                self._send(address, Records(unreachable=reports))
+
+    def _send(self, address: Address, message: Message) -> bool:
+        """Send within the budget.
+
+        :returns: whether there was budget for it.
+        """
+        datagram = self._endpoint.seal(message)
+        if not self._budget.try_take(len(datagram.payload), RUMOR_RESERVE):
+            return False
+        self._endpoint.send_sealed(address, datagram)
+        return True
+
+
+def _is_wanted(mine: VersionEntry, theirs: VersionEntry | None) -> bool:
+    if theirs is None:
+        return True
+    held = (theirs.incarnation, theirs.version)
+    return (mine.incarnation, mine.version) > held
+
+
+def _differing_reports(
+    mine: dict[str, VersionEntry],
+    theirs: dict[str, VersionEntry],
+) -> list[str]:
+    """Find the nodes of equal version with other reports at the peer."""
+    found = []
+    for node_id, entry in mine.items():
+        other = theirs.get(node_id)
+        if other is None or other.reports == entry.reports:
+            continue
+        if (entry.incarnation, entry.version) == (
+            other.incarnation,
+            other.version,
+        ):
+            found.append(node_id)
+    return found
--- /dev/null
+++ b/godwitknot/rumors.py
@@ -0,0 +1,172 @@
+"""Rumours that this node still spreads."""
+
+import math
+import threading
+from collections.abc import Hashable, Iterable
+
+import attrs
+
+from godwitknot import codec
+from godwitknot.clock import Clock
+from godwitknot.messages import (
+    Clearance,
+    CrashReport,
+    RecordChange,
+    Rumors,
+    Unreachable,
+)
+from godwitknot.parts import CHANGE_BYTES
+
+FAN_OUT = 3
+# Hearing a rumour from a peer shows that it is known; counting it like one
+# round of sends lets a rumour end after about 8 sends instead of 27.
+_HEARD_WEIGHT = FAN_OUT
+_CRASH_HOLD_SECONDS = 3600
+# Outlives a rumour; a later clearance of the same request is news again.
+_CLEARANCE_HOLD_SECONDS = 60
+
+
+@attrs.frozen
+class ConfigNotice:
+    """A configuration version as a rumour."""
+
+    version: int
+
+
+Item = RecordChange | Unreachable | CrashReport | Clearance | ConfigNotice
+
+
+@attrs.define
+class _Rumor:
+    item: Item
+    size: int
+    left: int
+
+
+def pack_items(items: Iterable[Item]) -> Rumors:
+    """Put items into one message."""
+    chosen = list(items)
+    versions = [
+        item.version for item in chosen if isinstance(item, ConfigNotice)
+    ]
+    return Rumors(
+        unreachable=_pick(chosen, Unreachable),
+        crashes=_pick(chosen, CrashReport),
+        clearances=_pick(chosen, Clearance),
+        config_version=max(versions, default=0),
+        changes=_pick(chosen, RecordChange),
+    )
+
+
+def _pick(items: list[Item], wanted: type) -> tuple:
+    return tuple(item for item in items if isinstance(item, wanted))
+
+
+def _key(item: Item) -> Hashable:
+    """Name the slot of an item; a newer item takes its predecessor's."""
+    if isinstance(item, RecordChange):
+        return (item.record.node_id, item.part)
+    if isinstance(item, ConfigNotice):
+        return ConfigNotice
+    return item
+
+
+def _is_same_news(first: Item, second: Item) -> bool:
+    if isinstance(first, RecordChange) and isinstance(second, RecordChange):
+        return first.record.freshness == second.record.freshness
+    return first == second
+
+
+class RumorBuffer:
+    """Items with the number of sends left for each."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start empty."""
+        self._clock = clock
+        self._rumors: dict[Hashable, _Rumor] = {}
+        self._seen: dict[Hashable, float] = {}
+        self._lock = threading.Lock()
+
+    def __len__(self) -> int:
+        """Give the number of items that have sends left."""
+        return len(self._rumors)
+
+    def add(self, item: Item, nodes: int) -> None:
+        """Spread an item, in place of an older one of the same subject.
+
+        :param nodes: size of the fleet.
+        """
+        limit = math.ceil(FAN_OUT * math.log2(max(nodes, 2)))
+        size = len(codec.encode(pack_items([item])))
+        with self._lock:
+            if isinstance(item, RecordChange) and item.part == 0:
+                self._drop_record(item.record.node_id)
+            self._rumors[_key(item)] = _Rumor(item, size, limit)
+
+    def hear(self, item: Item) -> None:
+        """Count an item that a peer sent and that was known here."""
+        key = _key(item)
+        with self._lock:
+            rumor = self._rumors.get(key)
+            if rumor is not None and _is_same_news(rumor.item, item):
+                self._spend(key, rumor, _HEARD_WEIGHT)
+
+    def select(self) -> list[Item]:
+        """Choose the items for one datagram, those least sent first."""
+        chosen: list[Item] = []
+        room = CHANGE_BYTES
+        with self._lock:
+            ordered = sorted(self._rumors.values(), key=_sends_left)
+            for rumor in reversed(ordered):
+                if rumor.size <= room:
+                    chosen.append(rumor.item)
+                    room -= rumor.size
+        return chosen
+
+    def note_sent(self, items: Iterable[Item]) -> None:
+        """Count one send of each item."""
+        with self._lock:
+            for item in items:
+                rumor = self._rumors.get(_key(item))
+                if rumor is not None and rumor.item is item:
+                    self._spend(_key(item), rumor, 1)
+
+    def is_first(self, item: CrashReport | Clearance) -> bool:
+        """Tell whether a report is heard for the first time, and note it."""
+        now = self._clock.now()
+        with self._lock:
+            if self._seen.get(item, 0) > now:
+                return False
+            self._seen = {
+                key: until for key, until in self._seen.items() if until > now
+            }
+            self._remember(item, now)
+        return True
+
+    def _remember(self, item: CrashReport | Clearance, now: float) -> None:
+        if isinstance(item, Clearance):
+            self._seen[item] = now + _CLEARANCE_HOLD_SECONDS
+            return
+        self._seen[item] = now + _CRASH_HOLD_SECONDS
+        # A success after this crash is news, even if one before it was heard.
+        for fingerprint in item.fingerprints:
+            self._seen.pop(Clearance(item.service, fingerprint), None)
+
+    def _spend(self, key: Hashable, rumor: _Rumor, sends: int) -> None:
+        rumor.left -= sends
+        if rumor.left <= 0:
+            self._rumors.pop(key)
+
+    def _drop_record(self, node_id: str) -> None:
+        stale = [
+            key
+            for key, rumor in self._rumors.items()
+            if isinstance(rumor.item, RecordChange)
+            and rumor.item.record.node_id == node_id
+        ]
+        for key in stale:
+            self._rumors.pop(key)
+
+
+def _sends_left(rumor: _Rumor) -> int:
+    return rumor.left
--- a/tests/godwitknot/fleet.py
+++ b/tests/godwitknot/fleet.py
@@ -1,15 +1,26 @@
 """Records and directories for the tests of the control plane."""
 
+import random
+import time
+
 import attrs
 
+from godwitknot.clock import SystemClock
+from godwitknot.gossip import Gossip
+from godwitknot.keys import FleetKeys
+from godwitknot.members import Directory
+from godwitknot.metrics import Metrics
 from godwitknot.records import (
     NodeRecord,
     NodeState,
     ServerRecord,
     ServerState,
 )
+from godwitknot.transport import Endpoint
 from godwitknot.units import Address
 
+KEYS = FleetKeys('k1', {'k1': b'1' * 16})
+
 
 def make_server(name, service='booking', state=ServerState.READY):
     return ServerRecord(name, service, 4, 1, state)
@@ -28,3 +39,66 @@
         servers=tuple(servers),
     )
     return attrs.evolve(record, **changes)
+
+
+class CutEndpoint(Endpoint):
+    """An endpoint whose datagrams to some addresses are lost."""
+
+    cut: frozenset = frozenset()
+
+    def send_sealed(self, address, datagram):
+        if address in self.cut:
+            return len(datagram.payload)
+        return super().send_sealed(address, datagram)
+
+
+class Node:
+    """A node's control plane over UDP on the loopback address."""
+
+    def __init__(self, name, servers=(), incarnation=1, port=0, **changes):
+        self.clock = SystemClock()
+        self.metrics = Metrics()
+        self.endpoint = CutEndpoint(
+            Address('127.0.0.1', port), KEYS, name, incarnation, self.metrics
+        )
+        own = make_record(
+            name,
+            incarnation,
+            servers=servers,
+            peer=self.endpoint.address,
+            **changes,
+        )
+        self.name = name
+        self.directory = Directory(own, self.clock)
+        self.gossip = Gossip(
+            self.directory, self.endpoint, self.clock, random.Random(name)
+        )
+
+    @property
+    def address(self):
+        return self.endpoint.address
+
+    def start(self, *seeds):
+        self.gossip.join([seed.address for seed in seeds])
+        self.endpoint.start()
+        self.gossip.start()
+        return self
+
+    def stop(self):
+        self.gossip.stop()
+        self.endpoint.stop()
+
+    def kill(self):
+        """End without a word, like a process that is killed."""
+        self.endpoint.cut = frozenset(
+            record.peer for record in self.directory.nodes()
+        )
+        self.stop()
+
+
+def wait_for(condition, seconds=60):
+    """Wait until a condition holds; fail after a generous time."""
+    deadline = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < deadline, 'condition never held'
+        time.sleep(0.05)
