Send large records on request and compress bodies

Cause: each rumour arrives about 8 times, so full records took the whole byte budget: 80 processes that started together were not equal after 60 s and 74 KB of rumours each, and anti-entropy got no budget.

--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,116 @@
+"""Starts and drives the control-plane processes of ``bench.slopes``."""
+
+import contextlib
+import json
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+
+_BASE_PORT = 21000
+_WAIT_SECONDS = 60
+_INCARNATION = 1_764_800_000_000 * 65536
+
+
+class Process:
+    """A control-plane process."""
+
+    def __init__(self, index: int, incarnation: int = _INCARNATION) -> None:
+        """Start the process."""
+        self.index = index
+        self._process = subprocess.Popen(
+            [
+                sys.executable,
+                '-m',
+                'bench.fleetnode',
+                str(index),
+                str(_BASE_PORT),
+                str(incarnation),
+            ],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+        )
+
+    def ask(self, *words: object) -> object:
+        """Send a command and give its answer."""
+        command = ' '.join(map(str, words))
+        self._process.stdin.write(f'{command}\n')
+        self._process.stdin.flush()
+        return json.loads(self._process.stdout.readline())
+
+    def kill(self) -> float:
+        """End the process at once; give the time."""
+        self._process.kill()
+        killed_at = time.monotonic()
+        self._process.wait()
+        return killed_at
+
+
+class Fleet:
+    """A number of processes on consecutive ports."""
+
+    def __init__(self, size: int) -> None:
+        """Start the processes."""
+        self.processes = [Process(index) for index in range(size)]
+        self._executor = ThreadPoolExecutor(16)
+
+    def ask_all(self, *words: object) -> list:
+        """Send a command to all processes and give their answers."""
+        return list(
+            self._executor.map(
+                lambda process: process.ask(*words), self.processes
+            )
+        )
+
+    def ask_some(self, processes: Iterable[Process], *words: object) -> list:
+        """Send a command to some processes and give their answers."""
+        return list(
+            self._executor.map(lambda process: process.ask(*words), processes)
+        )
+
+    def wait_for(
+        self,
+        condition: Callable[[list], bool],
+        *words: object,
+        limit: float = _WAIT_SECONDS,
+    ) -> tuple[list, bool]:
+        """Repeat a command until a condition on all answers holds.
+
+        :returns: the last answers and whether the condition held.
+        """
+        deadline = time.monotonic() + limit
+        answers = self.ask_all(*words)
+        while not condition(answers) and time.monotonic() < deadline:
+            time.sleep(0.3)
+            answers = self.ask_all(*words)
+        return answers, condition(answers)
+
+    def wait_until_equal(self) -> bool:
+        """Wait until all directories are equal and full."""
+        size = len(self.processes)
+        return self.wait_for(
+            lambda answers: (
+                len({each['hash'] for each in answers}) == 1
+                and answers[0]['count'] == size
+            ),
+            'stats',
+        )[1]
+
+    def stop(self) -> None:
+        """End all processes."""
+        for process in self.processes:
+            process.kill()
+        self._executor.shutdown()
+
+
+@contextlib.contextmanager
+def run_fleet(size: int) -> Iterator[Fleet]:
+    """Run a fleet for the time of a measurement."""
+    fleet = Fleet(size)
+    try:
+        yield fleet
+    finally:
+        fleet.stop()
--- a/godwitknot/budgets.py
+++ b/godwitknot/budgets.py
@@ -8,16 +8,19 @@
 class ByteBudget:
     """Token bucket over bytes, shared by rumours and anti-entropy."""
 
-    def __init__(self, clock: Clock, rate: float, burst: float) -> None:
+    def __init__(
+        self, clock: Clock, rate: float, burst: float, start: float = 0
+    ) -> None:
         """Start full.
 
         :param rate: bytes a second.
         :param burst: bytes that may be sent at once after a quiet time.
+        :param start: bytes at the start, if more than ``burst``.
         """
         self._clock = clock
         self._rate = rate
         self._burst = burst
-        self._level = burst
+        self._level = max(start, burst)
         self._filled_at = clock.now()
         self._lock = threading.Lock()
 
@@ -36,5 +39,6 @@
     def _fill(self) -> None:
         now = self._clock.now()
         gained = (now - self._filled_at) * self._rate
-        self._level = min(self._level + gained, self._burst)
+        if self._level < self._burst:
+            self._level = min(self._level + gained, self._burst)
         self._filled_at = now
--- a/godwitknot/codec.py
+++ b/godwitknot/codec.py
@@ -25,7 +25,7 @@
 _TRAVERSAL_WORDS = 32768
 _NESTING = 16
 _LENGTH = struct.Struct('>I')
-_COUNTERS = struct.Struct('>QQ')
+_COUNTERS = struct.Struct('>QQ?')
 _STRUCTURES = (
     units.Address,
     records.ServerRecord,
@@ -116,6 +116,7 @@
     :param sequence: counts the datagrams of this incarnation from 1.
     :param mac: over :meth:`signed`, 16 bytes.
     :param body: an encoded message.
+    :param compressed: whether the body is in zlib format.
     """
 
     sender: str
@@ -124,6 +125,7 @@
     key_id: str
     body: bytes
     mac: bytes = b''
+    compressed: bool = False
 
     def signed(self) -> bytes:
         """Give the bytes that the MAC covers."""
@@ -135,9 +137,9 @@
         return attrs.evolve(self, mac=mac)
 
     @property
-    def counters(self) -> tuple[int, int]:
-        """Incarnation and sequence."""
-        return (self.incarnation, self.sequence)
+    def counters(self) -> tuple[int, int, bool]:
+        """Incarnation, sequence and the mark of compression."""
+        return (self.incarnation, self.sequence, self.compressed)
 
 
 def kind_of(message: messages.Message) -> str:
@@ -184,6 +186,7 @@
             keyId=envelope.key_id,
             mac=envelope.mac,
             body=envelope.body,
+            compressed=envelope.compressed,
         ).to_bytes_packed()
     except _DECODE_ERRORS as error:
         raise ProtocolError('envelope cannot be encoded') from error
@@ -202,6 +205,7 @@
         key_id=fields.get('keyId', ''),
         body=fields.get('body', b''),
         mac=fields.get('mac', b''),
+        compressed=fields['compressed'],
     )
 
 
--- a/godwitknot/control.capnp
+++ b/godwitknot/control.capnp
@@ -9,6 +9,7 @@
   mac @3 :Data;      # HMAC-SHA256 of all other fields, 16 bytes
   body @4 :Data;     # a packed Body
   sequence @5 :UInt64;  # counts the datagrams of this incarnation
+  compressed @6 :Bool;  # the body is in zlib format
 }
 
 struct Address {
@@ -81,6 +82,7 @@
   clearances @3 :List(Clearance);
   configVersion @4 :UInt64;
   changes @5 :List(RecordChange);
+  news @6 :List(VersionEntry);  # records to be asked for
 }
 
 # Records sent by anti-entropy; the receiver does not spread them.
--- a/godwitknot/directoryview.py
+++ b/godwitknot/directoryview.py
@@ -5,7 +5,7 @@
 
 from godwitknot.clock import Clock
 from godwitknot.entries import EntryTable
-from godwitknot.fingerprints import bucket_of, hash_watchers
+from godwitknot.fingerprints import BUCKETS, hash_watchers
 from godwitknot.messages import Unreachable, VersionEntry
 from godwitknot.records import (
     LocatedServer,
@@ -107,16 +107,15 @@
 
     def entries(self, buckets: Iterable[int] = ()) -> list[VersionEntry]:
         """Give the versions held, of some buckets or of all."""
-        wanted = set(buckets)
         with self._lock:
             return [
                 VersionEntry(
-                    entry.record.node_id,
-                    *entry.record.freshness,
-                    hash_watchers(entry.watchers),
+                    node_id,
+                    *self._table[node_id].record.freshness,
+                    hash_watchers(self._table[node_id].watchers),
                 )
-                for entry in self._table.all()
-                if not wanted or bucket_of(entry.record.node_id) in wanted
+                for bucket in buckets or range(BUCKETS)
+                for node_id in self._table.hash.members(bucket)
             ]
 
     def is_new(self, node_id: str, freshness: tuple[int, int]) -> bool:
--- a/godwitknot/fingerprints.py
+++ b/godwitknot/fingerprints.py
@@ -43,6 +43,7 @@
         """Start with no entry."""
         self._entries: dict[str, int] = {}
         self._buckets = [0 for _ in range(BUCKETS)]
+        self._members: list[set[str]] = [set() for _ in range(BUCKETS)]
 
     @property
     def total(self) -> int:
@@ -57,14 +58,22 @@
         """32-bit hash of each bucket."""
         return tuple(bucket & _BUCKET_MASK for bucket in self._buckets)
 
+    def members(self, bucket: int) -> list[str]:
+        """Give the node ids of a bucket in order."""
+        return sorted(self._members[bucket])
+
     def replace(self, record: NodeRecord, watchers: frozenset[str]) -> None:
         """Set the entry of a node."""
         self.remove(record.node_id)
         entry = hash_entry(record, watchers)
         self._entries[record.node_id] = entry
-        self._buckets[bucket_of(record.node_id)] ^= entry
+        bucket = bucket_of(record.node_id)
+        self._buckets[bucket] ^= entry
+        self._members[bucket].add(record.node_id)
 
     def remove(self, node_id: str) -> None:
         """Remove the entry of a node, if there is one."""
         old = self._entries.pop(node_id, 0)
-        self._buckets[bucket_of(node_id)] ^= old
+        bucket = bucket_of(node_id)
+        self._buckets[bucket] ^= old
+        self._members[bucket].discard(node_id)
--- a/godwitknot/gossip.py
+++ b/godwitknot/gossip.py
@@ -22,6 +22,7 @@
     Unreachable,
 )
 from godwitknot.parts import split_record
+from godwitknot.pulls import PullBook, Puller
 from godwitknot.reconcile import Reconciler
 from godwitknot.records import NodeRecord
 from godwitknot.rumors import ConfigNotice
@@ -34,6 +35,9 @@
 # sent and received for summaries and promises.
 _BUDGET_RATE = 1000
 _BUDGET_BURST = 8000
+# Once for each process, so that nodes which start together learn of each
+# other sooner.
+_START_BYTES = 64000
 
 
 @attrs.define
@@ -94,7 +98,7 @@
         self._directory = directory
         self._endpoint = endpoint
         rng = rng or random.Random()
-        budget = ByteBudget(clock, _BUDGET_RATE, _BUDGET_BURST)
+        budget = ByteBudget(clock, _BUDGET_RATE, _BUDGET_BURST, _START_BYTES)
         self._spreader = Spreader(directory, endpoint, clock, budget, rng)
         self._reconciler = Reconciler(directory, endpoint, clock, budget, rng)
         self._heartbeats = Heartbeats(
@@ -104,6 +108,9 @@
             self._spreader.add,
             self.listeners.tell_config,
         )
+        self._puller = Puller(
+            directory, self._reconciler, self._spreader, PullBook(clock)
+        )
         self._stopped = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name='watches', daemon=True
@@ -146,7 +153,8 @@
         """Spread news that starts at this node."""
         for record in rumors.records:
             self._spreader.add_changes(split_record(record))
-        self._spreader.add_changes(rumors.changes)
+        for change in rumors.changes:
+            self._spreader.add_changes([change])
         for item in (*rumors.crashes, *rumors.clearances):
             self._spreader.buffer.is_first(item)
             self._spreader.add(item)
@@ -178,7 +186,8 @@
         self, sender: str, address: Address, message: Records
     ) -> None:
         for change in message.changes:
-            self._merge(change)
+            if self._merge(change) is Merge.APPLIED:
+                self._puller.settle(change.record.node_id)
         for report in message.unreachable:
             self._directory.report_unreachable(report)
 
@@ -188,6 +197,7 @@
         whole = (RecordChange(record) for record in message.records)
         for change in (*message.changes, *whole):
             self._take_change(change, address)
+        self._puller.take(message.news, address)
         for report in message.unreachable:
             self._take_report(report)
         for item in (*message.crashes, *message.clearances):
@@ -209,9 +219,7 @@
         elif (
             outcome is Merge.APPLIED and node_id != self._directory.own.node_id
         ):
-            record = self._directory.node(node_id)
-            whole = [change] if change.parts == 1 else split_record(record)
-            self._spreader.add_changes(whole)
+            self._spreader.add_changes([change])
 
     def _merge(self, change: RecordChange) -> Merge:
         try:
--- a/godwitknot/messages.py
+++ b/godwitknot/messages.py
@@ -73,9 +73,25 @@
     parts: int = 1
 
 
+@attrs.frozen
+class VersionEntry:
+    """What the sender holds of one node.
+
+    :param reports: hash of the watchers that report it unreachable.
+    """
+
+    node_id: str
+    incarnation: int
+    version: int
+    reports: int = 0
+
+
 @attrs.frozen
 class Rumors:
-    """Changes that spread through the fleet."""
+    """Changes that spread through the fleet.
+
+    :param news: versions of records that are too large to be sent unasked.
+    """
 
     records: tuple[NodeRecord, ...] = ()
     unreachable: tuple[Unreachable, ...] = ()
@@ -83,6 +99,7 @@
     clearances: tuple[Clearance, ...] = ()
     config_version: int = 0
     changes: tuple[RecordChange, ...] = ()
+    news: tuple[VersionEntry, ...] = ()
 
 
 @attrs.frozen
@@ -108,19 +125,6 @@
     buckets: tuple[int, ...] = ()
 
 
-@attrs.frozen
-class VersionEntry:
-    """What the sender holds of one node.
-
-    :param reports: hash of the watchers that report it unreachable.
-    """
-
-    node_id: str
-    incarnation: int
-    version: int
-    reports: int = 0
-
-
 @attrs.frozen
 class Versions:
     """Versions held; ``complete`` if nothing else is held.
--- a/godwitknot/reconcile.py
+++ b/godwitknot/reconcile.py
@@ -33,8 +33,10 @@
 _JOIN_INTERVAL_SECONDS = 0.1
 # Bytes of the budget that are left for rumours.
 RUMOR_RESERVE = 2000
-# About 30 bytes each: a message stays within one datagram.
-_MAX_ENTRIES = 32
+_LONGEST_JOIN_INTERVAL_SECONDS = 2
+# A message of versions stays within one datagram.
+_ENTRIES_BYTES = 1000
+_ENTRY_BYTES = 24
 _MAX_REQUESTED = 12
 # Tombstones expire at slightly different times on different nodes, so a
 # small difference in number does not mean that this node is joining.
@@ -68,6 +70,8 @@
         self._thread: threading.Thread | None = None
         self.seeds: tuple[Address, ...] = ()
         self._largest_count = 0
+        self._last_count = 0
+        self._join_pause = _JOIN_INTERVAL_SECONDS
         endpoint.subscribe(Digest, self._answer_digest)
         endpoint.subscribe(Versions, self._answer_versions)
         endpoint.subscribe(RecordsRequest, self._answer_request)
@@ -90,7 +94,7 @@
         wanted = tuple(node_ids)
         for start in range(0, len(wanted), _MAX_REQUESTED):
             part = wanted[start : start + _MAX_REQUESTED]
-            self._send(address, RecordsRequest(part))
+            self._send(address, RecordsRequest(part), reserve=0)
 
     def _run(self) -> None:
         while not self._stopped.is_set():
@@ -102,7 +106,13 @@
 
     def _pause(self) -> float:
         if self._is_joining():
-            return _JOIN_INTERVAL_SECONDS
+            # Peers without budget do not answer; asking more often would
+            # only load the seeds.
+            grown = self._directory.count > self._last_count
+            doubled = min(self._join_pause * 2, _LONGEST_JOIN_INTERVAL_SECONDS)
+            self._join_pause = _JOIN_INTERVAL_SECONDS if grown else doubled
+            self._last_count = self._directory.count
+            return self._join_pause
         # Spreads the rounds of nodes that started together.
         return INTERVAL_SECONDS * self._rng.uniform(*_JITTER)
 
@@ -131,6 +141,10 @@
         self, sender: str, address: Address, digest: Digest
     ) -> None:
         self._largest_count = digest.count
+        if self._directory.node(sender) is None:
+            # Others learn its address from here, so that it has more peers
+            # to ask than the seeds.
+            self.request(address, [sender])
         if digest.directory_hash == self._directory.hash:
             return
         if not digest.buckets:
@@ -150,16 +164,21 @@
         self._rng.shuffle(buckets)
         chosen: list[int] = []
         entries: list[VersionEntry] = []
+        room = _ENTRIES_BYTES
         for bucket in buckets:
             held = self._directory.entries([bucket])
-            if entries and len(entries) + len(held) > _MAX_ENTRIES:
+            size = sum(map(_entry_bytes, held))
+            if chosen and size > room:
                 break
+            room -= size
             chosen.append(bucket)
             entries.extend(held)
-        for start in range(0, max(len(entries), 1), _MAX_ENTRIES):
-            part = tuple(entries[start : start + _MAX_ENTRIES])
-            complete = len(entries) <= _MAX_ENTRIES
-            self._send(address, Versions(part, complete, tuple(chosen)))
+        while room < 0:
+            # One bucket is too large, so some of its entries are left out.
+            room += _entry_bytes(entries.pop())
+        complete = len(entries) == len(self._directory.entries(chosen))
+        message = Versions(tuple(entries), complete, tuple(chosen))
+        self._send(address, message)
 
     def _answer_versions(
         self, sender: str, address: Address, versions: Versions
@@ -178,7 +197,8 @@
                 node_id, (entry.incarnation, entry.version)
             )
         ]
-        self.request(address, newer)
+        # What is left comes from the peers of the next rounds.
+        self.request(address, newer[:_MAX_REQUESTED])
         to_send = [
             entry.node_id
             for entry in mine.values()
@@ -210,18 +230,28 @@
             if reports:
                 self._send(address, Records(unreachable=reports))
 
-    def _send(self, address: Address, message: Message) -> bool:
+    def _send(
+        self,
+        address: Address,
+        message: Message,
+        reserve: int = RUMOR_RESERVE,
+    ) -> bool:
         """Send within the budget.
 
+        :param reserve: bytes of the budget to leave for rumours.
         :returns: whether there was budget for it.
         """
         datagram = self._endpoint.seal(message)
-        if not self._budget.try_take(len(datagram.payload), RUMOR_RESERVE):
+        if not self._budget.try_take(len(datagram.payload), reserve):
             return False
         self._endpoint.send_sealed(address, datagram)
         return True
 
 
+def _entry_bytes(entry: VersionEntry) -> int:
+    return _ENTRY_BYTES + len(entry.node_id)
+
+
 def _is_wanted(mine: VersionEntry, theirs: VersionEntry | None) -> bool:
     if theirs is None:
         return True
--- a/godwitknot/rumors.py
+++ b/godwitknot/rumors.py
@@ -14,13 +14,16 @@
     RecordChange,
     Rumors,
     Unreachable,
+    VersionEntry,
 )
-from godwitknot.parts import CHANGE_BYTES
+from godwitknot.parts import CHANGE_BYTES, size_of
+from godwitknot.records import NodeRecord
 
 FAN_OUT = 3
 # Hearing a rumour from a peer shows that it is known; counting it like one
 # round of sends lets a rumour end after about 8 sends instead of 27.
 _HEARD_WEIGHT = FAN_OUT
+_EAGER_BYTES = 250
 _CRASH_HOLD_SECONDS = 3600
 # Outlives a rumour; a later clearance of the same request is news again.
 _CLEARANCE_HOLD_SECONDS = 60
@@ -33,7 +36,14 @@
     version: int
 
 
-Item = RecordChange | Unreachable | CrashReport | Clearance | ConfigNotice
+Item = (
+    RecordChange
+    | VersionEntry
+    | Unreachable
+    | CrashReport
+    | Clearance
+    | ConfigNotice
+)
 
 
 @attrs.define
@@ -55,6 +65,7 @@
         clearances=_pick(chosen, Clearance),
         config_version=max(versions, default=0),
         changes=_pick(chosen, RecordChange),
+        news=_pick(chosen, VersionEntry),
     )
 
 
@@ -62,19 +73,40 @@
     return tuple(item for item in items if isinstance(item, wanted))
 
 
+def choose_news(changes: list[RecordChange]) -> Item:
+    """Choose how a new version of a record is spread.
+
+    Each node receives a rumour about 8 times. So a large record is not the
+    rumour itself: its version is, and who lacks it asks for the record.
+    """
+    change = changes[0]
+    if change.parts == 1 and size_of(change) <= _EAGER_BYTES:
+        return change
+    return VersionEntry(change.record.node_id, *change.record.freshness)
+
+
 def _key(item: Item) -> Hashable:
     """Name the slot of an item; a newer item takes its predecessor's."""
     if isinstance(item, RecordChange):
-        return (item.record.node_id, item.part)
+        return (NodeRecord, item.record.node_id)
+    if isinstance(item, VersionEntry):
+        return (NodeRecord, item.node_id)
     if isinstance(item, ConfigNotice):
         return ConfigNotice
     return item
 
 
 def _is_same_news(first: Item, second: Item) -> bool:
-    if isinstance(first, RecordChange) and isinstance(second, RecordChange):
-        return first.record.freshness == second.record.freshness
-    return first == second
+    return _version_of(first) == _version_of(second)
+
+
+def _version_of(item: Item) -> object:
+    """Tell news of a record by its version, whichever way it is sent."""
+    if isinstance(item, RecordChange):
+        return item.record.freshness
+    if isinstance(item, VersionEntry):
+        return (item.incarnation, item.version)
+    return item
 
 
 class RumorBuffer:
@@ -99,8 +131,6 @@
         limit = math.ceil(FAN_OUT * math.log2(max(nodes, 2)))
         size = len(codec.encode(pack_items([item])))
         with self._lock:
-            if isinstance(item, RecordChange) and item.part == 0:
-                self._drop_record(item.record.node_id)
             self._rumors[_key(item)] = _Rumor(item, size, limit)
 
     def hear(self, item: Item) -> None:
@@ -157,16 +187,6 @@
         if rumor.left <= 0:
             self._rumors.pop(key)
 
-    def _drop_record(self, node_id: str) -> None:
-        stale = [
-            key
-            for key, rumor in self._rumors.items()
-            if isinstance(rumor.item, RecordChange)
-            and rumor.item.record.node_id == node_id
-        ]
-        for key in stale:
-            self._rumors.pop(key)
-
 
 def _sends_left(rumor: _Rumor) -> int:
     return rumor.left
--- a/godwitknot/sealing.py
+++ b/godwitknot/sealing.py
@@ -5,6 +5,7 @@
 import attrs
 
 from godwitknot import codec
+from godwitknot.compression import compress, decompress
 from godwitknot.keys import FleetKeys
 from godwitknot.messages import Message
 
@@ -39,23 +40,28 @@
 
         :raises ProtocolError: if a value does not fit its field.
         """
+        body = codec.encode(message)
+        compressed = compress(body)
         unsigned = codec.Envelope(
             sender=self.sender,
             incarnation=self._incarnation,
             sequence=next(self._sequence),
             key_id=self._keys.current,
-            body=codec.encode(message),
+            body=compressed or body,
+            compressed=compressed is not None,
         )
         mac = self._keys.sign(unsigned.signed())
         payload = codec.encode_envelope(unsigned.with_mac(mac))
         return Datagram(codec.kind_of(message), payload)
 
     def open(self, payload: bytes) -> codec.Envelope:
-        """Decode and verify an envelope.
+        """Decode and verify an envelope; its body is decompressed.
 
         :raises VerificationError: if the MAC is wrong.
         :raises ProtocolError: if the bytes are no envelope.
         """
         envelope = codec.decode_envelope(payload)
         self._keys.verify(envelope.key_id, envelope.signed(), envelope.mac)
-        return envelope
+        if not envelope.compressed:
+            return envelope
+        return attrs.evolve(envelope, body=decompress(envelope.body))
--- a/godwitknot/spreading.py
+++ b/godwitknot/spreading.py
@@ -3,7 +3,6 @@
 import collections
 import random
 import threading
-from collections.abc import Iterable
 
 from godwitknot.budgets import ByteBudget
 from godwitknot.clock import Clock
@@ -16,6 +15,7 @@
     ConfigNotice,
     Item,
     RumorBuffer,
+    choose_news,
     pack_items,
 )
 from godwitknot.transport import Endpoint
@@ -96,10 +96,9 @@
         """Spread an item."""
         self.buffer.add(item, self._directory.count)
 
-    def add_changes(self, changes: Iterable[RecordChange]) -> None:
-        """Spread the parts of a record."""
-        for change in changes:
-            self.add(change)
+    def add_changes(self, changes: list[RecordChange]) -> None:
+        """Spread a new version of a record."""
+        self.add(choose_news(changes))
 
     def add_own(self, record: NodeRecord) -> None:
         """Spread a new version of the own record."""
