--- a/bench/fleetnode.py
+++ b/bench/fleetnode.py
@@ -31,6 +31,8 @@
 SERVICES = 260
 DOMAINS = 12
 REGIONS = 3
+# Servers start within 10 minutes of their node; 65,536 to the millisecond.
+_START_SPREAD = 600_000 * 65536
 
 
 def make_record(
@@ -40,12 +42,13 @@
 
     :param index: number of the node; gives region, domain and services.
     """
+    rng = random.Random(index)
     made = tuple(
         ServerRecord(
             name=f'booking-{number}',
             service=f'service-{(index * servers + number) % SERVICES}',
             slots=4,
-            incarnation=incarnation + number,
+            incarnation=incarnation + rng.randrange(_START_SPREAD),
             state=ServerState.READY,
         )
         for number in range(servers)
