--- a/godwitknot/gossip.py
+++ b/godwitknot/gossip.py
@@ -35,8 +35,8 @@
 # of the 5 KB/s sent and received for summaries and promises. Rumours and
 # anti-entropy have a budget each, so that a storm of the one does not stop
 # the other.
-_RUMOR_RATE = 400
-_RECONCILE_RATE = 600
+RUMOR_RATE = 400
+RECONCILE_RATE = 600
 _BURST_BYTES = 8000
 # Once for each process, so that nodes which start together learn of each
 # other sooner.
@@ -105,14 +105,14 @@
             directory,
             endpoint,
             clock,
-            ByteBudget(clock, _RUMOR_RATE, _BURST_BYTES),
+            ByteBudget(clock, RUMOR_RATE, _BURST_BYTES),
             rng,
         )
         self._reconciler = Reconciler(
             directory,
             endpoint,
             clock,
-            ByteBudget(clock, _RECONCILE_RATE, _BURST_BYTES, _START_BYTES),
+            ByteBudget(clock, RECONCILE_RATE, _BURST_BYTES, _START_BYTES),
             rng,
         )
         self._heartbeats = Heartbeats(
--- a/godwitknot/reconcile.py
+++ b/godwitknot/reconcile.py
@@ -12,7 +12,8 @@
 
 from godwitknot.budgets import ByteBudget
 from godwitknot.clock import Clock
-from godwitknot.fingerprints import BUCKETS, bucket_of
+from godwitknot.fingerprints import BUCKETS
+from godwitknot.joining import Joining
 from godwitknot.members import Directory
 from godwitknot.messages import (
     Digest,
@@ -27,19 +28,11 @@
 from godwitknot.transport import Endpoint
 from godwitknot.units import Address
 
-INTERVAL_SECONDS = 5.0
-_JITTER = (0.8, 1.2)
-# Until a node that joins holds as many records as its peers.
-_JOIN_INTERVAL_SECONDS = 0.1
-_LONGEST_JOIN_INTERVAL_SECONDS = 5
 # A message of versions stays within one datagram.
 _ENTRIES_BYTES = 1000
 _ENTRY_BYTES = 24
 _MAX_REQUESTED = 12
 _FIRST_PEERS = 3
-# Tombstones expire at slightly different times on different nodes, so a
-# small difference in number does not mean that this node is joining.
-_JOINED_SHARE = 0.9
 
 
 class Reconciler:
@@ -68,9 +61,7 @@
         self._stopped = threading.Event()
         self._thread: threading.Thread | None = None
         self.seeds: tuple[Address, ...] = ()
-        self._largest_count = 0
-        self._last_count = 0
-        self._join_pause = _JOIN_INTERVAL_SECONDS
+        self._joining = Joining(directory, rng)
         endpoint.subscribe(Digest, self._answer_digest)
         endpoint.subscribe(Versions, self._answer_versions)
         endpoint.subscribe(RecordsRequest, self._answer_request)
@@ -95,49 +86,23 @@
             part = wanted[start : start + _MAX_REQUESTED]
             self._send(address, RecordsRequest(part))
 
+    def compare_with(self, address: Address) -> None:
+        """Start an exchange with a peer."""
+        joining = self._joining.is_joining()
+        self._send(address, _make_digest(self._directory, joining))
+
     def _run(self) -> None:
         while not self._stopped.is_set():
             self._directory.tick()
-            address = self._choose_peer()
+            address = self._joining.choose_peer(self.seeds)
             if address is not None:
-                self._send(
-                    address, _make_digest(self._directory, self._is_joining())
-                )
-            self._stopped.wait(self._pause())
-
-    def _pause(self) -> float:
-        if self._is_joining():
-            # Peers without budget do not answer; asking more often would
-            # only load the seeds.
-            grown = self._directory.count > self._last_count
-            doubled = min(self._join_pause * 2, _LONGEST_JOIN_INTERVAL_SECONDS)
-            self._join_pause = _JOIN_INTERVAL_SECONDS if grown else doubled
-            self._last_count = self._directory.count
-            return self._join_pause
-        # Spreads the rounds of nodes that started together.
-        return INTERVAL_SECONDS * self._rng.uniform(*_JITTER)
-
-    def _is_joining(self) -> bool:
-        if self._directory.count == 1 and self.seeds:
-            return True
-        return self._directory.count < self._largest_count * _JOINED_SHARE
-
-    def _choose_peer(self) -> Address | None:
-        own = self._directory.own
-        # Unreachable peers too: so two halves of the fleet find each other
-        # when a partition ends.
-        peers = [
-            record.peer
-            for record in self._directory.nodes()
-            if record.node_id != own.node_id
-        ]
-        candidates = peers or [each for each in self.seeds if each != own.peer]
-        return self._rng.choice(candidates) if candidates else None
+                self.compare_with(address)
+            self._stopped.wait(self._joining.pause())
 
     def _answer_digest(
         self, sender: str, address: Address, digest: Digest
     ) -> None:
-        self._largest_count = digest.count
+        self._joining.note_count(digest.count)
         if self._directory.node(sender) is None:
             # Others learn its address from here, so that it has more peers
             # to ask than the seeds.
