--- /dev/null
+++ b/godwitknot/configcopies.py
@@ -0,0 +1,69 @@
+"""Copies of the configuration that nodes fetch from each other."""
+
+import contextlib
+import threading
+
+from godwitknot.configuration import ConfigurationKeeper
+from godwitknot.errors import CorruptObjectError, ProtocolError
+from godwitknot.members import Directory
+from godwitknot.metrics import Metrics
+from godwitknot.peerlink import LinkError, PeerLink
+from godwitknot.units import Address
+
+CONFIGURATION = 'configuration'
+
+_COPY = 'copy'
+
+
+class ConfigurationCopies:
+    """Fetches the configuration from peers and serves it to them."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        keeper: ConfigurationKeeper,
+        link: PeerLink,
+        metrics: Metrics,
+    ) -> None:
+        """Take the collaborators."""
+        self._directory = directory
+        self._keeper = keeper
+        self._link = link
+        self._metrics = metrics
+        self._fetching = threading.Lock()
+
+    def serve(self, method: str, content: bytes) -> object:
+        """Answer a peer that asks for the configuration."""
+        return {_COPY: self._keeper.serialize().decode()}
+
+    def fetch_all(self, seeds: tuple[Address, ...]) -> list[bytes]:
+        """Get the copies of all seeds and peers that answer."""
+        own = self._directory.own.peer
+        known = {node.peer for node in self._directory.nodes()}
+        copies = []
+        for address in (known | set(seeds)) - {own}:
+            with contextlib.suppress(LinkError):
+                copies.append(self._fetch(address))
+        return copies
+
+    def hear_version(self, version: int, peer: str, address: Address) -> None:
+        """Fetch a higher version from the peer that told of it.
+
+        One fetch at a time is enough, since each heartbeat tells again.
+        """
+        if self._fetching.acquire(blocking=False):
+            threading.Thread(
+                target=self._adopt_from, args=(address,), daemon=True
+            ).start()
+
+    def _fetch(self, address: Address) -> bytes:
+        document = self._link.call(address, CONFIGURATION)
+        return str(document.get(_COPY, '')).encode()
+
+    def _adopt_from(self, address: Address) -> None:
+        try:
+            self._keeper.adopt_serialized(self._fetch(address))
+        except (LinkError, ProtocolError, CorruptObjectError):
+            self._metrics.count('configuration.fetch-failed')
+        finally:
+            self._fetching.release()
--- /dev/null
+++ b/godwitknot/controlplane.py
@@ -0,0 +1,139 @@
+"""The parts of a node that speak to other nodes over UDP."""
+
+import random
+import time
+from collections.abc import Callable
+
+import attrs
+
+from godwitknot.clock import Clock
+from godwitknot.crashboard import FleetCrashBoard
+from godwitknot.crashes import CrashLedger
+from godwitknot.declaration import Declaration
+from godwitknot.ejections import ServerHealth
+from godwitknot.fleetfloor import FleetFloor, PromiseDesk
+from godwitknot.floors import FloorKeeper
+from godwitknot.gossip import Gossip
+from godwitknot.keys import FleetKeys
+from godwitknot.members import Directory
+from godwitknot.metrics import Metrics
+from godwitknot.records import (
+    NodeRecord,
+    NodeState,
+    ServerRecord,
+    ServerState,
+)
+from godwitknot.settings import NodeSettings
+from godwitknot.siblings import SiblingStatistics
+from godwitknot.summaries import SummaryExchange
+from godwitknot.transport import Endpoint
+
+_MILLISECONDS = 1000
+_RANDOM_BITS = 16
+
+
+def draw_incarnation() -> int:
+    """Give an incarnation that is larger for a later process.
+
+    :returns: wall-clock milliseconds, then 16 random bits.
+    """
+    milliseconds = int(time.time() * _MILLISECONDS)
+    return milliseconds << _RANDOM_BITS | random.getrandbits(_RANDOM_BITS)
+
+
+def make_record(settings: NodeSettings, incarnation: int) -> NodeRecord:
+    """Give the first record of a node."""
+    node = settings.node
+    servers = tuple(
+        ServerRecord(
+            section.name,
+            section.service,
+            section.slots,
+            1,
+            ServerState.STARTING,
+        )
+        for section in settings.servers
+    )
+    return NodeRecord(
+        node.id,
+        incarnation,
+        1,
+        node.region,
+        node.failure_domain,
+        node.ingress,
+        node.peer,
+        NodeState.STARTING,
+        servers,
+    )
+
+
+class ControlPlane:
+    """Directory, gossip, promises, sibling statistics and crash reports."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        keys: FleetKeys,
+        clock: Clock,
+        metrics: Metrics,
+        declaration: Callable[[], Declaration | None],
+    ) -> None:
+        """Build the parts; nothing is sent before :meth:`start`."""
+        record = make_record(settings, draw_incarnation())
+        self.directory = Directory(record, clock)
+        self.endpoint = Endpoint(
+            settings.node.peer,
+            keys,
+            record.node_id,
+            record.incarnation,
+            metrics,
+        )
+        self.gossip = Gossip(self.directory, self.endpoint, clock)
+        self.siblings = SiblingStatistics(record.node_id, clock)
+        self.summaries = SummaryExchange(
+            self.directory, self.endpoint, self.siblings
+        )
+        self.healths: dict[str, ServerHealth] = {}
+        self.floor = FleetFloor(
+            self.directory, self.endpoint, declaration, self.healths
+        )
+        self.keeper = FloorKeeper(record.node_id, self.floor, clock)
+        self.promises = PromiseDesk(self.endpoint, self.keeper)
+        self.crashes = CrashLedger(clock)
+        self.board = FleetCrashBoard(self.crashes, metrics)
+        self.board.connect(self.gossip, self.gossip.listeners)
+
+    def start(self, seeds: tuple) -> None:
+        """Join the fleet.
+
+        :param seeds: peer addresses.
+        """
+        self.endpoint.start()
+        self.gossip.join(seeds)
+        self.gossip.start()
+        self.summaries.start()
+
+    def stop(self) -> None:
+        """Stop the threads."""
+        self.summaries.stop()
+        self.gossip.stop()
+        self.endpoint.stop()
+
+    def announce_server(
+        self,
+        name: str,
+        state: ServerState,
+        incarnation: int,
+    ) -> None:
+        """Put the state of an own server into the own record."""
+        servers = tuple(
+            attrs.evolve(server, state=state, incarnation=incarnation)
+            if server.name == name
+            else server
+            for server in self.directory.own.servers
+        )
+        self.directory.update_own(servers=servers)
+
+    def announce_node(self, state: NodeState, **changes: str) -> None:
+        """Put the state of the node into the own record."""
+        self.directory.update_own(state=state, **changes)
--- a/godwitknot/ejections.py
+++ b/godwitknot/ejections.py
@@ -149,7 +149,9 @@
                 return True
         lease = self._keeper.acquire(self._service, self.server, drain=True)
         if lease is None:
-            self._life.record(Action.KEPT_BY_FLOOR)
+            if not self._schedule.kept:
+                self._schedule.kept = True
+                self._life.record(Action.KEPT_BY_FLOOR)
             return False
         with self._life.lock:
             # The process may have paused since the promises were counted.
--- /dev/null
+++ b/godwitknot/explainer.py
@@ -0,0 +1,84 @@
+"""Reasons of the decisions about servers and requests."""
+
+import json
+
+import attrs
+
+from godwitknot.crashes import CrashLedger
+from godwitknot.evidence import DecisionLog
+from godwitknot.members import Directory
+from godwitknot.operations import (
+    Explanation,
+    FleetStatus,
+    resolve_target,
+)
+from godwitknot.peerlink import LinkError, PeerLink
+from godwitknot.records import NodeRecord, ServerState
+from godwitknot.refusals import RefusalLog
+
+DECISIONS = 'decisions'
+
+_LINES = 20
+
+
+@attrs.define
+class Explainer:
+    """Finds why a server is out, or why a request was refused."""
+
+    directory: Directory
+    decisions: DecisionLog
+    refusals: RefusalLog
+    crashes: CrashLedger
+    link: PeerLink
+
+    def explain(self, subject: str) -> Explanation:
+        """Explain the treatment of a server or a request.
+
+        :raises OperationRefusedError: if nothing is known of the subject.
+        """
+        refused = self.refusals.find(subject)
+        if refused is not None:
+            return Explanation(subject, (refused.explain(),))
+        target = resolve_target(subject, self.directory.nodes())
+        node = self.directory.node(target.node_id)
+        lines = self._list_decisions(node, target.server)
+        if not lines:
+            lines = ['no decision was taken about it lately']
+        facts = {'node': node.node_id, 'state': str(node.state)}
+        server = node.find_server(target.server)
+        if server is not None:
+            facts['state'] = str(server.state)
+        return Explanation(subject, tuple(lines), facts)
+
+    def explain_fleet(self, status: FleetStatus) -> Explanation:
+        """Say what is wrong in the fleet."""
+        lines = list(status.warnings)
+        lines.extend(
+            f'request {fingerprint:016x} of {service} is refused: it '
+            f'crashed two servers'
+            for service, fingerprint in self.crashes.blocked()
+        )
+        out = [
+            f'{server.node_id}/{server.name} is {server.state}'
+            for server in status.servers
+            if server.state != ServerState.READY
+        ]
+        return Explanation('', tuple(lines + out) or ('nothing is wrong',))
+
+    def serve_decisions(self, method: str, content: bytes) -> object:
+        """Answer a peer that explains one of the servers here."""
+        server = json.loads(content)['server']
+        return self._own_decisions(server)
+
+    def _list_decisions(self, node: NodeRecord, server: str) -> list[str]:
+        if node.node_id == self.directory.own.node_id:
+            return self._own_decisions(server)
+        try:
+            answer = self.link.call(node.peer, DECISIONS, {'server': server})
+        except LinkError as error:
+            return [f'its node does not answer: {error}']
+        return [str(line) for line in answer]
+
+    def _own_decisions(self, server: str) -> list[str]:
+        found = self.decisions.of_server(server)
+        return [decision.explain() for decision in found[: -_LINES - 1 : -1]]
--- /dev/null
+++ b/godwitknot/fleetview.py
@@ -0,0 +1,216 @@
+"""What an operator sees of the fleet through one node."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from godwitknot.burn import (
+    BurnLedger,
+    BurnSnapshot,
+    merge_snapshots,
+    snapshot_from_json,
+    snapshot_to_json,
+)
+from godwitknot.burnreport import BurnReport, make_report
+from godwitknot.census import Census, ServiceCount
+from godwitknot.clock import Clock
+from godwitknot.configuration import ConfigurationKeeper
+from godwitknot.errors import OperationRefusedError, ProtocolError
+from godwitknot.explainer import Explainer
+from godwitknot.members import Directory
+from godwitknot.operations import (
+    Confirmation,
+    ConfigurationView,
+    Explanation,
+    FleetStatus,
+    FleetView,
+    ServerStatus,
+    ServiceStatus,
+)
+from godwitknot.peerlink import LinkError, PeerLink
+from godwitknot.poller import ConfigurationPoller
+from godwitknot.records import LocatedServer, NodeRecord, ServerState
+
+BURN = 'burn'
+VERSION = 'version'
+
+_SERVING = frozenset((ServerState.READY, ServerState.PROBATION))
+
+
+class DirectoryCensus(Census):
+    """Counts servers by the directory of this node."""
+
+    def __init__(self, directory: Directory) -> None:
+        """Use a directory."""
+        self._directory = directory
+
+    def count(self, service: str) -> ServiceCount:
+        """Count the servers of a service."""
+        servers = self._directory.servers(service)
+        serving = [
+            located
+            for located in servers
+            if located.server.state is not ServerState.DRAINING
+        ]
+        return ServiceCount(len(servers), len(serving))
+
+
+@attrs.define
+class NodeView(FleetView):
+    """Reads the node's own state and asks its peers for theirs."""
+
+    directory: Directory
+    keeper: ConfigurationKeeper
+    poller: ConfigurationPoller
+    burn: BurnLedger
+    explainer: Explainer
+    link: PeerLink
+    clock: Clock
+
+    def status(self) -> FleetStatus:
+        """Give the state of the fleet as this node knows it."""
+        own = self.directory.own
+        current = self.keeper.current
+        nodes = self.directory.nodes()
+        unreachable = tuple(
+            node.node_id
+            for node in nodes
+            if not self.directory.is_reachable(node.node_id)
+        )
+        services = self._list_services()
+        return FleetStatus(
+            own.node_id,
+            str(own.state),
+            self.keeper.version,
+            current.change.author if current else '',
+            self.poller.store_up,
+            len(nodes),
+            unreachable,
+            services,
+            tuple(self._list_servers()),
+            tuple(self._warn(services, unreachable)),
+        )
+
+    def report(self) -> BurnReport:
+        """Collect the counts of all nodes and report on the targets."""
+        current = self.keeper.current
+        if current is None:
+            raise OperationRefusedError('no configuration is in force')
+        snapshots = [self.burn.snapshot()]
+        missing = []
+        for node in self._others():
+            try:
+                snapshots.append(self._fetch_burn(node))
+            except (LinkError, ProtocolError):
+                missing.append(node.node_id)
+        merged = merge_snapshots(snapshots)
+        return make_report(
+            current.declaration,
+            current.version,
+            merged,
+            tuple(missing),
+            self.clock.wall(),
+        )
+
+    def explain(self, subject: str) -> Explanation:
+        """Explain the treatment of a server, a request or the fleet."""
+        if subject:
+            return self.explainer.explain(subject)
+        return self.explainer.explain_fleet(self.status())
+
+    def configuration(self) -> ConfigurationView:
+        """Give the configuration in force at this node."""
+        current = self.keeper.current
+        if current is None:
+            return ConfigurationView(None, '')
+        return ConfigurationView(current.change, current.declaration.text)
+
+    def confirm(self, version: int) -> Confirmation:
+        """Ask every node for its configuration version."""
+        confirmed = []
+        missing = {}
+        if self.keeper.version >= version:
+            confirmed.append(self.directory.own.node_id)
+        for node in self._others():
+            try:
+                held = self.link.call(node.peer, VERSION)[VERSION]
+            except (LinkError, LookupError, TypeError):
+                missing[node.node_id] = 'no answer'
+                continue
+            if held >= version:
+                confirmed.append(node.node_id)
+            else:
+                missing[node.node_id] = f'version {held}'
+        return Confirmation(version, tuple(confirmed), missing)
+
+    def serve_burn(self, method: str, content: bytes) -> object:
+        """Answer a peer that collects a report."""
+        return snapshot_to_json(self.burn.snapshot())
+
+    def serve_version(self, method: str, content: bytes) -> object:
+        """Answer a peer that asks for the version in force."""
+        return {VERSION: self.keeper.version}
+
+    def _others(self) -> list[NodeRecord]:
+        own = self.directory.own.node_id
+        return [node for node in self.directory.nodes() if node.node_id != own]
+
+    def _fetch_burn(self, node: NodeRecord) -> BurnSnapshot:
+        return snapshot_from_json(self.link.call(node.peer, BURN))
+
+    def _list_services(self) -> tuple[ServiceStatus, ...]:
+        current = self.keeper.current
+        if current is None:
+            return ()
+        return tuple(
+            self._describe_service(name, current.declaration.services[name])
+            for name in sorted(current.declaration.services)
+        )
+
+    def _describe_service(self, name: str, service: object) -> ServiceStatus:
+        servers = self.directory.servers(name)
+        most_seen = self.directory.most_seen(name)
+        return ServiceStatus(
+            name,
+            service.floor.count_servers(most_seen),
+            len(servers),
+            sum(1 for located in servers if _is_serving(located)),
+        )
+
+    def _list_servers(self) -> Iterable[ServerStatus]:
+        for node in sorted(self.directory.nodes(), key=_node_id):
+            reachable = self.directory.is_reachable(node.node_id)
+            for server in node.servers:
+                state = str(server.state) if reachable else 'unreachable'
+                yield ServerStatus(
+                    node.node_id,
+                    server.name,
+                    server.service,
+                    node.region,
+                    node.failure_domain,
+                    state,
+                )
+
+    def _warn(
+        self,
+        services: Iterable[ServiceStatus],
+        unreachable: Iterable[str],
+    ) -> Iterable[str]:
+        if not self.poller.store_up:
+            yield 'the store is down; no configuration can be applied'
+        for service in services:
+            if service.serving < service.floor:
+                yield (
+                    f'service {service.name} has {service.serving} servers '
+                    f'in service, its floor is {service.floor}'
+                )
+        for node_id in unreachable:
+            yield f'node {node_id} is not reachable'
+
+
+def _node_id(node: NodeRecord) -> str:
+    return node.node_id
+
+
+def _is_serving(located: LocatedServer) -> bool:
+    return located.reachable and located.server.state in _SERVING
--- a/godwitknot/httpserver.py
+++ b/godwitknot/httpserver.py
@@ -1,6 +1,7 @@
 """HTTP servers of a node: cheroot with strict framing, run by cherrypy."""
 
 import collections
+import contextlib
 import re
 import socket
 from collections.abc import Callable
@@ -134,6 +135,33 @@
         )
         return listener
 
+    def close_listener(self) -> None:
+        """Accept no connection from now on; the open ones go on.
+
+        cheroot can only stop as a whole, so the listener is taken out of
+        its selector.
+        """
+        listener = self.socket
+        if listener is None:
+            return
+        with contextlib.suppress(KeyError, ValueError, OSError):
+            self._connections._selector.unregister(listener.fileno())
+        with contextlib.suppress(OSError):
+            listener.close()
+
+
+def prepare_engine() -> None:
+    """Take from the cherrypy engine what a node does not use.
+
+    That is the server on port 8080, reloading, signal handlers and lines in
+    the log for each step of the engine.
+    """
+    cherrypy.server.unsubscribe()
+    cherrypy.engine.autoreload.unsubscribe()
+    cherrypy.log.screen = False
+    cherrypy.log.error_log.propagate = False
+    cherrypy.log.access_log.propagate = False
+
 
 def subscribe_server(server: NodeServer) -> ServerAdapter:
     """Let the cherrypy engine start and stop a server.
--- a/godwitknot/ingress.py
+++ b/godwitknot/ingress.py
@@ -1,8 +1,10 @@
 """The ingress role: the WSGI application that callers speak to."""
 
+import abc
 import re
+import threading
 import uuid
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 import attrs
 
@@ -31,6 +33,7 @@
 _MILLISECONDS = 1000
 _REQUEST_ID = re.compile(r'^[A-Za-z0-9._-]{1,64}$')
 _MAX_ACCOUNT = 128
+_IDLE_POLL_SECONDS = 0.05
 _HTTP10 = 'HTTP/1.0'
 
 
@@ -47,18 +50,22 @@
     account_header: str
 
 
-@attrs.frozen
-class Ended:
-    """A request that has ended, for the accounting of service levels.
+class Accounting(abc.ABC):
+    """Gets each request that has ended."""
 
-    :param seconds: from the request line to the first byte of the answer.
-    :param code: refusal code, or ``None`` if a server answered.
-    """
+    @abc.abstractmethod
+    def note_end(
+        self,
+        job: Job,
+        status: int,
+        seconds: float,
+        refusal: RefusalError | None,
+    ) -> None:
+        """Count a request.
 
-    work_class: str
-    status: int
-    seconds: float
-    code: Code | None
+        :param seconds: from the request line to the head of the answer.
+        :param refusal: ``None`` if a server answered.
+        """
 
 
 OwnHandler = Callable[[Environ, str], tuple[int, object]]
@@ -71,18 +78,21 @@
         self,
         dispatcher: Dispatcher,
         serving: Callable[[], Serving | None],
-        record: Callable[[Ended], None],
+        accounting: Accounting,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         """Take the collaborators.
 
         :param serving: gives the configuration, ``None`` before the first.
-        :param record: gets each request that ended.
+        :param accounting: gets each request that ended.
         """
         self._dispatcher = dispatcher
         self._serving = serving
-        self._record = record
+        self._accounting = accounting
+        self._closing = False
+        self._active = 0
+        self._lock = threading.Lock()
         self._clock = clock
         self._metrics = metrics
         self._own: dict[str, OwnHandler] = {
@@ -90,6 +100,15 @@
             'ready': self._serve_ready,
         }
 
+    def start_closing(self) -> None:
+        """Ask callers to close their connections after their answers."""
+        self._closing = True
+
+    def wait_until_idle(self) -> None:
+        """Return when no request runs and no answer is passed on."""
+        while self._active:
+            threading.Event().wait(_IDLE_POLL_SECONDS)
+
     def add_handler(self, name: str, handler: OwnHandler) -> None:
         """Serve ``/.godwitknot/NAME`` to callers.
 
@@ -104,6 +123,15 @@
         start_response: StartResponse,
     ) -> Iterable[bytes]:
         """Answer one request."""
+        with self._lock:
+            self._active += 1
+        return _Counted(self._serve(environ, start_response), self._note_end)
+
+    def _serve(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
         path = environ['PATH_INFO']
         request_id = _read_request_id(environ)
         try:
@@ -113,6 +141,13 @@
         except RefusalError as refusal:
             self._metrics.count(f'ingress.refused.{refusal.code}')
             return respond_refusal(start_response, refusal, request_id)
+        except BaseException:
+            self._note_end()
+            raise
+
+    def _note_end(self) -> None:
+        with self._lock:
+            self._active -= 1
 
     def _serve_work(
         self,
@@ -128,17 +163,17 @@
             answer = self._run(job)
         except RefusalError as refusal:
             seconds = self._clock.now() - started
-            self._record(
-                Ended(name, refusal.status, seconds, refusal.code),
-            )
+            self._accounting.note_end(job, refusal.status, seconds, refusal)
             raise
         seconds = self._clock.now() - started
-        self._record(Ended(name, answer.status, seconds, None))
+        self._accounting.note_end(job, answer.status, seconds, None)
         self._metrics.time(f'ingress.{name}', seconds)
         fields = [
             (headers.REQUEST_ID, request_id),
             (headers.OUTCOME, str(answer.outcome)),
         ]
+        if self._closing:
+            fields.append(('Connection', 'close'))
         answer.headers = [
             (name, text)
             for name, text in answer.headers
@@ -223,6 +258,24 @@
         return _OK, {'status': 'ok', 'version': serving.version}
 
 
+@attrs.define(eq=False)
+class _Counted:
+    """A response that tells when the server is done with it."""
+
+    response: Iterable[bytes]
+    note_end: Callable[[], None]
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self.response)
+
+    def close(self) -> None:
+        """Close the response; the server calls it once."""
+        close = getattr(self.response, 'close', None)
+        if close is not None:
+            close()
+        self.note_end()
+
+
 def _read_request_id(environ: Environ) -> str:
     """Take the caller's request id if it is harmless, else make one."""
     given = environ.get('HTTP_X_REQUEST_ID', '')
--- /dev/null
+++ b/godwitknot/intake.py
@@ -0,0 +1,54 @@
+"""What the ingress of a node serves by, and how it accounts for it."""
+
+from godwitknot.burn import BurnLedger
+from godwitknot.configuration import ConfigurationKeeper
+from godwitknot.dispatch import Job
+from godwitknot.heads import Configuration
+from godwitknot.ingress import Accounting, Serving
+from godwitknot.outcomes import RefusalError
+from godwitknot.refusals import RefusalLog
+from godwitknot.routes import RouteTable
+
+
+class ServingConfiguration:
+    """Compiles the routes of each configuration that comes into force."""
+
+    def __init__(self, keeper: ConfigurationKeeper) -> None:
+        """Follow a keeper."""
+        self._serving: Serving | None = None
+        keeper.subscribe(self._compile)
+
+    def current(self) -> Serving | None:
+        """Give what is served by, ``None`` before the first."""
+        return self._serving
+
+    def _compile(self, configuration: Configuration) -> None:
+        declaration = configuration.declaration
+        self._serving = Serving(
+            configuration.version,
+            RouteTable(declaration),
+            declaration.fleet.account_header,
+        )
+
+
+class NodeAccounting(Accounting):
+    """Counts ends of requests and keeps the refusals."""
+
+    def __init__(self, burn: BurnLedger, refusals: RefusalLog) -> None:
+        """Take the ledgers."""
+        self._burn = burn
+        self._refusals = refusals
+
+    def note_end(
+        self,
+        job: Job,
+        status: int,
+        seconds: float,
+        refusal: RefusalError | None,
+    ) -> None:
+        """Count a request."""
+        work = job.route.work
+        code = None if refusal is None else refusal.code
+        self._burn.note(work, status, seconds, code)
+        if refusal is not None:
+            self._refusals.add(job.request_id, work.name, refusal)
--- /dev/null
+++ b/godwitknot/node.py
@@ -0,0 +1,255 @@
+"""One node: builds its parts, connects them, starts and stops them."""
+
+import functools
+import signal
+import sys
+import threading
+
+import cherrypy
+
+from godwitknot.attempts import AttemptLog
+from godwitknot.burn import BurnLedger
+from godwitknot.clock import SystemClock
+from godwitknot.configcopies import CONFIGURATION, ConfigurationCopies
+from godwitknot.configuration import ConfigurationKeeper
+from godwitknot.controlplane import ControlPlane
+from godwitknot.declaration import Declaration
+from godwitknot.dispatch import Dispatcher
+from godwitknot.drain import DrainDesk
+from godwitknot.errors import SupersededError
+from godwitknot.evidence import DecisionLog
+from godwitknot.explainer import DECISIONS, Explainer
+from godwitknot.fleetview import BURN, VERSION, DirectoryCensus, NodeView
+from godwitknot.heads import Configuration
+from godwitknot.httpserver import (
+    NodeServer,
+    prepare_engine,
+    subscribe_server,
+)
+from godwitknot.ingress import IngressApp
+from godwitknot.intake import NodeAccounting, ServingConfiguration
+from godwitknot.keys import FleetKeys
+from godwitknot.logs import configure_logs, log_event
+from godwitknot.metrics import Metrics
+from godwitknot.nodeoperations import STOP, NodeOperations
+from godwitknot.operatorapi import make_application
+from godwitknot.peerapp import PeerApp
+from godwitknot.peerlink import PeerLink
+from godwitknot.poller import ConfigurationPoller
+from godwitknot.records import NodeState
+from godwitknot.refusals import RefusalLog
+from godwitknot.registry import NodeRegistry
+from godwitknot.serverchoice import DirectoryChooser
+from godwitknot.serverset import ServerSet
+from godwitknot.settings import NodeSettings
+from godwitknot.sidecar import Sidecar
+from godwitknot.storeclient import HttpObjectStore, HttpTableService
+from godwitknot.units import Address
+
+# The default of 5 ms shows in the 99th percentile of the added time.
+_SWITCH_SECONDS = 0.0005
+_FIRST_TRY_SECONDS = 0.2
+# Longer than a siblings' round of promises, shorter than the usual patience
+# of a supervisor that ends processes.
+_FLOOR_PATIENCE_SECONDS = 10.0
+
+
+class Node:
+    """A running node."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        """Build all parts; nothing listens before :meth:`start`."""
+        self._settings = settings
+        self._clock = SystemClock()
+        self.metrics = Metrics(settings.node.statsd)
+        self._keys = FleetKeys(settings.current_key, settings.keys)
+        store = settings.store
+        tables = HttpTableService(store.tables, store.timeout)
+        objects = HttpObjectStore(store.objects, store.timeout)
+        self._registry = NodeRegistry(tables)
+        self.keeper = ConfigurationKeeper(
+            tables, objects, self._keys, self._clock, self.metrics
+        )
+        self._serving = ServingConfiguration(self.keeper)
+        self._poller = ConfigurationPoller(
+            self.keeper, settings.node.poll_interval, self.metrics
+        )
+        self.plane = ControlPlane(
+            settings,
+            self._keys,
+            self._clock,
+            self.metrics,
+            self._find_declaration,
+        )
+        self.link = PeerLink(self._keys, self._clock, self.metrics)
+        self._decisions = DecisionLog(self._clock)
+        self.servers = ServerSet(
+            settings,
+            self.plane,
+            self._decisions,
+            self._clock,
+            self.metrics,
+            self._find_declaration,
+        )
+        self._stopping = threading.Event()
+        self._copies = ConfigurationCopies(
+            self.plane.directory, self.keeper, self.link, self.metrics
+        )
+        self._build_applications()
+        self.keeper.subscribe(self._spread_version)
+        listeners = self.plane.gossip.listeners
+        listeners.config.append(self._copies.hear_version)
+        listeners.superseded.append(self._give_way)
+
+    def start(self) -> None:
+        """Listen, join the fleet and get a configuration."""
+        self._listen()
+        own = self.plane.directory.own.peer
+        seeds = [*self._settings.node.seeds, *self._registry.find_seeds()]
+        others = tuple(seed for seed in seeds if seed != own)
+        self.plane.start(others)
+        self.servers.start()
+        threading.Thread(
+            target=self._get_ready, args=(others,), daemon=True
+        ).start()
+
+    def run(self) -> None:
+        """Serve until a signal asks to stop, then stop gracefully."""
+        signal.signal(signal.SIGTERM, self._ask_to_stop)
+        signal.signal(signal.SIGINT, self._ask_to_stop)
+        self.start()
+        self._stopping.wait()
+        self.stop()
+
+    def stop(self) -> None:
+        """Finish all requests, tell the fleet and end."""
+        log_event('node stopping', node=self._settings.node.id)
+        self._poller.stop()
+        self._finish_work()
+        self.plane.announce_node(NodeState.GONE)
+        self.servers.stop()
+        self.plane.stop()
+        cherrypy.engine.exit()
+        log_event('node stopped', node=self._settings.node.id)
+
+    def _finish_work(self) -> None:
+        self.plane.announce_node(NodeState.DRAINING)
+        self._ingress.start_closing()
+        # The peer port stays open: other nodes still ask about attempts.
+        self._ingress_server.close_listener()
+        self._drains.stop_all(_FLOOR_PATIENCE_SECONDS)
+        self._ingress.wait_until_idle()
+
+    def _build_applications(self) -> None:
+        node = self._settings.node
+        directory = self.plane.directory
+        attempts = AttemptLog(self._clock)
+        self._sidecar = Sidecar(
+            directory.own.incarnation,
+            self.servers.supervisors,
+            attempts,
+            self.metrics,
+        )
+        burn = BurnLedger(node.id, self._clock)
+        refusals = RefusalLog(self._clock)
+        self._dispatcher = Dispatcher(
+            DirectoryChooser(directory, self._clock),
+            self.link,
+            self._sidecar,
+            self._clock,
+            self.metrics,
+        )
+        self._ingress = IngressApp(
+            self._dispatcher,
+            self._serving.current,
+            NodeAccounting(burn, refusals),
+            self._clock,
+            self.metrics,
+        )
+        self._drains = DrainDesk(self.servers.supervisors, self.plane.floor)
+        explainer = Explainer(
+            directory,
+            self._decisions,
+            refusals,
+            self.plane.crashes,
+            self.link,
+        )
+        view = NodeView(
+            directory,
+            self.keeper,
+            self._poller,
+            burn,
+            explainer,
+            self.link,
+            self._clock,
+        )
+        operations = NodeOperations(
+            directory,
+            self.keeper,
+            DirectoryCensus(directory),
+            self._drains,
+            self.link,
+        )
+        peer = PeerApp(self._sidecar, self._keys, self._clock, self.metrics)
+        peer.add_handler(BURN, view.serve_burn)
+        peer.add_handler(VERSION, view.serve_version)
+        peer.add_handler(DECISIONS, explainer.serve_decisions)
+        peer.add_handler(STOP, operations.serve_stop)
+        peer.add_handler(CONFIGURATION, self._copies.serve)
+        operator = make_application(
+            view, operations, node.operator_token, self.metrics
+        )
+        self._ingress_server = NodeServer(node.ingress, self._ingress)
+        self._http = [
+            self._ingress_server,
+            NodeServer(node.peer, peer),
+            NodeServer(node.operator, operator),
+        ]
+
+    def _listen(self) -> None:
+        prepare_engine()
+        for server in self._http:
+            subscribe_server(server)
+        cherrypy.engine.start()
+
+    def _get_ready(self, seeds: tuple[Address, ...]) -> None:
+        """Get the first configuration from the store or from peers."""
+        fetch = functools.partial(self._copies.fetch_all, seeds)
+        while not self.keeper.start(fetch):
+            if self._stopping.wait(_FIRST_TRY_SECONDS):
+                return
+            if self._poller.store_up:
+                break
+        self._registry.write(self.plane.directory.own)
+        self._poller.start()
+        while self.keeper.current is None:
+            if self._stopping.wait(_FIRST_TRY_SECONDS):
+                return
+        self.plane.announce_node(NodeState.READY)
+        log_event('node ready', node=self._settings.node.id)
+
+    def _spread_version(self, configuration: Configuration) -> None:
+        self.plane.gossip.set_config_version(configuration.version)
+
+    def _find_declaration(self) -> Declaration | None:
+        current = self.keeper.current
+        return None if current is None else current.declaration
+
+    def _give_way(self, error: SupersededError) -> None:
+        log_event('node id in use elsewhere', detail=str(error))
+        self._stopping.set()
+
+    def _ask_to_stop(self, number: int, frame: object) -> None:
+        if self._stopping.is_set():
+            sys.exit(1)
+        self._stopping.set()
+
+
+def run_node(settings: NodeSettings) -> None:
+    """Run a node until a signal stops it.
+
+    :param settings: checked settings.
+    """
+    sys.setswitchinterval(_SWITCH_SECONDS)
+    configure_logs(settings.node.log_format)
+    Node(settings).run()
--- /dev/null
+++ b/godwitknot/nodeoperations.py
@@ -0,0 +1,136 @@
+"""Changes to the fleet that an operator makes through one node."""
+
+import json
+
+import attrs
+
+from godwitknot.census import Census
+from godwitknot.configuration import ConfigurationKeeper
+from godwitknot.drain import DrainDesk
+from godwitknot.errors import OperationRefusedError
+from godwitknot.heads import Change
+from godwitknot.members import Directory
+from godwitknot.operations import (
+    Operations,
+    Plan,
+    StopProgress,
+    StopTarget,
+    resolve_target,
+)
+from godwitknot.peerlink import LinkError, PeerLink
+
+STOP = 'stop'
+_STOP_SECONDS = 5.0
+
+
+@attrs.define
+class NodeOperations(Operations):
+    """Applies declarations and starts planned stops, here or at a peer."""
+
+    directory: Directory
+    keeper: ConfigurationKeeper
+    census: Census
+    drains: DrainDesk
+    link: PeerLink
+
+    def plan(self, text: str) -> Plan:
+        """Compare a declaration with the one in force."""
+        return self.keeper.plan(text, self.census)
+
+    def apply(
+        self,
+        text: str,
+        expected_version: int,
+        apply_id: str,
+        author: str,
+    ) -> Change:
+        """Bring a declaration into force."""
+        return self.keeper.accept(
+            text, expected_version, apply_id, author, self.census
+        )
+
+    def stop(self, target: str, author: str) -> StopProgress:
+        """Start a planned stop; for one that runs, give its progress."""
+        return self._stop(target, author, begin=True)
+
+    def watch_stop(self, target: str) -> StopProgress:
+        """Give the progress of a planned stop without starting one."""
+        return self._stop(target, '', begin=False)
+
+    def serve_stop(self, method: str, content: bytes) -> object:
+        """Answer a peer whose operator stops a server of this node."""
+        order = json.loads(content)
+        try:
+            progress = self._stop_own(
+                StopTarget(order['node'], order['server']),
+                order['author'],
+                begin=order['begin'],
+            )
+        except OperationRefusedError as refused:
+            return {'refused': str(refused)}
+        return attrs.asdict(progress)
+
+    def _stop(self, text: str, author: str, *, begin: bool) -> StopProgress:
+        target = resolve_target(text, self.directory.nodes())
+        if target.node_id == self.directory.own.node_id:
+            return self._stop_own(target, author, begin=begin)
+        return self._stop_at_peer(target, author, begin=begin)
+
+    def _stop_at_peer(
+        self,
+        target: StopTarget,
+        author: str,
+        *,
+        begin: bool,
+    ) -> StopProgress:
+        order = {
+            'node': target.node_id,
+            'server': target.server,
+            'author': author,
+            'begin': begin,
+        }
+        peer = self.directory.node(target.node_id).peer
+        try:
+            answer = self.link.call(peer, STOP, order, _STOP_SECONDS)
+        except LinkError as error:
+            raise OperationRefusedError(
+                f'node {target.node_id} does not answer',
+            ) from error
+        refused = answer.get('refused')
+        if refused is not None:
+            raise OperationRefusedError(refused)
+        return StopProgress(**answer)
+
+    def _stop_own(
+        self,
+        target: StopTarget,
+        author: str,
+        *,
+        begin: bool,
+    ) -> StopProgress:
+        """Stop one server, or all servers of this node."""
+        names = [target.server]
+        if not target.server:
+            names = [server.name for server in self.directory.own.servers]
+        if begin:
+            for name in names:
+                self.drains.begin(name, author)
+        found = [self.drains.progress(name) for name in names]
+        state = _combine({status.state for status in found})
+        detail = ''
+        if state == 'waiting':
+            detail = 'stay promises of other servers of the service'
+        return StopProgress(
+            str(target),
+            state,
+            sum(status.running for status in found),
+            detail,
+        )
+
+
+def _combine(states: set[str]) -> str:
+    """Give the state of several stops: the one furthest from its end."""
+    for state in ('waiting', 'draining'):
+        if state in states:
+            return state
+    return min(states, default='gone')
--- /dev/null
+++ b/godwitknot/probes.py
@@ -0,0 +1,48 @@
+"""Health probes of a backend server: the lesser witness of its state."""
+
+from godwitknot.clock import Clock
+from godwitknot.connections import ChannelPool
+from godwitknot.errors import GodwitknotError
+from godwitknot.exchange import Call, Exchange
+from godwitknot.relay import BufferedBody
+from godwitknot.units import Address
+
+_TIMEOUT_SECONDS = 1.0
+_OK = 200
+
+
+class Probe:
+    """Asks a server for its health on a new connection each time."""
+
+    def __init__(self, address: Address, path: str, clock: Clock) -> None:
+        """Prepare.
+
+        :param path: of the health endpoint.
+        """
+        self._pool = ChannelPool(address, clock, most_idle=0)
+        self._path = path
+        self._clock = clock
+
+    def check(self) -> bool:
+        """Tell whether the server says that it is healthy."""
+        return self._ask() == _OK
+
+    def connects(self) -> bool:
+        """Tell whether the server answers at all, in whatever way."""
+        return self._ask() is not None
+
+    def _ask(self) -> int | None:
+        deadline = self._clock.now() + _TIMEOUT_SECONDS
+        call = Call('GET', self._path, [], BufferedBody(), deadline)
+        try:
+            exchange = Exchange(self._pool, self._pool.take(), self._clock)
+            exchange.send(call)
+            response = exchange.wait(call, _TIMEOUT_SECONDS, _wait_on)
+        except (OSError, GodwitknotError):
+            return None
+        exchange.abort()
+        return response.status
+
+
+def _wait_on() -> None:
+    """Wait until the deadline."""
--- /dev/null
+++ b/godwitknot/serverchoice.py
@@ -0,0 +1,117 @@
+"""Choice of servers from the directory, for the dispatch of requests."""
+
+import threading
+
+from godwitknot.chooser import ServerChooser, Target, Wish
+from godwitknot.clock import Clock
+from godwitknot.contacts import ContactBook, ReportedLoad
+from godwitknot.declaration import RegionRule
+from godwitknot.members import Directory
+from godwitknot.records import LocatedServer, NodeRecord
+from godwitknot.relay import Load
+from godwitknot.selection import Need, RegionBudget, Selector
+
+
+class DirectoryChooser(ServerChooser):
+    """Keeps the contacts of one ingress up to date with the directory."""
+
+    def __init__(self, directory: Directory, clock: Clock) -> None:
+        """Start with the servers that the directory knows."""
+        self._directory = directory
+        self._book = ContactBook(directory.own, clock)
+        self._budget = RegionBudget(clock)
+        self._selector = Selector(self._book, self._budget)
+        self._lock = threading.Lock()
+        self._services: dict[str, frozenset[str]] = {}
+        directory.subscribe(self._update)
+        for node in directory.nodes():
+            self._update(node)
+
+    def choose(self, wish: Wish) -> Target | None:
+        """Pick a server, or ``None`` if there is none left to try."""
+        need = Need(
+            wish.service,
+            repeatable=wish.repeatable,
+            remaining=wish.remaining,
+            any_region=wish.regions is RegionRule.ANY,
+            tried=frozenset(wish.tried),
+        )
+        choice = self._selector.choose(need)
+        if choice is None:
+            return None
+        return self._make_target(
+            choice.contact.located,
+            last_resort=choice.last_resort,
+            crosses_region=choice.crosses_region,
+        )
+
+    def locate(self, node_id: str, server: str) -> Target | None:
+        """Find a server by name, whatever its state."""
+        node = self._directory.node(node_id)
+        if node is None:
+            return None
+        record = node.find_server(server)
+        if record is None:
+            return None
+        return self._make_target(
+            LocatedServer(node, record, reachable=True),
+            crosses_region=node.region != self._directory.own.region,
+        )
+
+    def note_sent(self, target: Target) -> None:
+        """Count a request as outstanding."""
+        self._book.note_sent(target.key)
+
+    def note_ended(self, target: Target, load: Load | None) -> None:
+        """End an outstanding request."""
+        report = None
+        if load is not None:
+            report = ReportedLoad(
+                load.running, load.queued, load.slots, load.share
+            )
+        self._book.note_done(target.key, report)
+
+    def note_refused(self, target: Target) -> None:
+        """Avoid a server for a moment."""
+        self._book.note_refused(target.key)
+
+    def note_link_failed(self, target: Target) -> None:
+        """Avoid a node, longer after each failure."""
+        self._book.note_link_failed(target.node_id)
+
+    def note_bytes(self, target: Target, amount: int) -> None:
+        """Charge bytes to the link between regions if it was used."""
+        if target.crosses_region:
+            self._budget.charge(amount)
+
+    def _make_target(
+        self,
+        located: LocatedServer,
+        *,
+        last_resort: bool = False,
+        crosses_region: bool = False,
+    ) -> Target:
+        node = located.node
+        return Target(
+            node.node_id,
+            node.incarnation,
+            located.server.name,
+            located.server.service,
+            node.peer,
+            local=node.node_id == self._directory.own.node_id,
+            last_resort=last_resort,
+            crosses_region=crosses_region,
+        )
+
+    def _update(self, record: NodeRecord) -> None:
+        """Choose the contacts anew for the services of a changed node."""
+        now_served = frozenset(server.service for server in record.servers)
+        with self._lock:
+            before = self._services.get(record.node_id, frozenset())
+            self._services[record.node_id] = now_served
+            for service in before | now_served:
+                servers = self._directory.servers(service)
+                self._book.update(service, servers)
+            own = self._directory.own.region
+            regions = [node.region for node in self._directory.nodes()]
+            self._budget.set_region_nodes(regions.count(own))
--- /dev/null
+++ b/godwitknot/serverset.py
@@ -0,0 +1,100 @@
+"""Builds the supervisors of the backend servers behind a node."""
+
+import functools
+from collections.abc import Callable
+
+from godwitknot.clock import Clock
+from godwitknot.controlplane import ControlPlane
+from godwitknot.declaration import Declaration, Weighing
+from godwitknot.ejections import ServerHealth
+from godwitknot.evidence import DecisionLog
+from godwitknot.metrics import Metrics
+from godwitknot.outliers import OutlierPolicy, SequentialPolicy
+from godwitknot.probes import Probe
+from godwitknot.records import ServerState
+from godwitknot.settings import NodeSettings, ServerSection
+from godwitknot.supervisor import Supervisor
+from godwitknot.upstream import UpstreamServer
+
+_HEALTH_PATH = '/health'
+
+
+class ServerSet:
+    """The supervisors of one node, by server name."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        plane: ControlPlane,
+        decisions: DecisionLog,
+        clock: Clock,
+        metrics: Metrics,
+        declaration: Callable[[], Declaration | None],
+    ) -> None:
+        """Build one supervisor for each server of the settings."""
+        self._plane = plane
+        self._decisions = decisions
+        self._clock = clock
+        self._metrics = metrics
+        self._declaration = declaration
+        self.supervisors = {
+            section.name: self._build(section) for section in settings.servers
+        }
+
+    def start(self) -> None:
+        """Start to watch the servers."""
+        for supervisor in self.supervisors.values():
+            supervisor.start()
+
+    def stop(self) -> None:
+        """Stop to watch the servers."""
+        for supervisor in self.supervisors.values():
+            supervisor.stop()
+
+    def _build(self, section: ServerSection) -> Supervisor:
+        plane = self._plane
+        policy = self._make_policy(section)
+        health = ServerHealth(
+            section.name,
+            section.service,
+            policy,
+            plane.keeper,
+            self._decisions,
+            self._clock,
+        )
+        plane.healths[section.name] = health
+        supervisor = Supervisor(
+            plane.directory.own.node_id,
+            health,
+            policy,
+            plane.siblings,
+            plane.board,
+            Probe(section.address, _HEALTH_PATH, self._clock),
+            self._clock,
+            self._metrics,
+        )
+        supervisor.upstream = UpstreamServer(section, self._clock, supervisor)
+        health.listeners.append(functools.partial(self._announce, supervisor))
+        return supervisor
+
+    def _announce(self, supervisor: Supervisor, state: ServerState) -> None:
+        name = supervisor.upstream.section.name
+        if state is ServerState.EJECTED:
+            self._plane.siblings.forget_server(name)
+        self._metrics.count(f'server.{state}')
+        self._plane.announce_server(name, state, supervisor.incarnation)
+
+    def _make_policy(self, section: ServerSection) -> OutlierPolicy:
+        return SequentialPolicy(
+            self._clock,
+            functools.partial(
+                self._plane.siblings.baseline, section.service, section.name
+            ),
+            self._find_weighing,
+        )
+
+    def _find_weighing(self, work_class: str) -> Weighing:
+        declaration = self._declaration()
+        if declaration is None or work_class not in declaration.classes:
+            return Weighing.BALANCED
+        return declaration.classes[work_class].weigh
--- a/godwitknot/sidecar.py
+++ b/godwitknot/sidecar.py
@@ -10,7 +10,7 @@
 from godwitknot.metrics import Metrics
 from godwitknot.outcomes import Code, Outcome, RefusalError
 from godwitknot.relay import RelayAnswer, RelayRequest
-from godwitknot.upstream import UpstreamServer
+from godwitknot.supervisor import Supervisor
 
 
 class Sidecar:
@@ -19,7 +19,7 @@
     def __init__(
         self,
         incarnation: int,
-        servers: Mapping[str, UpstreamServer],
+        servers: Mapping[str, Supervisor],
         attempts: AttemptLog,
         metrics: Metrics,
     ) -> None:
@@ -68,20 +68,27 @@
 
     def _run(
         self,
-        server: UpstreamServer,
+        server: Supervisor,
         request: RelayRequest,
         caller: socket.socket | None,
     ) -> RelayAnswer:
+        server.admit(request)
         # A request that may not run twice runs to its end, so that a resend
         # gets its answer.
         watched = None if request.tag.never_repeat else caller
-        return server.run(request, watched, _always_send)
+        try:
+            answer = server.upstream.run(request, watched, _always_send)
+        except RefusalError as refusal:
+            if refusal.outcome is Outcome.NOT_RUN:
+                server.health.note_unsent()
+            raise
+        return attrs.evolve(answer, load=server.load())
 
-    def _find_server(self, request: RelayRequest) -> UpstreamServer:
+    def _find_server(self, request: RelayRequest) -> Supervisor:
         if request.incarnation != self._incarnation:
             raise RefusalError(Code.WRONG_INCARNATION)
         server = self._servers.get(request.server)
-        if server is None or server.section.service != request.service:
+        if server is None or server.upstream.section.service != request.service:
             raise RefusalError(Code.WRONG_INCARNATION)
         return server
 
--- /dev/null
+++ b/godwitknot/summaries.py
@@ -0,0 +1,69 @@
+"""Exchanges statistics with the siblings of the own servers."""
+
+import random
+import threading
+
+from godwitknot.members import Directory
+from godwitknot.messages import Summary
+from godwitknot.records import NodeRecord
+from godwitknot.siblings import SiblingStatistics, exchange_seconds
+from godwitknot.transport import Endpoint
+from godwitknot.units import Address
+
+_SIBLINGS_PER_ROUND = 3
+
+
+class SummaryExchange:
+    """A thread that sends summaries to a few random siblings."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        endpoint: Endpoint,
+        siblings: SiblingStatistics,
+    ) -> None:
+        """Listen for summaries."""
+        self._directory = directory
+        self._endpoint = endpoint
+        self._siblings = siblings
+        self._random = random.Random()
+        self._stopped = threading.Event()
+        endpoint.subscribe(Summary, self._hear)
+
+    def start(self) -> None:
+        """Start the thread."""
+        threading.Thread(
+            target=self._run, name='summaries', daemon=True
+        ).start()
+
+    def stop(self) -> None:
+        """Let the thread end."""
+        self._stopped.set()
+
+    def send_round(self) -> None:
+        """Send one summary for each own service."""
+        services = {server.service for server in self._directory.own.servers}
+        for service in services:
+            summary = self._siblings.compose(service)
+            if not summary.servers:
+                continue
+            for node in self._draw_nodes(service):
+                self._endpoint.send(node.peer, summary)
+
+    def _draw_nodes(self, service: str) -> list[NodeRecord]:
+        own = self._directory.own.node_id
+        nodes = {
+            located.node.node_id: located.node
+            for located in self._directory.servers(service)
+            if located.reachable and located.node.node_id != own
+        }
+        most = min(len(nodes), _SIBLINGS_PER_ROUND)
+        return self._random.sample(list(nodes.values()), most)
+
+    def _run(self) -> None:
+        servers = len(self._directory.own.servers)
+        while not self._stopped.wait(exchange_seconds(servers)):
+            self.send_round()
+
+    def _hear(self, sender: str, address: Address, summary: Summary) -> None:
+        self._siblings.merge(summary)
--- /dev/null
+++ b/godwitknot/supervisor.py
@@ -0,0 +1,197 @@
+"""Watches one backend server: probes, evidence, crashes and its state."""
+
+import abc
+import threading
+import types
+
+import attrs
+
+from godwitknot.clock import Clock
+from godwitknot.crashes import compute_fingerprint
+from godwitknot.ejections import ServerHealth
+from godwitknot.execution import Result, RunEnd
+from godwitknot.messages import CrashReport
+from godwitknot.metrics import Metrics
+from godwitknot.outcomes import Code, RefusalError
+from godwitknot.outliers import OutlierPolicy, Sample
+from godwitknot.probes import Probe
+from godwitknot.records import ServerState
+from godwitknot.relay import BufferedBody, Load, RelayRequest
+from godwitknot.siblings import SiblingStatistics
+from godwitknot.upstream import RunObserver, UpstreamServer
+
+_STEP_SECONDS = 0.1
+_START_PROBE_SECONDS = 0.25
+# A server without work is probed this often.
+_IDLE_PROBE_SECONDS = 5.0
+_REFUSAL_CODES = types.MappingProxyType(
+    {
+        ServerState.STARTING: Code.NOT_READY,
+        ServerState.DRAINING: Code.DRAINING,
+        ServerState.GONE: Code.DRAINING,
+    }
+)
+
+
+class CrashBoard(abc.ABC):
+    """Where crashes and successes of requests are reported."""
+
+    @abc.abstractmethod
+    def report_crash(self, report: CrashReport) -> None:
+        """Tell the fleet which requests were in flight at a crash."""
+
+    @abc.abstractmethod
+    def report_success(self, service: str, fingerprint: int) -> None:
+        """Tell the fleet that a suspected request ran without harm."""
+
+
+def fingerprint_request(request: RelayRequest) -> int:
+    """Give the fingerprint of a request; a streamed body counts as empty."""
+    body = request.body
+    content = body.content if isinstance(body, BufferedBody) else b''
+    return compute_fingerprint(
+        request.service, request.method, request.target, content
+    )
+
+
+@attrs.define(eq=False)
+class Supervisor(RunObserver):
+    """Collects evidence about one server and steps its health.
+
+    One thread runs :meth:`watch`; runs report from their own threads.
+    """
+
+    node_id: str
+    health: ServerHealth
+    policy: OutlierPolicy
+    siblings: SiblingStatistics
+    board: CrashBoard
+    probe: Probe
+    clock: Clock
+    metrics: Metrics
+    upstream: UpstreamServer = attrs.field(init=False)
+    incarnation: int = 0
+    _stopped: threading.Event = attrs.field(factory=threading.Event)
+    _closed: bool = False
+    _last_work: float = 0
+    _next_probe: float = 0
+    _down: threading.Lock = attrs.field(factory=threading.Lock)
+
+    def start(self) -> None:
+        """Start the thread."""
+        name = f'supervisor-{self.upstream.section.name}'
+        threading.Thread(target=self.watch, name=name, daemon=True).start()
+
+    def stop(self) -> None:
+        """Let the thread end."""
+        self._stopped.set()
+
+    def close(self) -> None:
+        """Take no request from now on, whatever the state is."""
+        self._closed = True
+
+    def admit(self, request: RelayRequest) -> None:
+        """Check whether the server takes a request now.
+
+        :raises RefusalError: as not run, if not.
+        """
+        accepted = not self._closed and self.health.accepts(
+            repeatable=not request.tag.never_repeat,
+            last_resort=request.last_resort,
+        )
+        if accepted:
+            return
+        if self._closed:
+            raise RefusalError(Code.DRAINING, retry_after=1)
+        code = _REFUSAL_CODES.get(self.health.state, Code.EJECTED)
+        raise RefusalError(code, retry_after=1)
+
+    def load(self) -> Load:
+        """Give the load with the ramp share."""
+        return attrs.evolve(self.upstream.load(), share=self.health.share())
+
+    def note_sent(self, request: RelayRequest, *, fresh: bool) -> None:
+        """Begin to count the time of a request."""
+        self._last_work = self.clock.now()
+        self.policy.begin(
+            request.attempt_id, request.tag.name, fresh_connection=fresh
+        )
+
+    def note_result(self, result: Result) -> None:
+        """Weigh a finished run."""
+        request = result.request
+        if result.end is RunEnd.ABANDONED:
+            self.policy.abandon(request.attempt_id)
+            self.health.note_unsent()
+            return
+        if result.end in {RunEnd.LOST, RunEnd.REFUSED}:
+            self._examine_crash()
+        sample = Sample(
+            request.tag.name,
+            result.seconds,
+            result.failed,
+            result.fresh,
+            result.started,
+            timed_out=result.end is RunEnd.TIMED_OUT,
+            request_id=request.attempt_id,
+        )
+        self.health.observe(sample)
+        self.siblings.note(
+            request.service,
+            self.upstream.section.name,
+            request.tag.name,
+            result.seconds,
+            failed=result.failed,
+        )
+        if not result.failed:
+            self.board.report_success(
+                request.service, fingerprint_request(request)
+            )
+
+    def watch(self) -> None:
+        """Probe and decide until stopped."""
+        while not self._stopped.wait(_STEP_SECONDS):
+            self.upstream.free_slots()
+            self._probe_if_due()
+            self.health.step()
+
+    def _probe_if_due(self) -> None:
+        now = self.clock.now()
+        if now < self._next_probe:
+            return
+        if self.health.state is ServerState.STARTING:
+            self._next_probe = now + _START_PROBE_SECONDS
+            if self.probe.check():
+                self.health.note_started()
+            return
+        if now - self._last_work < _IDLE_PROBE_SECONDS:
+            return
+        self._next_probe = now + _IDLE_PROBE_SECONDS
+        self.metrics.count('sidecar.probes')
+        if not self.probe.check():
+            self._examine_crash()
+
+    def _examine_crash(self) -> None:
+        """Find out whether the server is down, and report what it ran."""
+        running = self.upstream.running()
+        with self._down:
+            if self.health.state is ServerState.STARTING:
+                return
+            if self.probe.connects():
+                return
+            self.health.note_crashed()
+        self.upstream.forget_connections()
+        self.incarnation += 1
+        self.metrics.count('sidecar.server_crashes')
+        fingerprints = {fingerprint_request(request) for request, _ in running}
+        if not fingerprints:
+            return
+        self.board.report_crash(
+            CrashReport(
+                self.upstream.section.service,
+                self.node_id,
+                self.upstream.section.name,
+                self.incarnation,
+                tuple(sorted(fingerprints)),
+            ),
+        )
--- a/godwitknot/upstream.py
+++ b/godwitknot/upstream.py
@@ -61,6 +61,13 @@
         with self._lock:
             return list(self._running.values())
 
+    def count_active(self) -> int:
+        """Count requests that wait, run or whose answer is passed on."""
+        with self._lock:
+            passed_on = len(self._bodies)
+        counted = self.gate.load()
+        return max(passed_on, counted.running + counted.queued)
+
     def load(self) -> Load:
         """Give the load that this node counts."""
         counted = self.gate.load()
--- a/standins/commands.py
+++ b/standins/commands.py
@@ -5,7 +5,10 @@
 import typer
 
 from godwitknot.units import parse_address
+from standins.backend import FakeServer, FakeServerHost
+from standins.cutter import Cutter, serve_control
 from standins.platform import serve_platform
+from standins.waiting import wait_for_signal
 
 app = typer.Typer(no_args_is_help=True, add_completion=False)
 
@@ -25,6 +28,40 @@
     serve_platform(parse_address(address))
 
 
+@app.command('backend')
+def run_backends(
+    server: Annotated[
+        list[str],
+        typer.Option(help='A fake server as NAME=IP:PORT; may be repeated.'),
+    ],
+    service_ms: Annotated[
+        float, typer.Option(help='Mean service time in milliseconds.')
+    ] = 10,
+    seed: Annotated[int, typer.Option(help='Seed of random numbers.')] = 0,
+) -> None:
+    """Serve fake backend servers."""
+    host = FakeServerHost()
+    for text in server:
+        name, _, address = text.partition('=')
+        fake = FakeServer(name, 4, service_ms / 1000, seed)
+        host.add(fake, parse_address(address))
+    wait_for_signal()
+    host.stop()
+
+
+@app.command('cutter')
+def run_cutter(
+    address: Annotated[str, typer.Option(help='Where to listen.')],
+    target: Annotated[str, typer.Option(help='Where to relay to.')],
+    control: Annotated[str, typer.Option(help='Where to take orders.')],
+) -> None:
+    """Relay TCP and UDP, and lose one direction when told to."""
+    cutter = Cutter(parse_address(address), parse_address(target))
+    cutter.start()
+    serve_control(cutter, parse_address(control))
+    wait_for_signal()
+
+
 def main() -> None:
     """Run the command line."""
     app()
--- a/standins/cutter.py
+++ b/standins/cutter.py
@@ -6,11 +6,14 @@
 """
 
 import contextlib
+import json
 import socket
 import threading
+from collections.abc import Callable, Iterable
 
 import attrs
 
+from godwitknot.httpserver import NodeServer
 from godwitknot.units import Address
 
 _CHUNK_BYTES = 65536
@@ -146,3 +149,31 @@
 
 def _run(target: object, *args: object) -> None:
     threading.Thread(target=target, args=args, daemon=True).start()
+
+
+class _Control:
+    """Takes orders over HTTP: a JSON object with what is to be lost."""
+
+    def __init__(self, cutter: Cutter) -> None:
+        self._cutter = cutter
+
+    def __call__(
+        self,
+        environ: dict,
+        start_response: Callable,
+    ) -> Iterable[bytes]:
+        """Follow one order."""
+        order = json.loads(environ['wsgi.input'].read())
+        self._cutter.cut_forward = bool(order.get('forward'))
+        self._cutter.cut_backward = bool(order.get('backward'))
+        if order.get('silence'):
+            self._cutter.silence_open()
+        start_response('200 OK', [('Content-Length', '0')])
+        return []
+
+
+def serve_control(cutter: Cutter, address: Address) -> None:
+    """Take orders for a cutter at an address, in a thread."""
+    server = NodeServer(address, _Control(cutter))
+    server.prepare()
+    _run(server.serve)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -194,6 +194,7 @@
     bound = (address.host, address.port)
     servers.ServerAdapter(engine, server, bound).subscribe()
     engine.autoreload.unsubscribe()
+    cherrypy.server.unsubscribe()
     engine.signals.subscribe()
     engine.start()
     engine.block()
--- a/tests/dataplane.py
+++ b/tests/dataplane.py
@@ -11,7 +11,7 @@
 from godwitknot.declaration import parse_declaration
 from godwitknot.dispatch import Dispatcher
 from godwitknot.httpserver import NodeServer
-from godwitknot.ingress import IngressApp, Serving
+from godwitknot.ingress import Accounting, IngressApp, Serving
 from godwitknot.keys import FleetKeys
 from godwitknot.metrics import Metrics
 from godwitknot.peerapp import PeerApp
@@ -102,6 +102,16 @@
         self._results.append(result)
 
 
+class Ends(Accounting):
+    """Collects the ends of requests."""
+
+    def __init__(self, ends):
+        self._ends = ends
+
+    def note_end(self, job, status, seconds, refusal):
+        self._ends.append((job, status, refusal))
+
+
 class DataPlane:
     """One ingress, and a node with one fake server for each name."""
 
@@ -127,7 +137,7 @@
         self.ingress = IngressApp(
             self.dispatcher,
             lambda: serving,
-            self.ended.append,
+            Ends(self.ended),
             self.clock,
             self.metrics,
         )
