--- a/godwitknot/outliers.py
+++ b/godwitknot/outliers.py
@@ -33,8 +33,9 @@
         Weighing.CAUTION: math.log(10**10),
     },
 )
-# Refuses stay promises and takes no probation traffic from here on.
-_SUSPECT_STRENGTH = 0.5
+# A suspect server refuses stay promises. One or two slow requests suffice, so
+# that servers that all slow down at once refuse each other from the start.
+_SUSPECT_STRENGTH = 0.25
 
 
 @attrs.frozen
