--- a/godwitknot/siblings.py
+++ b/godwitknot/siblings.py
@@ -12,7 +12,7 @@
 from godwitknot.clock import Clock
 from godwitknot.messages import ServerSummary, Summary
 
-_WINDOW_SECONDS = 5.0
+_WINDOW_SECONDS = 10.0
 _WINDOW_SAMPLES = 512
 # Older summaries may be from before an overload began.
 _STALE_SECONDS = 15.0
