--- a/godwitknot/outliers.py
+++ b/godwitknot/outliers.py
@@ -33,9 +33,9 @@
         Weighing.CAUTION: math.log(10**10),
     },
 )
-# A suspect server refuses stay promises. One or two slow requests suffice, so
-# that servers that all slow down at once refuse each other from the start.
-_SUSPECT_STRENGTH = 0.25
+# A suspect server refuses stay promises. Two slow requests suffice, so that
+# servers that all slow down at once refuse each other early.
+_SUSPECT_STRENGTH = 0.35
 
 
 @attrs.frozen
