--- a/godwitknot/outliers.py
+++ b/godwitknot/outliers.py
@@ -36,6 +36,11 @@
 # A suspect server refuses stay promises. Two slow requests suffice, so that
 # servers that all slow down at once refuse each other early.
 _SUSPECT_STRENGTH = 0.35
+# A baseline that moved lately mixes times from before and after a general
+# trouble, so each server looks bad against it.
+_SETTLING_SECONDS = 12.0
+_SETTLED_FACTOR = 1.5
+_SETTLED_ERRORS = 0.1
 
 
 @attrs.frozen
@@ -116,6 +121,14 @@
     started: float
 
 
+@attrs.frozen
+class _Past:
+    """Baseline at a moment."""
+
+    at: float
+    baseline: Baseline
+
+
 @attrs.define
 class _ClassRecord:
     """Samples and scores of one class against one baseline."""
@@ -126,6 +139,24 @@
     baseline: Baseline | None = None
     slow: float = 0
     errors: float = 0
+    past: collections.deque[_Past] = attrs.field(factory=collections.deque)
+
+    def is_settled(self, kind: EvidenceKind) -> bool:
+        """Tell whether the siblings stayed the same for a window."""
+        if not self.past:
+            return True
+        if kind is EvidenceKind.ERRORS:
+            shares = [each.baseline.error_share for each in self.past]
+            return max(shares) <= _SETTLED_ERRORS + min(shares)
+        medians = [each.baseline.median for each in self.past]
+        return max(medians) <= _SETTLED_FACTOR * min(medians)
+
+    def follow_baseline(self, now: float) -> None:
+        """Note the present baseline and forget what was before a window."""
+        if self.baseline is not None:
+            self.past.append(_Past(now, self.baseline))
+        while self.past and self.past[0].at < now - _SETTLING_SECONDS:
+            self.past.popleft()
 
     def add(self, sample: Sample) -> None:
         self.samples.append(sample)
@@ -217,6 +248,7 @@
             for work_class, record in self._classes.items():
                 baseline = self._baseline_of(work_class)
                 record.rescore(baseline, now - _SAMPLE_AGE_SECONDS)
+                record.follow_baseline(now)
 
     def verdict(self) -> Verdict:
         """Judge by the strongest evidence of any class."""
@@ -232,7 +264,7 @@
             return Verdict()
         return Verdict(
             strongest.strength >= _SUSPECT_STRENGTH,
-            strongest.strength >= 1,
+            strongest.strength >= 1 and self._may_eject(strongest),
             strongest,
         )
 
@@ -249,6 +281,11 @@
             self._classes.clear()
             self._sent.clear()
 
+    def _may_eject(self, evidence: Evidence) -> bool:
+        """Hold back while the siblings themselves become better or worse."""
+        record = self._classes.get(evidence.work_class)
+        return record is not None and record.is_settled(evidence.kind)
+
     def _record(self, work_class: str) -> _ClassRecord:
         record = self._classes.get(work_class)
         if record is None:
--- a/tests/godwitknot/test_outliers.py
+++ b/tests/godwitknot/test_outliers.py
@@ -102,6 +102,16 @@
     assert not judged.policy.verdict().suspect
 
 
+def test_nobody_is_ejected_while_the_baseline_moves():
+    """Guards against ejections against a mix of old and new times."""
+    judged = Judged()
+    judged.feed(10)
+    judged.baseline = Baseline(0.1, 0.024, 0, 7)
+    judged.policy.tick(judged.clock.now())
+    assert judged.feed(15, factor=8) is None
+    assert judged.feed(20, factor=8) is not None
+
+
 def test_no_baseline_no_verdict():
     assert Judged(baseline=None).feed(100, error_share=1) is None
 
