Redeem idempotency keys at the ingress and the sidecar

Requests of never-repeat classes reached a server without a check of their key, so a resend ran again.

KeyDispatcher routes an issued key to the process that it names or to its heir and follows one transfer; a caller-chosen key goes to any sidecar. Redemption joins, replays or runs at the sidecar and reads small answers whole, so that the record is complete when the caller has left. Only the owner of a key reports "not run", and not while an earlier attempt of the same call may still arrive. Answers of claims are written to their rows in the background. A refusal relayed by a sidecar no longer counts as a bad link to its node.

--- a/godwitknot/claims.py
+++ b/godwitknot/claims.py
@@ -35,6 +35,7 @@
 _LAST_POLL_SECONDS = 1.0
 _RETRY_SECONDS = 1
 _MAX_PENDING = 1000
+_FLUSH_SECONDS = 1.0
 _MAX_UNSENT = 10_000
 _NEVER = float('inf')
 
@@ -68,6 +69,7 @@
         )
         self._pending: collections.deque[Write] = collections.deque()
         self._lock = threading.Lock()
+        self._queued = threading.Event()
 
     def begin(self, request: ClaimRequest) -> 'ClaimPermit | Answer':
         """Claim the key, or replay the answer of its first request.
@@ -89,7 +91,7 @@
             raise
 
     def flush(self) -> None:
-        """Write the answers that the store has not taken; call regularly."""
+        """Write the queued answers, as far as the store takes them."""
         with self._lock:
             waiting = tuple(self._pending)
         for write in waiting:
@@ -100,12 +102,20 @@
                     self._pending.remove(write)
 
     def record(self, write: Write) -> None:
-        """Write an answer to its row, now or when the store is back."""
-        if self._try_record(write):
-            return
+        """Queue an answer for its row; the caller need not wait for it."""
         with self._lock:
             if len(self._pending) < _MAX_PENDING:
                 self._pending.append(write)
+        self._queued.set()
+
+    def write_answers(self, stopped: threading.Event) -> None:
+        """Write queued answers until told to stop; runs in a thread."""
+        while not stopped.is_set():
+            self._queued.wait(_FLUSH_SECONDS)
+            self._queued.clear()
+            self.flush()
+            if self._pending:
+                stopped.wait(_FLUSH_SECONDS)
 
     def give_back(self, write: Write, claim_id: str) -> None:
         """Release a claim that was proved unsent.
@@ -236,7 +246,7 @@
         :param claim: the write that made the claim.
         """
         super().__init__(permit.table, permit.run, permit.deadline)
-        self._desk = desk
+        self.desk = desk
         self._claim = claim
 
     def finish(self, answer: Answer) -> None:
@@ -244,7 +254,7 @@
         if self.ended:
             return
         super().finish(answer)
-        self._desk.record(
+        self.desk.record(
             self._follow(ClaimState.ANSWERED, format_answer(answer)),
         )
 
@@ -252,7 +262,7 @@
         """Release the claim of a request that certainly did not run."""
         if self.ended:
             return
-        self._desk.give_back(
+        self.desk.give_back(
             self._follow(ClaimState.RELEASED, {}), self._claim.write_id
         )
         super().release()
--- a/godwitknot/dispatch.py
+++ b/godwitknot/dispatch.py
@@ -33,6 +33,7 @@
     :param deadline: on the node's clock, seconds.
     :param caller: socket of the caller.
     :param key: idempotency key, empty if none.
+    :param moved_key: issued key that carries the right of ``key``.
     """
 
     method: str
@@ -45,6 +46,7 @@
     deadline: float
     caller: socket.socket | None
     key: str = ''
+    moved_key: str = ''
 
     @property
     def tag(self) -> ClassTag:
@@ -148,7 +150,8 @@
             answer = self._relay(job, target, request)
         except RefusalError as refusal:
             self._chooser.note_ended(target, None)
-            lost = refusal.code in _LINK_CODES and not target.local
+            by_sidecar = target.local or refusal.relayed
+            lost = refusal.code in _LINK_CODES and not by_sidecar
             self._chooser.note_link(target, reached=not lost)
             raise
         self._chooser.note_link(target, reached=True)
@@ -264,6 +267,7 @@
         deadline=job.deadline,
         key=job.key,
         last_resort=last_resort,
+        moved_key=job.moved_key,
     )
 
 
--- a/godwitknot/errors.py
+++ b/godwitknot/errors.py
@@ -139,9 +139,5 @@
     """An issued idempotency key is malformed, forged or expired."""
 
 
-class HeirNamedError(GodwitknotError):
-    """The idempotency records may already be with another heir."""
-
-
 class SupersededError(GodwitknotError):
     """Another process with this node id and a later incarnation runs."""
--- a/godwitknot/headers.py
+++ b/godwitknot/headers.py
@@ -12,6 +12,9 @@
 ACCOUNT = 'X-Godwitknot-Account'
 MAC = 'X-Godwitknot-Mac'
 LAST_RESORT = 'X-Godwitknot-Last-Resort'
+# Issued key that carries a transferred right: on the request to its new
+# owner, and on the refusal by the old one.
+MOVED_KEY = 'X-Godwitknot-Moved-Key'
 OUTCOME = 'X-Godwitknot-Outcome'
 CODE = 'X-Godwitknot-Code'
 LOAD = 'X-Godwitknot-Load'
--- a/godwitknot/hop.py
+++ b/godwitknot/hop.py
@@ -29,6 +29,7 @@
     headers.ACCOUNT,
     headers.LAST_RESORT,
     headers.IDEMPOTENCY_KEY,
+    headers.MOVED_KEY,
 )
 _SERVICE_SEPARATOR = '/'
 
@@ -97,6 +98,7 @@
         headers.INCARNATION: str(request.incarnation),
         headers.ACCOUNT: request.account,
         headers.IDEMPOTENCY_KEY: request.key,
+        headers.MOVED_KEY: request.moved_key,
     }
     if request.last_resort:
         fields[headers.LAST_RESORT] = 'yes'
@@ -150,6 +152,7 @@
         deadline=clock.now() + left,
         key=key,
         last_resort=bool(headers.find_header(pairs, headers.LAST_RESORT)),
+        moved_key=headers.find_header(pairs, headers.MOVED_KEY),
     )
 
 
@@ -179,6 +182,8 @@
             Code(code),
             Outcome(headers.find_header(pairs, headers.OUTCOME)),
             int(retry_after) if retry_after else None,
+            relayed=True,
+            moved_key=headers.find_header(pairs, headers.MOVED_KEY),
         )
     except ValueError as error:
         raise ProtocolError('unknown refusal') from error
--- a/godwitknot/idempotency.py
+++ b/godwitknot/idempotency.py
@@ -5,7 +5,7 @@
 from cattrs.preconf.json import make_converter
 
 from godwitknot.clock import Clock
-from godwitknot.errors import HeirNamedError, ProtocolError
+from godwitknot.errors import OperationRefusedError, ProtocolError
 from godwitknot.outcomes import Code, Outcome, RefusalError
 from godwitknot.runs import (
     LOST_ANSWER,
@@ -94,12 +94,14 @@
         the heir answers "may have run". Repeats give the same content.
 
         :param heir: the only process that may adopt it.
-        :raises HeirNamedError: if another heir was named and may have
-            adopted the content.
+        :raises OperationRefusedError: if another heir was named and may
+            have adopted the content.
         """
         with self._table.changed:
             if self._heir not in {None, heir}:
-                raise HeirNamedError(self._heir.node_id)
+                raise OperationRefusedError(
+                    f'{self._heir.node_id} may already be the heir',
+                )
             self._heir = heir
             self._table.closed = True
             self._table.changed.notify_all()
--- a/godwitknot/ingress.py
+++ b/godwitknot/ingress.py
@@ -10,6 +10,7 @@
 from godwitknot.clock import Clock
 from godwitknot.dispatch import Dispatcher, Job
 from godwitknot.httpserver import SOCKET_KEY
+from godwitknot.keydispatch import KeyDispatcher
 from godwitknot.metrics import Metrics
 from godwitknot.outcomes import Code, Outcome, RefusalError
 from godwitknot.relay import RelayAnswer, read_body
@@ -74,10 +75,13 @@
         record: Callable[[Ended], None],
         clock: Clock,
         metrics: Metrics,
+        keyed: KeyDispatcher | None = None,
     ) -> None:
         """Take the collaborators.
 
         :param serving: gives the configuration, ``None`` before the first.
+        :param keyed: runs requests of never-repeat classes, which are
+            refused without it.
         :param record: gets each request that ended.
         """
         self._dispatcher = dispatcher
@@ -85,10 +89,13 @@
         self._record = record
         self._clock = clock
         self._metrics = metrics
+        self._keyed = keyed
         self._own: dict[str, OwnHandler] = {
             'health': self._serve_health,
             'ready': self._serve_ready,
         }
+        if keyed is not None:
+            self.add_handler('keys', keyed.serve_issue)
 
     def add_handler(self, name: str, handler: OwnHandler) -> None:
         """Serve ``/.godwitknot/NAME`` to callers.
@@ -148,7 +155,11 @@
         return respond_answer(start_response, answer, fields, http10=http10)
 
     def _run(self, job: Job) -> RelayAnswer:
-        return self._dispatcher.run(job)
+        if not job.key:
+            return self._dispatcher.run(job)
+        if self._keyed is None:
+            raise RefusalError(Code.NOT_READY, Outcome.MAY_HAVE_RUN)
+        return self._keyed.run(job)
 
     def _read_job(
         self,
--- /dev/null
+++ b/godwitknot/keydispatch.py
@@ -0,0 +1,231 @@
+"""Sends requests with idempotency keys to the sidecar that may run them."""
+
+import time
+from collections.abc import Callable
+from urllib.parse import parse_qs
+
+import attrs
+
+from godwitknot.chooser import ServerChooser, Target, Wish
+from godwitknot.clock import Clock
+from godwitknot.declaration import RegionRule
+from godwitknot.dispatch import Dispatcher, Job
+from godwitknot.errors import TicketError
+from godwitknot.outcomes import Code, Outcome, RefusalError
+from godwitknot.records import NodeRecord, NodeState, ServerState
+from godwitknot.relay import RelayAnswer
+from godwitknot.tickets import (
+    DEFAULT_LIFETIME_SECONDS,
+    Owner,
+    Ticket,
+    TicketOffice,
+    is_ticket,
+)
+from godwitknot.wsgi import Environ
+
+_MOST_SENDS = 4
+_PAUSE_SECONDS = 0.05
+_MOST_HEIRS = 8
+_CREATED = 201
+_NOT_ALLOWED = 405
+_ISSUE_PATIENCE_SECONDS = 10.0
+
+NodeFinder = Callable[[str], NodeRecord | None]
+
+
+class OwnerFinder:
+    """Finds the process that may redeem an issued key."""
+
+    def __init__(self, own_id: str, find_node: NodeFinder) -> None:
+        """Use the directory.
+
+        :param own_id: id of this node.
+        :param find_node: gives the record of a node by id.
+        """
+        self._own_id = own_id
+        self._find_node = find_node
+
+    def find(self, ticket: Ticket) -> Target:
+        """Give the server to send a request with this key to.
+
+        :raises RefusalError: if its owner ended without a known heir.
+        """
+        node = self._find_node(ticket.owner.node_id)
+        if node is None or node.incarnation != ticket.owner.incarnation:
+            raise _owner_gone()
+        for _ in range(_MOST_HEIRS):
+            if not node.heir:
+                break
+            node = self._find_node(node.heir)
+            if node is None:
+                raise _owner_gone()
+        if node.state is NodeState.GONE:
+            raise _owner_gone()
+        return Target(
+            node.node_id,
+            node.incarnation,
+            _find_server(node, ticket),
+            ticket.service,
+            node.peer,
+            node.node_id == self._own_id,
+        )
+
+
+@attrs.define
+class _Doubt:
+    """Whether an attempt of this request may still arrive and run."""
+
+    present: bool = False
+
+    def conclude(self, refusal: RefusalError) -> RefusalError:
+        """Give the refusal for the caller.
+
+        Only the owner of the key knows that it did not run, and only if
+        no attempt is still on its way.
+        """
+        if refusal.outcome is Outcome.NOT_RUN and self.present:
+            return attrs.evolve(refusal, outcome=Outcome.MAY_HAVE_RUN)
+        return refusal
+
+
+class KeyDispatcher:
+    """Routes requests with idempotency keys; repeats are safe here."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        chooser: ServerChooser,
+        office: TicketOffice,
+        owners: OwnerFinder,
+        clock: Clock,
+    ) -> None:
+        """Take the collaborators."""
+        self._dispatcher = dispatcher
+        self._chooser = chooser
+        self._office = office
+        self._owners = owners
+        self._clock = clock
+
+    def run(self, job: Job) -> RelayAnswer:
+        """Run a request at most once, or learn what became of it.
+
+        :raises RefusalError: with what is known about the key.
+        """
+        if is_ticket(job.key):
+            return self._redeem(job)
+        return self._claim(job)
+
+    def serve_issue(self, environ: Environ, account: str) -> tuple[int, object]:
+        """Serve ``POST /.godwitknot/keys?service=S``.
+
+        :raises RefusalError: if no server of the service is known.
+        """
+        if environ['REQUEST_METHOD'] != 'POST':
+            return _NOT_ALLOWED, {}
+        query = parse_qs(environ.get('QUERY_STRING', ''))
+        service = query.get('service', [''])[0]
+        wish = Wish(service, RegionRule.ANY, (), _ISSUE_PATIENCE_SECONDS)
+        target = self._chooser.choose(wish)
+        if target is None:
+            raise RefusalError(Code.NO_SERVER, retry_after=1)
+        owner = Owner(target.node_id, target.incarnation)
+        key = self._office.issue(owner, target.server, service, account)
+        return _CREATED, {'key': key, 'seconds': DEFAULT_LIFETIME_SECONDS}
+
+    def _redeem(self, job: Job) -> RelayAnswer:
+        ticket = self._read(job.key)
+        if ticket.account != job.account:
+            raise RefusalError(Code.KEY_INVALID, Outcome.MAY_HAVE_RUN)
+        doubt = _Doubt()
+        for sends in range(_MOST_SENDS):
+            self._pause(job, sends)
+            target = self._owners.find(ticket)
+            try:
+                return self._dispatcher.send_once(job, target)
+            except RefusalError as refusal:
+                last = refusal
+            if last.moved_key:
+                job = attrs.evolve(job, moved_key=last.moved_key)
+                ticket = self._read(last.moved_key)
+                continue
+            if _is_certain(last, target):
+                raise doubt.conclude(last)
+            # The owner can be asked again: it joins or replays.
+            doubt.present = True
+        raise doubt.conclude(last)
+
+    def _claim(self, job: Job) -> RelayAnswer:
+        doubt = _Doubt()
+        tried: set[tuple[str, str]] = set()
+        last = RefusalError(Code.NO_SERVER, Outcome.MAY_HAVE_RUN, 1)
+        for sends in range(_MOST_SENDS):
+            self._pause(job, sends)
+            target = self._choose(job, tried)
+            if target is None:
+                break
+            tried.add(target.key)
+            try:
+                return self._dispatcher.send_once(job, target)
+            except RefusalError as refusal:
+                last = refusal
+            if not _is_certain(last, target):
+                doubt.present = doubt.present or _may_arrive(last)
+                last = attrs.evolve(last, outcome=Outcome.MAY_HAVE_RUN)
+                continue
+            restarted = last.code is Code.WRONG_INCARNATION
+            if last.outcome is not Outcome.NOT_RUN and not restarted:
+                raise doubt.conclude(last)
+        raise doubt.conclude(last)
+
+    def _choose(self, job: Job, tried: set[tuple[str, str]]) -> Target | None:
+        remaining = job.deadline - self._clock.now()
+        if remaining <= 0:
+            return None
+        work = job.route.work
+        wish = Wish(job.route.service, work.regions, tried, remaining)
+        target = self._chooser.choose(wish)
+        if target is not None or tried:
+            return target
+        return self._chooser.choose(attrs.evolve(wish, last_resort=True))
+
+    def _read(self, key: str) -> Ticket:
+        try:
+            return self._office.read(key)
+        except TicketError as error:
+            raise RefusalError(
+                Code.KEY_INVALID, Outcome.MAY_HAVE_RUN, detail=str(error)
+            ) from error
+
+    def _pause(self, job: Job, sends: int) -> None:
+        if not sends:
+            return
+        left = job.deadline - self._clock.now()
+        if left <= 0:
+            raise RefusalError(Code.DEADLINE_PASSED, Outcome.MAY_HAVE_RUN)
+        time.sleep(min(left, _PAUSE_SECONDS * sends))
+
+
+def _is_certain(refusal: RefusalError, target: Target) -> bool:
+    """Tell whether the sidecar itself refused, not the way to it."""
+    return target.local or refusal.relayed
+
+
+def _may_arrive(refusal: RefusalError) -> bool:
+    return refusal.outcome is not Outcome.NOT_RUN
+
+
+def _owner_gone() -> RefusalError:
+    return RefusalError(Code.KEY_OWNER_GONE, Outcome.MAY_HAVE_RUN)
+
+
+def _find_server(node: NodeRecord, ticket: Ticket) -> str:
+    """Prefer the server that the key names, if it is still there."""
+    names = [
+        server.name
+        for server in node.servers
+        if server.service == ticket.service
+        and server.state is not ServerState.GONE
+    ]
+    if ticket.server in names or not names:
+        return ticket.server
+    return names[0]
--- a/godwitknot/outcomes.py
+++ b/godwitknot/outcomes.py
@@ -37,6 +37,7 @@
     KEY_INVALID = 'idempotency-key-invalid'
     KEY_REUSED = 'idempotency-key-reused'
     KEY_OWNER_GONE = 'idempotency-key-owner-gone'
+    KEY_MOVED = 'idempotency-key-moved'
     ANSWER_NOT_KEPT = 'answer-not-kept'
     STORE_DOWN = 'store-down'
     CLAIM_LAPSED = 'claim-lapsed'
@@ -55,6 +56,7 @@
         Code.KEY_INVALID: 400,
         Code.KEY_REUSED: 422,
         Code.KEY_OWNER_GONE: 409,
+        Code.KEY_MOVED: 409,
         Code.ANSWER_NOT_KEPT: 409,
         Code.CLAIM_LAPSED: 409,
         Code.BODY_TOO_LARGE: 413,
@@ -77,12 +79,18 @@
     :param outcome: whether the request ran; ``NOT_RUN`` only where proved.
     :param retry_after: seconds until a retry is useful, or ``None``.
     :param detail: one sentence for a person.
+    :param relayed: whether the sidecar of another node said so, in
+        contrast to what the ingress found out about the hop.
+    :param moved_key: issued key that carries the right from now on, set
+        with ``KEY_MOVED``.
     """
 
     code: Code
     outcome: Outcome = Outcome.NOT_RUN
     retry_after: int | None = None
     detail: str = ''
+    relayed: bool = False
+    moved_key: str = attrs.field(default='', repr=False)
 
     @property
     def status(self) -> int:
--- a/godwitknot/peerapp.py
+++ b/godwitknot/peerapp.py
@@ -106,6 +106,8 @@
             answer = self._sidecar.relay(request, environ[SOCKET_KEY])
         except RefusalError as refusal:
             fields = [(headers.ATTEMPT, attempt_id)]
+            if refusal.moved_key:
+                fields.append((headers.MOVED_KEY, refusal.moved_key))
             return respond_refusal(start_response, refusal, request_id, fields)
         except ProtocolError as error:
             self._metrics.count('peer.malformed')
@@ -119,11 +121,12 @@
         environ: Environ,
         pairs: headers.Pairs,
     ) -> hop.RelayRequest:
+        key = headers.find_header(pairs, headers.IDEMPOTENCY_KEY)
         body = read_body(
             environ['wsgi.input'],
             read_length(environ),
             _BODY_LIMIT_BYTES,
-            whole=False,
+            whole=bool(key),
         )
         return hop.decode_request(
             environ['REQUEST_METHOD'],
--- a/godwitknot/relay.py
+++ b/godwitknot/relay.py
@@ -217,6 +217,7 @@
     :param incarnation: of the node that is meant.
     :param deadline: on the local clock, in seconds.
     :param key: idempotency key, empty if none.
+    :param moved_key: issued key that carries the right of ``key``.
     :param last_resort: no other server had room.
     """
 
@@ -234,6 +235,7 @@
     deadline: float
     key: str = ''
     last_resort: bool = False
+    moved_key: str = ''
 
 
 @attrs.define
--- a/godwitknot/runs.py
+++ b/godwitknot/runs.py
@@ -127,7 +127,7 @@
         self.run = run
         self.table = table
         self.deadline = deadline
-        self._sent = False
+        self.sent = False
         self.ended = False
 
     def __enter__(self) -> 'Permit':
@@ -143,7 +143,7 @@
         """End the run if it is still open."""
         if self.ended:
             return
-        if self._sent:
+        if self.sent:
             self.finish(LOST_ANSWER)
         else:
             self.release()
@@ -162,7 +162,7 @@
         """
         if self.ended or self.table.clock.now() >= self.deadline:
             raise RefusalError(Code.CLAIM_LAPSED, Outcome.MAY_HAVE_RUN)
-        self._sent = True
+        self.sent = True
 
     def finish(self, answer: Answer) -> None:
         """Record the answer of the server, or that it was lost."""
--- a/godwitknot/sidecar.py
+++ b/godwitknot/sidecar.py
@@ -9,6 +9,7 @@
 from godwitknot.attempts import AttemptLog, AttemptState
 from godwitknot.metrics import Metrics
 from godwitknot.outcomes import Code, Outcome, RefusalError
+from godwitknot.redemption import Redemption
 from godwitknot.relay import RelayAnswer, RelayRequest
 from godwitknot.upstream import UpstreamServer
 
@@ -22,16 +23,20 @@
         servers: Mapping[str, UpstreamServer],
         attempts: AttemptLog,
         metrics: Metrics,
+        redemption: Redemption | None = None,
     ) -> None:
         """Take the servers.
 
         :param incarnation: of this node.
         :param servers: by name.
+        :param redemption: runs requests of never-repeat classes, which
+            are refused without it.
         """
         self._incarnation = incarnation
         self._servers = servers
         self._attempts = attempts
         self._metrics = metrics
+        self._redemption = redemption
 
     def relay(
         self,
@@ -74,16 +79,23 @@
     ) -> RelayAnswer:
         # A request that may not run twice runs to its end, so that a resend
         # gets its answer.
-        watched = None if request.tag.never_repeat else caller
-        return server.run(request, watched, _always_send)
+        if not request.tag.never_repeat:
+            return server.run(request, caller, _always_send)
+        if self._redemption is None or not request.key:
+            raise RefusalError(Code.NOT_READY, Outcome.MAY_HAVE_RUN)
+        send = functools.partial(server.run, request, None)
+        return self._redemption.run(request, send)
 
     def _find_server(self, request: RelayRequest) -> UpstreamServer:
-        if request.incarnation != self._incarnation:
-            raise RefusalError(Code.WRONG_INCARNATION)
         server = self._servers.get(request.server)
-        if server is None or server.section.service != request.service:
-            raise RefusalError(Code.WRONG_INCARNATION)
-        return server
+        current = request.incarnation == self._incarnation
+        if current and server is not None:
+            if server.section.service == request.service:
+                return server
+        # Another process may have run a request of this key.
+        keyed = bool(request.key)
+        outcome = Outcome.MAY_HAVE_RUN if keyed else Outcome.NOT_RUN
+        raise RefusalError(Code.WRONG_INCARNATION, outcome)
 
     def _end(self, attempt_id: str, close: Callable[[], None]) -> None:
         close()
--- a/tests/dataplane.py
+++ b/tests/dataplane.py
@@ -7,21 +7,34 @@
 
 from godwitknot.attempts import AttemptLog
 from godwitknot.chooser import ServerChooser, Target
+from godwitknot.claims import ClaimDesk
 from godwitknot.clock import SystemClock
 from godwitknot.declaration import parse_declaration
 from godwitknot.dispatch import Dispatcher
 from godwitknot.httpserver import NodeServer
+from godwitknot.idempotency import IdempotencyBook
 from godwitknot.ingress import IngressApp, Serving
+from godwitknot.keydispatch import KeyDispatcher, OwnerFinder
 from godwitknot.keys import FleetKeys
 from godwitknot.metrics import Metrics
 from godwitknot.peerapp import PeerApp
 from godwitknot.peerlink import PeerLink
+from godwitknot.records import (
+    NodeRecord,
+    NodeState,
+    ServerRecord,
+    ServerState,
+)
+from godwitknot.redemption import Redemption, Sibling
 from godwitknot.routes import RouteTable
 from godwitknot.settings import ServerSection
 from godwitknot.sidecar import Sidecar
+from godwitknot.tickets import Owner, TicketOffice
 from godwitknot.units import Address
 from godwitknot.upstream import UpstreamServer
+from godwitknot.writebudget import WriteBudget
 from standins.backend import FakeServer, FakeServerHost
+from standins.tables import MemoryTables
 
 DECLARATION = """
 [fleet]
@@ -96,6 +109,10 @@
         self.keys = FleetKeys('k1', {'k1': b'0123456789abcdef'})
         self.host = FakeServerHost()
         self.results = []
+        self.tables = MemoryTables()
+        self.office = TicketOffice(self.keys, self.clock)
+        self.nodes = {}
+        self.books = {}
         self.ended = []
         self.upstreams = {}
         self._servers = []
@@ -115,6 +132,13 @@
             self.ended.append,
             self.clock,
             self.metrics,
+            KeyDispatcher(
+                self.dispatcher,
+                self.chooser,
+                self.office,
+                OwnerFinder('n-ingress', self.nodes.get),
+                self.clock,
+            ),
         )
         self._serve(self.ingress_address, self.ingress)
 
@@ -151,13 +175,55 @@
         upstream = UpstreamServer(section, self.clock, self.results.append)
         self.upstreams[name] = upstream
         self.sidecar = Sidecar(
-            1, {name: upstream}, AttemptLog(self.clock), self.metrics
+            1,
+            {name: upstream},
+            AttemptLog(self.clock),
+            self.metrics,
+            self._make_redemption(name),
         )
         address = free_address()
+        self._note_node(name, address)
         app = PeerApp(self.sidecar, self.keys, self.clock, self.metrics)
         self._serve(address, app)
         return Target(f'n-{name}', 1, name, 'shop', address, local)
 
+    def _note_node(self, name, address):
+        server = ServerRecord(name, 'shop', 4, 1, ServerState.READY)
+        self.nodes[f'n-{name}'] = NodeRecord(
+            f'n-{name}',
+            1,
+            1,
+            'region',
+            'domain',
+            address,
+            address,
+            NodeState.READY,
+            (server,),
+        )
+
+    def _make_redemption(self, name):
+        owner = Owner(f'n-{name}', 1)
+        book = IdempotencyBook(owner, self.clock)
+        self.books[name] = book
+        budget = WriteBudget(1000, self.clock)
+        desk = ClaimDesk(owner, self.tables, self.clock, budget)
+        threading.Thread(
+            target=desk.write_answers, args=(self._stopped,), daemon=True
+        ).start()
+        return Redemption(
+            self.office,
+            book,
+            desk,
+            lambda service: self._find_sibling(name),
+            self.clock,
+        )
+
+    def _find_sibling(self, name):
+        for other in self.books:
+            if other != name:
+                return Sibling(Owner(f'n-{other}', 1), other)
+        return None
+
     def _serve(self, address, app):
         server = NodeServer(address, app)
         server.error_log = lambda *args, **kwargs: None
--- a/tests/godwitknot/test_claims.py
+++ b/tests/godwitknot/test_claims.py
@@ -72,6 +72,7 @@
 def run(permit):
     permit.before_send()
     permit.finish(DONE)
+    permit.desk.flush()
 
 
 def test_another_sidecar_replays_the_first_answer(platform):
--- a/tests/godwitknot/test_idempotency.py
+++ b/tests/godwitknot/test_idempotency.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from godwitknot.clock import ManualClock
-from godwitknot.errors import HeirNamedError, ProtocolError
+from godwitknot.errors import OperationRefusedError, ProtocolError
 from godwitknot.idempotency import IdempotencyBook, Moved
 from godwitknot.outcomes import Code, Outcome, RefusalError
 from godwitknot.runs import (
@@ -182,7 +182,7 @@
     records = book()
     other = Owner('n3', 1)
     content = records.export(HEIR)
-    with pytest.raises(HeirNamedError):
+    with pytest.raises(OperationRefusedError):
         records.export(other)
     stranger = IdempotencyBook(other, ManualClock())
     assert refusal(lambda: stranger.adopt(content))[0] is Code.WRONG_INCARNATION
@@ -293,7 +293,7 @@
 
     def hand_over(self, which):
         place, heir = self.owners[which], self.owners[1 - which]
-        with contextlib.suppress(RefusalError, HeirNamedError):
+        with contextlib.suppress(RefusalError, OperationRefusedError):
             content = self.books[place].export(heir)
             self.books[heir].adopt(content)
 
--- /dev/null
+++ b/tests/godwitknot/test_keydispatch.py
@@ -0,0 +1,178 @@
+import json
+
+import attrs
+import pytest
+import urllib3
+
+from godwitknot.records import NodeState
+from godwitknot.tickets import Owner
+from standins.cutter import Cutter
+from standins.faults import Faults
+from tests.dataplane import free_address, running_plane
+
+
+@pytest.fixture
+def plane():
+    with running_plane() as running:
+        yield running
+
+
+def issue(plane, account='acme'):
+    answer = urllib3.request(
+        'POST',
+        f'{plane.url}/.godwitknot/keys?service=shop',
+        headers={'X-Account': account},
+    )
+    assert answer.status == 201
+    return answer.json()['key']
+
+
+def reserve(plane, key, body=b'slot 7', account='acme', timeout=20):
+    return urllib3.request(
+        'POST',
+        f'{plane.url}/reservations',
+        body=body,
+        headers={'Idempotency-Key': key, 'X-Account': account},
+        retries=False,
+        timeout=timeout,
+    )
+
+
+def executions(plane):
+    return [
+        run for fake in plane.host.servers.values() for run in fake.executions
+    ]
+
+
+def told(answer):
+    return (answer.json()['code'], answer.json()['outcome'])
+
+
+@pytest.mark.parametrize('issued', [True, False])
+def test_a_resend_gets_the_first_answer(plane, issued):
+    """Guards against a second booking by a resend to another server."""
+    key = issue(plane) if issued else 'my-key'
+    answers = [reserve(plane, key) for _ in range(4)]
+    assert {answer.status for answer in answers} == {200}
+    assert len({answer.data for answer in answers}) == 1
+    assert len(executions(plane)) == 1
+    assert json.loads(answers[0].data)['key'] == key
+    assert told(reserve(plane, key, b'other')) == (
+        'idempotency-key-reused',
+        'may-have-run',
+    )
+
+
+def test_keys_are_bound_to_the_account(plane):
+    key = issue(plane)
+    assert reserve(plane, key, account='other').status == 400
+    assert reserve(plane, f'{key}x').json()['outcome'] == 'may-have-run'
+    assert not executions(plane)
+    reserve(plane, 'k', account='one')
+    reserve(plane, 'k', account='two')
+    assert len(executions(plane)) == 2
+
+
+@pytest.mark.parametrize('issued', [True, False])
+def test_a_shed_request_runs_at_a_sibling_once(plane, issued):
+    """Guards against two servers that both hold the right to run."""
+    key = issue(plane) if issued else 'my-key'
+    plane.fake('s1').faults = Faults(shed=True)
+    assert reserve(plane, key).status == 200
+    plane.fake('s1').faults = Faults()
+    assert reserve(plane, key).status == 200
+    assert [run.key for run in executions(plane)] == [key]
+
+
+@pytest.mark.parametrize('issued', [True, False])
+def test_not_run_when_every_server_sheds(plane, issued):
+    key = issue(plane) if issued else 'my-key'
+    for name in ('s1', 's2'):
+        plane.fake(name).faults = Faults(shed=True)
+    assert told(reserve(plane, key)) == ('server-shed', 'not-run')
+    for other in ('s1', 's2'):
+        plane.fake(other).faults = Faults()
+    assert reserve(plane, key).status == 200
+    assert len(executions(plane)) == 1
+
+
+@pytest.mark.parametrize('issued', [True, False])
+def test_a_cut_answer_may_have_run_for_good(plane, issued):
+    """Guards against a resend that runs what a server ran before."""
+    key = issue(plane) if issued else 'my-key'
+    for name in ('s1', 's2'):
+        plane.fake(name).faults = Faults(cut_share=1)
+    assert told(reserve(plane, key)) == ('bad-answer', 'may-have-run')
+    for other in ('s1', 's2'):
+        plane.fake(other).faults = Faults()
+    assert told(reserve(plane, key)) == ('bad-answer', 'may-have-run')
+    assert len(executions(plane)) == 1
+
+
+def test_a_caller_that_left_finds_its_answer(plane):
+    """Guards against a run that ends with the connection of its caller."""
+    key = issue(plane)
+    for name in ('s1', 's2'):
+        plane.fake(name).faults = Faults(slow_factor=60)
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        reserve(plane, key, timeout=0.1)
+    assert reserve(plane, key).status == 200
+    assert len(executions(plane)) == 1
+
+
+def test_an_ended_owner_means_may_have_run(plane):
+    key = issue(plane)
+    gone = ('idempotency-key-owner-gone', 'may-have-run')
+    for node_id, record in plane.nodes.items():
+        plane.nodes[node_id] = attrs.evolve(record, state=NodeState.GONE)
+    assert told(reserve(plane, key)) == gone
+    for other_id, ended in plane.nodes.items():
+        plane.nodes[other_id] = attrs.evolve(ended, incarnation=2)
+    assert told(reserve(plane, key)) == gone
+    assert not executions(plane)
+
+
+def test_an_heir_replays_and_runs(plane):
+    """Guards against bookings that a planned stop makes impossible."""
+    old, fresh = (
+        plane.office.issue(Owner('n-s1', 1), 's1', 'shop', 'acme')
+        for _ in range(2)
+    )
+    first = reserve(plane, old)
+    plane.books['s2'].adopt(plane.books['s1'].export(Owner('n-s2', 1)))
+    plane.nodes['n-s1'] = attrs.evolve(
+        plane.nodes['n-s1'], state=NodeState.GONE, heir='n-s2'
+    )
+    assert reserve(plane, old).data == first.data
+    assert reserve(plane, fresh).status == 200
+    assert [run.key for run in executions(plane)] == [old, fresh]
+
+
+def test_an_unreachable_owner_is_not_reported_as_not_run(plane):
+    """Guards against "not run" by an ingress that could not ask."""
+    key = issue(plane)
+    for target in list(plane.nodes):
+        plane.nodes[target] = attrs.evolve(
+            plane.nodes[target], peer=free_address()
+        )
+    assert told(reserve(plane, key)) == ('unreachable', 'may-have-run')
+    assert not executions(plane)
+
+
+def test_a_silent_hop_does_not_repeat_a_booking(plane):
+    """Guards against a second run after the hop lost the answer."""
+    key = issue(plane)
+    cutters = []
+    for node_id, record in plane.nodes.items():
+        address = free_address()
+        cutters.append(Cutter(address, record.peer))
+        cutters[-1].start()
+        plane.nodes[node_id] = attrs.evolve(record, peer=address)
+    for cutter in cutters:
+        cutter.cut_backward = True
+    answer = reserve(plane, key)
+    assert answer.json()['outcome'] == 'may-have-run'
+    for healed in cutters:
+        healed.cut_backward = False
+    assert reserve(plane, key).status == 200
+    assert len(executions(plane)) == 1
