--- a/godwitknot/keydispatch.py
+++ b/godwitknot/keydispatch.py
@@ -124,8 +124,15 @@
             return _NOT_ALLOWED, {}
         query = parse_qs(environ.get('QUERY_STRING', ''))
         service = query.get('service', [''])[0]
-        wish = Wish(service, RegionRule.ANY, (), _ISSUE_PATIENCE_SECONDS)
-        target = self._chooser.choose(wish)
+        target = self._chooser.choose(
+            Wish(
+                service,
+                repeatable=False,
+                regions=RegionRule.ANY,
+                tried=(),
+                remaining=_ISSUE_PATIENCE_SECONDS,
+            ),
+        )
         if target is None:
             raise RefusalError(Code.NO_SERVER, retry_after=1)
         owner = Owner(target.node_id, target.incarnation)
@@ -181,12 +188,15 @@
         remaining = job.deadline - self._clock.now()
         if remaining <= 0:
             return None
-        work = job.route.work
-        wish = Wish(job.route.service, work.regions, tried, remaining)
-        target = self._chooser.choose(wish)
-        if target is not None or tried:
-            return target
-        return self._chooser.choose(attrs.evolve(wish, last_resort=True))
+        return self._chooser.choose(
+            Wish(
+                job.route.service,
+                repeatable=False,
+                regions=job.route.work.regions,
+                tried=tried,
+                remaining=remaining,
+            ),
+        )
 
     def _read(self, key: str) -> Ticket:
         try:
