--- a/godwitknot/dispatch.py
+++ b/godwitknot/dispatch.py
@@ -44,6 +44,7 @@
     :param deadline: on the node's clock, seconds.
     :param caller: socket of the caller.
     :param key: idempotency key, empty if none.
+    :param moved_key: issued key that carries the right of ``key``.
     """
 
     method: str
@@ -56,6 +57,7 @@
     deadline: float
     caller: socket.socket | None
     key: str = ''
+    moved_key: str = ''
 
     @property
     def tag(self) -> ClassTag:
@@ -270,6 +272,7 @@
         deadline=job.deadline,
         key=job.key,
         last_resort=target.last_resort,
+        moved_key=job.moved_key,
     )
 
 
