Refuse queries of death at the sidecar and charge bytes between regions

Cause: the crash ledger was filled but not asked; the byte budget between regions was never charged; probes ignored the declared health path.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -121,6 +121,15 @@
         node = self.nodes[node_id]
         node.process = self._run('godwitknot', 'node', str(node.settings))
 
+    def __enter__(self) -> 'Fleet':
+        """Start."""
+        self.start()
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        """Stop."""
+        self.stop()
+
     def stop(self) -> list[int]:
         """Stop everything; gives the exit codes of the nodes."""
         running = [node.process for node in self.nodes.values()]
--- a/godwitknot/crashboard.py
+++ b/godwitknot/crashboard.py
@@ -34,6 +34,10 @@
         clearances = self._ledger.note_crash(report)
         self._spread(Rumors(crashes=(report,), clearances=clearances))
 
+    def is_blocked(self, service: str, fingerprint: int) -> bool:
+        """Tell whether a request crashed two servers."""
+        return self._ledger.is_blocked(service, fingerprint)
+
     def report_success(self, service: str, fingerprint: int) -> None:
         """Tell the fleet that a suspected request ran without harm."""
         if self._ledger.note_success(service, fingerprint):
--- a/godwitknot/dispatch.py
+++ b/godwitknot/dispatch.py
@@ -2,6 +2,7 @@
 
 import socket
 import uuid
+from collections.abc import Iterator
 
 import attrs
 
@@ -160,9 +161,21 @@
             raise
         if answer.status < _SERVER_ERROR:
             self._budget(job).note_success()
+        if target.crosses_region:
+            self._chooser.note_bytes(target, job.body.length or 0)
+            answer.chunks = self._charge(target, answer.chunks)
         close = _Ending(self._chooser, target, answer)
         return attrs.evolve(answer, close=close)
 
+    def _charge(
+        self,
+        target: Target,
+        chunks: Iterator[bytes],
+    ) -> Iterator[bytes]:
+        for chunk in chunks:
+            self._chooser.note_bytes(target, len(chunk))
+            yield chunk
+
     def _note_refusal(self, target: Target, refusal: RefusalError) -> None:
         if refusal.code in _LINK_CODES:
             self._chooser.note_link_failed(target)
--- a/godwitknot/probes.py
+++ b/godwitknot/probes.py
@@ -1,5 +1,7 @@
 """Health probes of a backend server: the lesser witness of its state."""
 
+from collections.abc import Callable
+
 from godwitknot.clock import Clock
 from godwitknot.connections import ChannelPool
 from godwitknot.errors import GodwitknotError
@@ -14,13 +16,19 @@
 class Probe:
     """Asks a server for its health on a new connection each time."""
 
-    def __init__(self, address: Address, path: str, clock: Clock) -> None:
+    def __init__(
+        self,
+        address: Address,
+        find_path: Callable[[], str],
+        clock: Clock,
+    ) -> None:
         """Prepare.
 
-        :param path: of the health endpoint.
+        :param find_path: gives the path of the health endpoint, which the
+            declaration may change.
         """
         self._pool = ChannelPool(address, clock, most_idle=0)
-        self._path = path
+        self._find_path = find_path
         self._clock = clock
 
     def check(self) -> bool:
@@ -33,7 +41,7 @@
 
     def _ask(self) -> int | None:
         deadline = self._clock.now() + _TIMEOUT_SECONDS
-        call = Call('GET', self._path, [], BufferedBody(), deadline)
+        call = Call('GET', self._find_path(), [], BufferedBody(), deadline)
         try:
             exchange = Exchange(self._pool, self._pool.take(), self._clock)
             exchange.send(call)
--- a/godwitknot/serverset.py
+++ b/godwitknot/serverset.py
@@ -69,7 +69,11 @@
             policy,
             plane.siblings,
             plane.board,
-            Probe(section.address, _HEALTH_PATH, self._clock),
+            Probe(
+                section.address,
+                functools.partial(self._find_health_path, section.service),
+                self._clock,
+            ),
             self._clock,
             self._metrics,
         )
@@ -93,6 +97,12 @@
             self._find_weighing,
         )
 
+    def _find_health_path(self, service: str) -> str:
+        declaration = self._declaration()
+        if declaration is None or service not in declaration.services:
+            return _HEALTH_PATH
+        return declaration.services[service].health
+
     def _find_weighing(self, work_class: str) -> Weighing:
         declaration = self._declaration()
         if declaration is None or work_class not in declaration.classes:
--- a/godwitknot/supervisor.py
+++ b/godwitknot/supervisor.py
@@ -24,6 +24,7 @@
 _START_PROBE_SECONDS = 0.25
 # A server without work is probed this often.
 _IDLE_PROBE_SECONDS = 5.0
+_BLOCK_SECONDS = 600
 _REFUSAL_CODES = types.MappingProxyType(
     {
         ServerState.STARTING: Code.NOT_READY,
@@ -40,6 +41,10 @@
     def report_crash(self, report: CrashReport) -> None:
         """Tell the fleet which requests were in flight at a crash."""
 
+    @abc.abstractmethod
+    def is_blocked(self, service: str, fingerprint: int) -> bool:
+        """Tell whether a request crashed two servers."""
+
     @abc.abstractmethod
     def report_success(self, service: str, fingerprint: int) -> None:
         """Tell the fleet that a suspected request ran without harm."""
@@ -95,6 +100,10 @@
 
         :raises RefusalError: as not run, if not.
         """
+        fingerprint = fingerprint_request(request)
+        if self.board.is_blocked(request.service, fingerprint):
+            self.metrics.count('sidecar.blocked')
+            raise RefusalError(Code.QUERY_OF_DEATH, retry_after=_BLOCK_SECONDS)
         accepted = not self._closed and self.health.accepts(
             repeatable=not request.tag.never_repeat,
             last_resort=request.last_resort,
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -110,9 +110,9 @@
                 '500 Internal Server Error', [('Content-Length', '0')]
             )
             return []
-        if path.startswith('/blob/'):
-            content = _stream(int(path.removeprefix('/blob/')))
-            length = int(path.removeprefix('/blob/'))
+        if '/blob/' in path:
+            content = _stream(int(path.rpartition('/')[2]))
+            length = int(path.rpartition('/')[2])
         else:
             echo = self._echo(environ, path, body)
             content, length = iter([echo]), len(echo)
