Wire issued keys and claims into the node

Nodes refused never-repeat classes, because nothing ran their keys.

KeyService builds the office, the book, the claims and their dispatcher, shares the write budget of the fleet among the nodes, and hands the records to one heir at a planned stop. An ingress that finds the owner closed asks again until the directory names the heir. Where it is unknown whether an heir adopted the records, no other one is asked.

--- a/godwitknot/dispatch.py
+++ b/godwitknot/dispatch.py
@@ -91,7 +91,7 @@
         metrics: Metrics,
     ) -> None:
         """Take the collaborators."""
-        self._chooser = chooser
+        self.chooser = chooser
         self._link = link
         self._sidecar = sidecar
         self._clock = clock
@@ -136,7 +136,7 @@
             progress.tried,
             job.deadline - self._clock.now(),
         )
-        target = self._chooser.choose(wish)
+        target = self.chooser.choose(wish)
         if target is not None:
             return target
         if progress.last is not None:
@@ -152,19 +152,19 @@
         progress.tried.add(target.key)
         progress.sends += 1
         request = _make_request(job, target)
-        self._chooser.note_sent(target)
+        self.chooser.note_sent(target)
         try:
             answer = self._relay(job, target, request)
         except RefusalError as refusal:
-            self._chooser.note_ended(target, None)
+            self.chooser.note_ended(target, None)
             self._note_refusal(target, refusal)
             raise
         if answer.status < _SERVER_ERROR:
             self._budget(job).note_success()
         if target.crosses_region:
-            self._chooser.note_bytes(target, job.body.length or 0)
+            self.chooser.note_bytes(target, job.body.length or 0)
             answer.chunks = self._charge(target, answer.chunks)
-        close = _Ending(self._chooser, target, answer)
+        close = _Ending(self.chooser, target, answer)
         return attrs.evolve(answer, close=close)
 
     def _charge(
@@ -173,14 +173,14 @@
         chunks: Iterator[bytes],
     ) -> Iterator[bytes]:
         for chunk in chunks:
-            self._chooser.note_bytes(target, len(chunk))
+            self.chooser.note_bytes(target, len(chunk))
             yield chunk
 
     def _note_refusal(self, target: Target, refusal: RefusalError) -> None:
         if refusal.code in _LINK_CODES:
-            self._chooser.note_link_failed(target)
+            self.chooser.note_link_failed(target)
         elif refusal.code in _STATE_CODES:
-            self._chooser.note_refused(target)
+            self.chooser.note_refused(target)
 
     def _relay(
         self,
--- a/godwitknot/idempotency.py
+++ b/godwitknot/idempotency.py
@@ -118,7 +118,7 @@
         with self._table.changed:
             self._heir = None
 
-    def adopt(self, content: bytes) -> None:
+    def adopt(self, content: bytes | str) -> None:
         """Become the heir of another process; repeats change nothing.
 
         :raises ProtocolError: if the content is malformed.
@@ -151,7 +151,7 @@
     return f'{owner.node_id}/{owner.incarnation}/{ticket.nonce}{suffix}'
 
 
-def _load(content: bytes) -> Handover:
+def _load(content: bytes | str) -> Handover:
     try:
         return _CONVERTER.loads(content, Handover)
     except (cattrs.BaseValidationError, ValueError) as error:
--- a/godwitknot/keydispatch.py
+++ b/godwitknot/keydispatch.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from godwitknot.chooser import ServerChooser, Target, Wish
+from godwitknot.chooser import Target, Wish
 from godwitknot.clock import Clock
 from godwitknot.declaration import RegionRule
 from godwitknot.dispatch import Dispatcher, Job
@@ -94,14 +94,12 @@
     def __init__(
         self,
         dispatcher: Dispatcher,
-        chooser: ServerChooser,
         office: TicketOffice,
         owners: OwnerFinder,
         clock: Clock,
     ) -> None:
         """Take the collaborators."""
         self._dispatcher = dispatcher
-        self._chooser = chooser
         self._office = office
         self._owners = owners
         self._clock = clock
@@ -124,7 +122,7 @@
             return _NOT_ALLOWED, {}
         query = parse_qs(environ.get('QUERY_STRING', ''))
         service = query.get('service', [''])[0]
-        target = self._chooser.choose(
+        target = self._dispatcher.chooser.choose(
             Wish(
                 service,
                 repeatable=False,
@@ -155,6 +153,9 @@
                 job = attrs.evolve(job, moved_key=last.moved_key)
                 ticket = self._read(last.moved_key)
                 continue
+            if last.code is Code.KEY_OWNER_GONE:
+                # A node that stops names its heir a moment later.
+                continue
             if _is_certain(last, target):
                 raise doubt.conclude(last)
             # The owner can be asked again: it joins or replays.
@@ -188,7 +189,7 @@
         remaining = job.deadline - self._clock.now()
         if remaining <= 0:
             return None
-        return self._chooser.choose(
+        return self._dispatcher.chooser.choose(
             Wish(
                 job.route.service,
                 repeatable=False,
--- /dev/null
+++ b/godwitknot/keyservice.py
@@ -0,0 +1,158 @@
+"""All parts of a node that run requests with idempotency keys."""
+
+import json
+import threading
+import time
+
+from godwitknot.claims import ClaimDesk
+from godwitknot.clock import Clock
+from godwitknot.connections import ConnectFailedError
+from godwitknot.dispatch import Dispatcher
+from godwitknot.errors import ProtocolError
+from godwitknot.idempotency import IdempotencyBook
+from godwitknot.keydispatch import KeyDispatcher, OwnerFinder
+from godwitknot.keys import FleetKeys
+from godwitknot.logs import log_event
+from godwitknot.members import Directory
+from godwitknot.outcomes import RefusalError
+from godwitknot.peerlink import LinkError, PeerLink
+from godwitknot.records import NodeRecord, NodeState, ServerState
+from godwitknot.redemption import Redemption, Sibling
+from godwitknot.store import TableService
+from godwitknot.tickets import Owner, TicketOffice
+from godwitknot.writebudget import WriteBudget
+
+HANDOVER = 'handover'
+
+# Half of the several hundred writes a second that the table service takes.
+_FLEET_WRITES_PER_SECOND = 150.0
+_HANDOVER_SECONDS = 10.0
+_HANDOVER_TRIES = 5
+_RETRY_SECONDS = 0.2
+_ADOPTED = 'adopted'
+
+
+class KeyService:
+    """Issued keys and claims of one node."""
+
+    book_class = IdempotencyBook
+    desk_class = ClaimDesk
+
+    def __init__(
+        self,
+        directory: Directory,
+        tables: TableService,
+        keys: FleetKeys,
+        link: PeerLink,
+        clock: Clock,
+    ) -> None:
+        """Build the parts of the sidecar role."""
+        self._directory = directory
+        self._link = link
+        self._clock = clock
+        self._office = TicketOffice(keys, clock)
+        own = directory.own
+        owner = Owner(own.node_id, own.incarnation)
+        self._book = self.book_class(owner, clock)
+        self._budget = WriteBudget(_FLEET_WRITES_PER_SECOND, clock)
+        self._desk = self.desk_class(owner, tables, clock, self._budget)
+        self._stopped = threading.Event()
+        self.redemption = Redemption(
+            self._office, self._book, self._desk, self._find_sibling, clock
+        )
+        directory.subscribe(self._share_budget)
+
+    def make_dispatcher(self, dispatcher: Dispatcher) -> KeyDispatcher:
+        """Build the part of the ingress role."""
+        owners = OwnerFinder(self._directory.own.node_id, self._directory.node)
+        return KeyDispatcher(dispatcher, self._office, owners, self._clock)
+
+    def start(self) -> None:
+        """Start to write the answers of claims to their rows."""
+        threading.Thread(
+            target=self._desk.write_answers,
+            args=(self._stopped,),
+            name='claim-answers',
+            daemon=True,
+        ).start()
+
+    def hand_over(self) -> str:
+        """Give the records to an heir, once nothing runs any more.
+
+        Answers of claims that wait for their rows are written first.
+
+        :returns: node id of the heir, empty if there is none.
+        """
+        self._stopped.set()
+        self._desk.flush()
+        for node in self._list_heirs():
+            adopted = self._offer(node)
+            if adopted:
+                log_event('records handed over', heir=node.node_id)
+                return node.node_id
+            if adopted is None:
+                break
+            self._book.dismiss_heir()
+        log_event('records not handed over')
+        return ''
+
+    def serve_handover(self, method: str, content: bytes) -> object:
+        """Adopt the records of a node that stops."""
+        try:
+            self._book.adopt(json.loads(content))
+        except (RefusalError, ProtocolError, ValueError) as refused:
+            log_event('handover refused', reason=type(refused).__name__)
+            return {_ADOPTED: False}
+        return {_ADOPTED: True}
+
+    def _offer(self, node: NodeRecord) -> bool | None:
+        """Give the records to a node; ``None`` if it may have them."""
+        content = self._book.export(Owner(node.node_id, node.incarnation))
+        for attempt in range(_HANDOVER_TRIES):
+            try:
+                answer = self._link.call(
+                    node.peer, HANDOVER, content.decode(), _HANDOVER_SECONDS
+                )
+            except LinkError as error:
+                refused = isinstance(error.__cause__, ConnectFailedError)
+                if refused and not attempt:
+                    return False
+                time.sleep(_RETRY_SECONDS)
+            else:
+                return bool(answer[_ADOPTED])
+        return None
+
+    def _list_heirs(self) -> list[NodeRecord]:
+        """Give other nodes, those that share a service and region first."""
+        own = self._directory.own
+        services = {server.service for server in own.servers}
+        nodes = [
+            node
+            for node in self._directory.nodes()
+            if node.node_id != own.node_id
+            and node.state is NodeState.READY
+            and self._directory.is_reachable(node.node_id)
+            and services & {server.service for server in node.servers}
+        ]
+        return sorted(nodes, key=lambda node: node.region != own.region)
+
+    def _find_sibling(self, service: str) -> Sibling | None:
+        own = self._directory.own
+        located = [
+            each
+            for each in self._directory.servers(service)
+            if each.reachable
+            and each.server.state is ServerState.READY
+            and each.node.state is NodeState.READY
+            and each.node.node_id != own.node_id
+        ]
+        if not located:
+            return None
+        nearest = min(located, key=lambda each: each.node.region != own.region)
+        node = nearest.node
+        owner = Owner(node.node_id, node.incarnation)
+        return Sibling(owner, nearest.server.name)
+
+    def _share_budget(self, _changed: NodeRecord) -> None:
+        nodes = max(1, len(self._directory.nodes()))
+        self._budget.set_rate(_FLEET_WRITES_PER_SECOND / nodes)
--- a/godwitknot/node.py
+++ b/godwitknot/node.py
@@ -29,6 +29,7 @@
 from godwitknot.ingress import IngressApp
 from godwitknot.intake import NodeAccounting, ServingConfiguration
 from godwitknot.keys import FleetKeys
+from godwitknot.keyservice import HANDOVER, KeyService
 from godwitknot.logs import configure_logs, log_event
 from godwitknot.metrics import Metrics
 from godwitknot.nodeoperations import STOP, NodeOperations
@@ -57,6 +58,8 @@
 class Node:
     """A running node."""
 
+    key_service_class = KeyService
+
     def __init__(self, settings: NodeSettings) -> None:
         """Build all parts; nothing listens before :meth:`start`."""
         self._settings = settings
@@ -95,6 +98,9 @@
         self._copies = ConfigurationCopies(
             self.plane.directory, self.keeper, self.link, self.metrics
         )
+        self._key_service = self.key_service_class(
+            self.plane.directory, tables, self._keys, self.link, self._clock
+        )
         self._build_applications()
         self.keeper.subscribe(self._spread_version)
         listeners = self.plane.gossip.listeners
@@ -109,6 +115,7 @@
         others = tuple(seed for seed in seeds if seed != own)
         self.plane.start(others)
         self.servers.start()
+        self._key_service.start()
         threading.Thread(
             target=self._get_ready, args=(others,), daemon=True
         ).start()
@@ -126,7 +133,8 @@
         log_event('node stopping', node=self._settings.node.id)
         self._poller.stop()
         self._finish_work()
-        self.plane.announce_node(NodeState.GONE)
+        heir = self._key_service.hand_over()
+        self.plane.announce_node(NodeState.GONE, heir=heir)
         self.servers.stop()
         self.plane.stop()
         cherrypy.engine.exit()
@@ -149,6 +157,7 @@
             self.servers.supervisors,
             attempts,
             self.metrics,
+            self._key_service.redemption,
         )
         burn = BurnLedger(node.id, self._clock)
         refusals = RefusalLog(self._clock)
@@ -165,6 +174,7 @@
             NodeAccounting(burn, refusals),
             self._clock,
             self.metrics,
+            self._key_service.make_dispatcher(self._dispatcher),
         )
         self._drains = DrainDesk(self.servers.supervisors, self.plane.floor)
         explainer = Explainer(
@@ -196,6 +206,7 @@
         peer.add_handler(DECISIONS, explainer.serve_decisions)
         peer.add_handler(STOP, operations.serve_stop)
         peer.add_handler(CONFIGURATION, self._copies.serve)
+        peer.add_handler(HANDOVER, self._key_service.serve_handover)
         operator = make_application(
             view, operations, node.operator_token, self.metrics
         )
--- a/godwitknot/sidecar.py
+++ b/godwitknot/sidecar.py
@@ -84,7 +84,8 @@
         if self._redemption is None or not request.key:
             raise RefusalError(Code.NOT_READY, Outcome.MAY_HAVE_RUN)
         send = functools.partial(self._send, server, request, None)
-        return self._redemption.run(request, send)
+        answer = self._redemption.run(request, send)
+        return attrs.evolve(answer, load=server.load())
 
     def _send(
         self,
@@ -97,7 +98,8 @@
         try:
             answer = server.upstream.run(request, caller, check_send)
         except RefusalError as refusal:
-            if refusal.outcome is Outcome.NOT_RUN:
+            unsent = refusal.code is Code.CLAIM_LAPSED
+            if unsent or refusal.outcome is Outcome.NOT_RUN:
                 server.health.note_unsent()
             raise
         return attrs.evolve(answer, load=server.load())
--- a/tests/dataplane.py
+++ b/tests/dataplane.py
@@ -174,7 +174,6 @@
             self.metrics,
             KeyDispatcher(
                 self.dispatcher,
-                self.chooser,
                 self.office,
                 OwnerFinder('n-ingress', self.nodes.get),
                 self.clock,
