--- a/bench/soakcallers.py
+++ b/bench/soakcallers.py
@@ -56,6 +56,11 @@
                 self._book_with_issued_key()
             time.sleep(self._random.uniform(0, 0.03))
 
+    def book_once(self) -> None:
+        """Book with a chosen key, once and with patience."""
+        key = self._next_id()
+        self._send('POST', '/bookings', key, f'slot of {key}')
+
     def _book_with_issued_key(self) -> None:
         with contextlib.suppress(urllib3.exceptions.HTTPError, KeyError):
             answer = self._fleet.request(
--- a/bench/soakrun.py
+++ b/bench/soakrun.py
@@ -21,6 +21,10 @@
 _CALLERS = 6
 _OPERATORS = 2
 _START_TRIES = 30
+# Fills slots and queues, so that claims wait for their send.
+_BURST = 30
+_BURST_SECONDS = 0.4
+_LOADED_FACTOR = 30
 _HEALTHY = Faults()
 
 
@@ -47,6 +51,7 @@
         self._fleet = fleet
         self._history = history
         self._random = random.Random(f'faults/{seed}')
+        self._seed = seed
         self._drained: set[str] = set()
         self.count = 0
         self._faults: tuple[Callable[[], None], ...] = (
@@ -61,6 +66,7 @@
             self._cut_answers,
             self._slow_server,
             self._drain,
+            self._pause_under_load,
         )
 
     def work(self, until: float) -> None:
@@ -82,6 +88,33 @@
         time.sleep(self._random.uniform(0.2, 3 * LEASE_SECONDS))
         self._fleet.signal_node(node_id, signal.SIGCONT)
 
+    def _pause_under_load(self) -> None:
+        """Pause a node whose queue holds claims that will have lapsed."""
+        servers = self._fleet.servers.servers.values()
+        for server in servers:
+            server.faults = Faults(slow_factor=_LOADED_FACTOR)
+        burst = [
+            threading.Thread(
+                target=Caller(
+                    self._fleet,
+                    self._history,
+                    f'{self._seed}-b{self.count}-{n}',
+                ).book_once,
+            )
+            for n in range(_BURST)
+        ]
+        for thread in burst:
+            thread.start()
+        time.sleep(_BURST_SECONDS)
+        node_id = self._pick_node()
+        self._fleet.signal_node(node_id, signal.SIGSTOP)
+        time.sleep(2 * LEASE_SECONDS)
+        self._fleet.signal_node(node_id, signal.SIGCONT)
+        for healed in servers:
+            healed.faults = _HEALTHY
+        for started in burst:
+            started.join()
+
     def _stop_node(self) -> None:
         node_id = self._pick_node()
         process = self._fleet.nodes[node_id].process
