Read and write sockets of HTTP servers through C buffers

Cause: cheroot builds its socket files on the pure Python io module, which took the largest share of a short request in a profile.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -79,12 +79,12 @@
 
         :param poll: interval at which nodes poll the store.
         """
-        self._folder = pathlib.Path(tempfile.mkdtemp(prefix='godwitknot-'))
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix='godwitknot-'))
         self.http = urllib3.PoolManager(retries=False, maxsize=64)
         self.platform = reserve_addresses(1)[0]
         self._poll = poll
         self._others: list[subprocess.Popen] = []
-        self._logs = (self._folder / 'processes.log').open('ab')
+        self._logs = (self.folder / 'processes.log').open('ab')
         addresses = iter(reserve_addresses(_count_ports(plans)))
         self.nodes = {
             plan.node_id: self._plan_node(plan, addresses) for plan in plans
@@ -96,7 +96,7 @@
     @property
     def log_path(self) -> pathlib.Path:
         """Standard error of all processes."""
-        return self._folder / 'processes.log'
+        return self.folder / 'processes.log'
 
     def start(self) -> None:
         """Start everything and wait until the nodes listen."""
@@ -158,7 +158,7 @@
         *words: str,
     ) -> subprocess.CompletedProcess:
         """Run a command and give its result, whatever it is."""
-        access = self._folder / f'{node_id}-access.ini'
+        access = self.folder / f'{node_id}-access.ini'
         operator = self.nodes[node_id].operator
         access.write_text(
             f'[operator]\naddress = {operator}\ntoken = {TOKEN}\nname = bench\n'
@@ -233,7 +233,7 @@
             next(addresses),
             next(addresses),
             {server.name: next(addresses) for server in plan.servers},
-            self._folder / f'{plan.node_id}.ini',
+            self.folder / f'{plan.node_id}.ini',
         )
 
     def _start_servers(self, node: RunningNode) -> list[subprocess.Popen]:
--- /dev/null
+++ b/bench/latency.py
@@ -0,0 +1,182 @@
+"""Added latency and requests a second of one core, measured in pairs.
+
+Each round sends one request directly to a fake server, one through the node
+in front of it and one through another node, so that noise of the machine
+hits all three alike. Figures are differences of quantiles in one run.
+"""
+
+import json
+import os
+import pathlib
+import statistics
+import sys
+import threading
+import time
+
+import attrs
+import urllib3
+
+from bench.fleet import Fleet, NodePlan, ServerPlan
+
+_ROUNDS = 1500
+_WARM_UP = 200
+_LOAD_SECONDS = 6.0
+_CLIENTS = 8
+_MILLISECONDS = 1000
+_RESULT = pathlib.Path('docs/latency.json')
+_TICKS = os.sysconf('SC_CLK_TCK')
+_DECLARATION = """
+[fleet]
+owner = bench
+
+[service near]
+floor = 1
+
+[service far]
+floor = 1
+
+[class near]
+service = near
+match = GET /near/*
+success = 99%
+latency = 99% within 100ms
+
+[class far]
+service = far
+match = GET /far/*
+success = 99%
+latency = 99% within 100ms
+"""
+
+
+@attrs.frozen
+class Quantiles:
+    """Latency of one way, milliseconds."""
+
+    p50: float
+    p99: float
+
+
+@attrs.frozen
+class Added:
+    """Latency that nodes add, milliseconds.
+
+    :param one: through the node in front of the server.
+    :param two: through another node first.
+    """
+
+    direct: Quantiles
+    one: Quantiles
+    two: Quantiles
+
+    def rows(self) -> list[tuple[str, float, float]]:
+        """Give name, added median and added 99th percentile."""
+        return [
+            (name, way.p50 - self.direct.p50, way.p99 - self.direct.p99)
+            for name, way in (('one node', self.one), ('two nodes', self.two))
+        ]
+
+
+def measure_quantiles(samples: list[float]) -> Quantiles:
+    """Summarize seconds as milliseconds."""
+    cuts = statistics.quantiles(samples, n=100)
+    return Quantiles(cuts[49] * _MILLISECONDS, cuts[98] * _MILLISECONDS)
+
+
+def time_requests(urls: list[str], rounds: int) -> list[list[float]]:
+    """Send one request to each address in turn, over kept connections.
+
+    :returns: seconds of each address.
+    """
+    pool = urllib3.PoolManager(retries=False)
+    samples: list[list[float]] = [[] for _ in urls]
+    for number in range(rounds + _WARM_UP):
+        for url, times in zip(urls, samples, strict=True):
+            started = time.perf_counter()
+            pool.request('GET', url)
+            if number >= _WARM_UP:
+                times.append(time.perf_counter() - started)
+    return samples
+
+
+def measure_added(fleet: Fleet) -> Added:
+    """Measure the three ways to one server."""
+    near = fleet.nodes['a'].servers['near-1']
+    ingress = fleet.nodes['a'].ingress
+    urls = [
+        f'http://{near}/near/x',
+        f'http://{ingress}/near/x',
+        f'http://{ingress}/far/x',
+    ]
+    samples = time_requests(urls, _ROUNDS)
+    return Added(*(measure_quantiles(times) for times in samples))
+
+
+def measure_capacity(fleet: Fleet, path: str) -> tuple[float, float]:
+    """Load one node from several clients.
+
+    :returns: requests a second, and those for each busy core of the node.
+    """
+    process = fleet.nodes['a'].process
+    url = f'http://{fleet.nodes["a"].ingress}{path}'
+    counts = [0] * _CLIENTS
+    ended = time.monotonic() + _LOAD_SECONDS
+
+    def ask(number: int) -> None:
+        pool = urllib3.PoolManager(retries=False)
+        while time.monotonic() < ended:
+            pool.request('GET', url)
+            counts[number] += 1
+
+    before = read_cpu_seconds(process.pid)
+    threads = [
+        threading.Thread(target=ask, args=(number,))
+        for number in range(_CLIENTS)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    used = read_cpu_seconds(process.pid) - before
+    return sum(counts) / _LOAD_SECONDS, sum(counts) / used
+
+
+def read_cpu_seconds(pid: int) -> float:
+    """Give the processor time that a process has used."""
+    fields = pathlib.Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2]
+    user, system = fields.split()[11:13]
+    return (int(user) + int(system)) / _TICKS
+
+
+def main() -> int:
+    """Measure, print and write the figures."""
+    plans = [
+        NodePlan(
+            'a', 'r', 'r-a', (ServerPlan('near-1', 'near', service_ms=2),)
+        ),
+        NodePlan('b', 'r', 'r-b', (ServerPlan('far-1', 'far', service_ms=2),)),
+    ]
+    with Fleet(plans) as fleet:
+        declaration = fleet.folder / 'latency.ini'
+        declaration.write_text(_DECLARATION)
+        fleet.apply(declaration, 'a')
+        time.sleep(2)
+        low = measure_added(fleet)
+        near = measure_capacity(fleet, '/near/x')
+        far = measure_capacity(fleet, '/far/x')
+    for name, p50, p99 in low.rows():
+        sys.stdout.write(f'{name}: p50 +{p50:.2f} ms, p99 +{p99:.2f} ms\n')
+    sys.stdout.write(f'one node: {near[1]:.0f} requests for a core-second\n')
+    sys.stdout.write(f'ingress only: {far[1]:.0f} for a core-second\n')
+    document = {
+        'added': attrs.asdict(low),
+        'near': near,
+        'far': far,
+        'rounds': _ROUNDS,
+    }
+    _RESULT.write_text(json.dumps(document, indent=2) + '\n')
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/godwitknot/httpserver.py
+++ b/godwitknot/httpserver.py
@@ -12,6 +12,7 @@
 from cherrypy.process.servers import ServerAdapter
 
 from godwitknot.pool import GrowingPool
+from godwitknot.sockfiles import make_file
 from godwitknot.units import Address
 
 SOCKET_KEY = 'godwitknot.socket'
@@ -88,6 +89,10 @@
 class _Connection(cheroot_server.HTTPConnection):
     RequestHandlerClass = _Request
 
+    def __init__(self, server: object, sock: socket.socket, *_: object):
+        """Take over an accepted socket."""
+        super().__init__(server, sock, make_file)
+
 
 class _Gateway(wsgi.Gateway_10):
     """Tells the application the socket, to notice a caller that left."""
