--- a/bench/latency.py
+++ b/bench/latency.py
@@ -5,13 +5,14 @@
 hits all three alike. Figures are differences of quantiles in one run.
 """
 
+import functools
 import json
 import os
 import pathlib
 import statistics
 import sys
-import threading
 import time
+from concurrent import futures
 
 import attrs
 import urllib3
@@ -119,26 +120,22 @@
     """
     process = fleet.nodes['a'].process
     url = f'http://{fleet.nodes["a"].ingress}{path}'
-    counts = [0] * _CLIENTS
     ended = time.monotonic() + _LOAD_SECONDS
-
-    def ask(number: int) -> None:
-        pool = urllib3.PoolManager(retries=False)
-        while time.monotonic() < ended:
-            pool.request('GET', url)
-            counts[number] += 1
-
     before = read_cpu_seconds(process.pid)
-    threads = [
-        threading.Thread(target=ask, args=(number,))
-        for number in range(_CLIENTS)
-    ]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    with futures.ThreadPoolExecutor(_CLIENTS) as pool:
+        ask = functools.partial(_ask_until, url, ended)
+        total = sum(pool.map(ask, range(_CLIENTS)))
     used = read_cpu_seconds(process.pid) - before
-    return sum(counts) / _LOAD_SECONDS, sum(counts) / used
+    return total / _LOAD_SECONDS, total / used
+
+
+def _ask_until(url: str, ended: float, client: int) -> int:
+    pool = urllib3.PoolManager(retries=False)
+    count = 0
+    while time.monotonic() < ended:
+        pool.request('GET', url)
+        count += 1
+    return count
 
 
 def read_cpu_seconds(pid: int) -> float:
@@ -174,7 +171,8 @@
         'far': far,
         'rounds': _ROUNDS,
     }
-    _RESULT.write_text(json.dumps(document, indent=2) + '\n')
+    text = json.dumps(document, indent=2)
+    _RESULT.write_text(f'{text}\n')
     return 0
 
 
