--- a/tests/sessions/test_sessions.py
+++ b/tests/sessions/test_sessions.py
@@ -8,11 +8,11 @@
 
 import pytest
 
-from bench.localfleet import LocalFleet, NodePlan, wait_until
-from standins.faults import Faults
+from bench.fleet import Fleet, NodePlan, ServerPlan
 
 EXAMPLE = pathlib.Path(__file__).parents[2] / 'examples' / 'hafnarvagn.ini'
 SERVICES = ('booking', 'booking-old', 'documents')
+BACKGROUND = ThreadPoolExecutor(4)
 PLACES = {
     'n1': ('reykjanes', 'reykjanes-a'),
     'n2': ('reykjanes', 'reykjanes-b'),
@@ -44,11 +44,18 @@
             text = text.replace(old, new)
         (self.directory / name).write_text(text, encoding='utf-8')
 
-    def run(self, *arguments, node='n1', name='mies'):
-        finished = self.fleet.command(node, *arguments, name=name)
-        self.note(f'{name}@{node}$ godwitknot {" ".join(arguments)}')
-        self.note(f'{finished.text.rstrip()}\n[exit {finished.code}]')
-        return finished
+    def start(self, *words, node='n1', name='mies'):
+        """Run a command in the background."""
+        return BACKGROUND.submit(
+            self.fleet.try_command, node, '--name', name, *words
+        )
+
+    def run(self, *words, node='n1', name='mies'):
+        done = self.start(*words, node=node, name=name).result()
+        self.note(f'{name}@{node}$ godwitknot {" ".join(words)}')
+        text = f'{done.stdout}{done.stderr}'.rstrip()
+        self.note(f'{text}\n[exit {done.returncode}]')
+        return done
 
     def note(self, text):
         for pattern, replacement in NORMALISED:
@@ -59,13 +66,12 @@
     def transcript(self):
         return '\n'.join(self.lines)
 
-    def ask(self, node, *arguments):
+    def ask(self, node, *words):
         """Run a command with --json, without a line in the transcript."""
-        finished = self.fleet.command(node, *arguments, '--json')
-        return json.loads(finished.text)
+        return json.loads(self.fleet.command(node, *words, '--json'))
 
     def state_of(self, server, node='n1'):
-        for one in self.ask(node, 'status')['servers']:
+        for one in self.fleet.status(node)['servers']:
             if one['name'] == server:
                 return one['state']
         return 'gone'
@@ -85,56 +91,74 @@
         assert answer.status == 200, answer.data
         return json.loads(answer.data)['key']
 
+    def list_runs(self):
+        """Give all runs of all servers, each with the server's name."""
+        for node in self.fleet.nodes.values():
+            for name in node.servers:
+                for run in self.fleet.list_runs(node.plan.node_id, name):
+                    yield name, run
+
     def runs_of(self, key):
         """Give the servers that ran a request with a key."""
-        return [
-            server.name
-            for server in self.fleet.servers.servers.values()
-            for run in server.executions
-            if run.key == key
-        ]
+        return [name for name, run in self.list_runs() if run['key'] == key]
+
+    def wait_ready(self, *nodes):
+        def ready(node):
+            answer = self.fleet.request(node, 'GET', '/.godwitknot/ready')
+            return answer.status == 200
+
+        for node in nodes or PLACES:
+            wait_until(lambda node=node: ready(node), f'{node} is ready')
+
+
+def wait_until(holds, what):
+    deadline = time.monotonic() + 60
+    while not holds():
+        assert time.monotonic() < deadline, f'in vain: {what}'
+        time.sleep(0.1)
 
 
 @pytest.fixture
-def session(tmp_path):
+def session(tmp_path, monkeypatch):
+    monkeypatch.chdir(tmp_path)
     plans = [
         NodePlan(
             node_id,
             region,
             domain,
-            {f'{service}-{node_id}': service for service in SERVICES},
+            tuple(
+                ServerPlan(f'{service}-{node_id}', service, service_ms=5)
+                for service in SERVICES
+            ),
         )
         for node_id, (region, domain) in PLACES.items()
     ]
-    with LocalFleet(tmp_path, plans) as fleet:
-        wait_until(
-            lambda: all(
-                len(
-                    json.loads(fleet.command(one, 'status', '--json').text)[
-                        'servers'
-                    ]
-                )
-                == 12
-                for one in PLACES
-            ),
-            'each node knows all servers',
-        )
+    fleet = Fleet(plans, poll='1s')
+    fleet.start()
+    try:
+        for node in PLACES:
+            wait_until(
+                lambda node=node: len(fleet.status(node)['servers']) == 12,
+                f'{node} knows all servers',
+            )
         yield Session(fleet, tmp_path)
+    finally:
+        fleet.stop()
 
 
 def begin(session, *changes):
     """Bring the example into force everywhere."""
     session.write('fleet.ini', *changes)
     applied = session.run('apply', 'fleet.ini', '--wait')
-    assert applied.code == 0, applied.text
-    session.fleet.wait_ready()
+    assert applied.returncode == 0, applied.stderr
+    session.wait_ready()
     session.lines.clear()
 
 
 def test_two_operators(session, snapshot):
     """Guards against a change that is lost between two operators."""
     begin(session)
-    shared = session.fleet.command('n1', 'configuration').text
+    shared = session.fleet.command('n1', 'configuration')
     for name, change in (('jan.ini', LOWER), ('mies.ini', LONGER)):
         path = session.directory / name
         path.write_text(shared.replace(*change), encoding='utf-8')
@@ -154,14 +178,14 @@
     begin(session)
     for name, change in (('jan.ini', LOWER), ('mies.ini', LONGER)):
         session.write(name, change)
-    processes = [
-        session.fleet.start_command(node, 'apply', file, '--expect', '1')
+    started = [
+        session.start('apply', file, '--expect', '1', node=node)
         for node, file in (('n2', 'jan.ini'), ('n3', 'mies.ini'))
     ]
-    errors = [process.communicate(timeout=60)[1] for process in processes]
-    codes = [process.returncode for process in processes]
+    done = [one.result() for one in started]
+    codes = [one.returncode for one in done]
     assert sorted(codes) == [0, 4]
-    assert '~ [class slot-' in errors[codes.index(4)]
+    assert '~ [class slot-' in done[codes.index(4)].stderr
 
 
 def test_planned_stop_with_a_download(session, snapshot):
@@ -174,16 +198,10 @@
     )
     received = len(answer.read(1024))
     session.note(f'download at n1: {answer.status}')
-    running = [
-        one.name
-        for one in session.fleet.servers.servers.values()
-        if one.executions
-    ]
-    assert len(running) == 1
-    server = running[0]
+    server = next(session.list_runs())[0]
     node = server.rpartition('-')[2]
     session.note('stop the server of the download')
-    stop = session.fleet.start_command(node, 'stop', server, '--wait')
+    stop = session.start('stop', server, '--wait', node=node)
     wait_until(
         lambda: session.state_of(server) == 'draining', 'the server drains'
     )
@@ -192,7 +210,7 @@
         for at in range(20)
     }
     session.note(f'lookups meanwhile: {sorted(lookups)}')
-    assert stop.poll() is None
+    assert not stop.done()
     while True:
         content = answer.read(2**20)
         if not content:
@@ -200,9 +218,9 @@
         received += len(content)
     assert received == size
     session.note('download complete')
-    out, err = stop.communicate(timeout=60)
-    assert (stop.returncode, err) == (0, '')
-    session.note(out.splitlines()[-1].replace(server, 'SERVER'))
+    done = stop.result()
+    assert done.returncode == 0, done.stderr
+    session.note(done.stdout.splitlines()[-1].replace(server, 'SERVER'))
     assert session.state_of(server) == 'gone'
     assert session.transcript == snapshot
 
@@ -211,7 +229,7 @@
     """Guards against bookings and stops that need the store."""
     begin(session)
     session.note('the store goes down')
-    session.fleet.platform.faults.down = True
+    session.fleet.set_platform_faults(down=True)
     key = session.issue_key('n1', 'booking')
     headers = {'Idempotency-Key': key}
     first = session.call(
@@ -231,13 +249,16 @@
     )
     session.write('change.ini', LOWER)
     session.run('apply', 'change.ini')
-    session.run('stop', 'n2', '--wait', node='n1')
-    session.note('a new process of n2 starts without the store')
+    session.note('n2 is stopped, and a new process starts without the store')
+    process = session.fleet.nodes['n2'].process
+    process.terminate()
+    assert process.wait(60) == 0
     session.fleet.start_node('n2')
-    session.fleet.wait_ready()
+    session.fleet.wait_for(session.fleet.nodes['n2'].ingress)
+    session.wait_ready()
     session.call('n2', 'GET', '/slots/north/7')
     session.note('the store is back')
-    session.fleet.platform.faults.down = False
+    session.fleet.set_platform_faults(down=False)
     session.run('apply', 'change.ini', '--wait')
     assert session.transcript == snapshot
 
@@ -305,15 +326,18 @@
 def test_gray_server(session, snapshot):
     """Guards against a gray server that keeps its callers."""
     begin(session)
-    server = session.fleet.servers.servers['documents-n3']
+
+    def observed():
+        return len(session.fleet.list_runs('n3', 'documents-n3')) > 200
+
     send_until(
         session,
         '/documents/1',
-        lambda: len(server.executions) > 200,
+        observed,
         'the servers have been observed',
     )
     session.note('documents-n3 becomes 20 times slower; its health says 200')
-    server.faults = Faults(slow_factor=20)
+    session.fleet.set_faults('n3', 'documents-n3', slow_factor=20)
     statuses = send_until(
         session,
         '/documents/1',
@@ -322,9 +346,9 @@
     )
     session.note(f'ejected; callers saw {sorted(statuses)}')
     explained = session.run('explain', 'n3/documents-n3')
-    assert 'ejected' in explained.text
+    assert 'ejected' in explained.stdout
     session.note('documents-n3 is repaired')
-    server.faults = Faults()
+    session.fleet.set_faults('n3', 'documents-n3')
     send_until(
         session,
         '/documents/1',
@@ -341,7 +365,7 @@
     session.write('fleet.ini')
     session.run('check', 'fleet.ini')
     session.run('apply', 'fleet.ini', '--wait', '--timeout', '30')
-    session.fleet.wait_ready()
+    session.wait_ready()
     for at in range(40):
         node = f'n{at % 4 + 1}'
         session.call(node, 'GET', f'/slots/south/{at}', note=False)
