Spread a server that is again as it was before

Cause: the rumour of an own change held what differs from a version up to 10 s old. A server that was ready, ejected, on probation and ready again within that time was not part of it, so nodes that held the probation took the latest version without the state, and anti-entropy saw equal versions. Two servers of one node that changed at once could also lose one state. Change: a server that differs in any version of the span is part of the change; server states are set under the lock of the directory.

--- a/godwitknot/controlplane.py
+++ b/godwitknot/controlplane.py
@@ -126,13 +126,7 @@
         incarnation: int,
     ) -> None:
         """Put the state of an own server into the own record."""
-        servers = tuple(
-            attrs.evolve(server, state=state, incarnation=incarnation)
-            if server.name == name
-            else server
-            for server in self.directory.own.servers
-        )
-        self.directory.update_own(servers=servers)
+        self.directory.set_server_state(name, state, incarnation=incarnation)
 
     def announce_node(self, state: NodeState, **changes: str) -> None:
         """Put the state of the node into the own record."""
--- a/godwitknot/members.py
+++ b/godwitknot/members.py
@@ -56,16 +56,22 @@
         self._notify({self._own_id})
         return self.own
 
-    def set_server_state(self, name: str, state: ServerState) -> NodeRecord:
+    def set_server_state(
+        self,
+        name: str,
+        state: ServerState,
+        **changes: object,
+    ) -> NodeRecord:
         """Set the state of an own server.
 
+        :param changes: other fields of the server that change with it.
         :raises KeyError: if this node has no server of this name.
         """
         with self._lock:
             if self.own.find_server(name) is None:
                 raise KeyError(name)
             servers = tuple(
-                attrs.evolve(server, state=state)
+                attrs.evolve(server, state=state, **changes)
                 if server.name == name
                 else server
                 for server in self.own.servers
--- a/godwitknot/parts.py
+++ b/godwitknot/parts.py
@@ -5,6 +5,8 @@
 and the record takes effect when the last part has arrived.
 """
 
+from collections.abc import Iterable
+
 import attrs
 
 from godwitknot import codec
@@ -48,15 +50,24 @@
     ]
 
 
-def find_change(old: NodeRecord, new: NodeRecord) -> list[RecordChange]:
+def find_change(
+    old: NodeRecord,
+    new: NodeRecord,
+    between: Iterable[NodeRecord] = (),
+) -> list[RecordChange]:
     """Give what changed between two versions of one incarnation.
 
+    :param between: versions between both. A receiver that holds one of
+        them applies the change too, so a server that differs in one of
+        them is part of it, even if it is now as in ``old``.
     :returns: the servers that differ; all of them if one was removed.
     """
+    earlier = (old, *between)
     names = {server.name for server in new.servers}
-    if any(server.name not in names for server in old.servers):
-        return split_record(new)
-    kept = set(old.servers)
+    for record in earlier:
+        if any(server.name not in names for server in record.servers):
+            return split_record(new)
+    kept = set.intersection(*(set(record.servers) for record in earlier))
     changed = tuple(server for server in new.servers if server not in kept)
     return split_record(attrs.evolve(new, servers=changed), old.version)
 
--- a/godwitknot/spreading.py
+++ b/godwitknot/spreading.py
@@ -47,11 +47,11 @@
         self._last = record
         while self._past[0][0] < now - _CHANGE_SPAN_SECONDS:
             self._past.popleft()
-        base = self._past[0][1]
+        base, *between = [past for _, past in self._past]
         if base.incarnation != record.incarnation:
             self._past.clear()
             return split_record(record)
-        return find_change(base, record)
+        return find_change(base, record, between)
 
 
 class Spreader:
--- a/tests/godwitknot/test_members.py
+++ b/tests/godwitknot/test_members.py
@@ -378,6 +378,24 @@
     assert removal.base == 0
 
 
+def test_server_that_is_as_before_is_part_of_the_change():
+    """Guards against a returned server that others take for ejected.
+
+    Seen in a session: ready, ejected, probation and ready again within 10 s
+    left the other nodes at probation with the latest version.
+    """
+    states = (ServerState.READY, ServerState.PROBATION, ServerState.READY)
+    first, second, third = (
+        make_record('a', 1, version, [make_server('s1', state=state)])
+        for version, state in enumerate(states, 1)
+    )
+    directory = make_directory()
+    directory.merge(second)
+    for change in find_change(first, third, [second]):
+        directory.merge_change(change)
+    assert directory.node('a') == third
+
+
 def test_change_of_another_incarnation_is_not_applied():
     """Guards against servers of an ended process in a new record."""
     directory = make_directory()
