--- a/bench/trials.py
+++ b/bench/trials.py
@@ -274,7 +274,8 @@
     def _send(self, number: int) -> None:
         server = self.servers[number]
         now = self.clock.now()
-        reused = server.idle > 0
+        fresh = server.policy.wants_fresh_connections()
+        reused = server.idle > 0 and not fresh
         server.idle -= reused
         server.running += 1
         fault = HEALTHY
--- a/godwitknot/outliers.py
+++ b/godwitknot/outliers.py
@@ -12,6 +12,7 @@
 from godwitknot.clock import Clock
 from godwitknot.declaration import Weighing
 from godwitknot.evidence import Evidence, EvidenceKind
+from godwitknot.hanging import HangingRequests
 from godwitknot.likelihood import (
     SLOWDOWN,
     find_scale,
@@ -101,6 +102,10 @@
         """Judge one request of a server on probation."""
         return not sample.failed
 
+    def wants_fresh_connections(self) -> bool:
+        """Tell whether requests should be sent on new connections only."""
+        return False
+
     def begin(
         self,
         request_id: str,
@@ -114,13 +119,6 @@
         """Forget a request that the caller cancelled."""
 
 
-@attrs.frozen
-class _Sent:
-    work_class: str
-    fresh_connection: bool
-    started: float
-
-
 @attrs.frozen
 class _Past:
     """Baseline at a moment."""
@@ -184,11 +182,13 @@
             failed=sample.failed, error_share=baseline.error_share
         )
         self.errors = max(0, self.errors + weight)
-        # Errors are often fast; they say nothing about the speed.
-        if sample.timed_out or not sample.failed:
-            excess = log_excess(sample.seconds, baseline.median)
-            scale = find_scale(baseline.median, baseline.spread)
-            self.slow = max(0, self.slow + weigh_time(excess, scale))
+        if sample.failed and not sample.timed_out:
+            # Errors are often fast; they say nothing about the speed.
+            return
+        excess = log_excess(sample.seconds, baseline.median)
+        scale = find_scale(baseline.median, baseline.spread)
+        weigh = weigh_hang if sample.timed_out else weigh_time
+        self.slow = max(0, self.slow + weigh(excess, scale))
 
 
 class SequentialPolicy(OutlierPolicy):
@@ -210,7 +210,7 @@
         self._weighing_of = weighing_of
         self._lock = threading.Lock()
         self._classes: dict[str, _ClassRecord] = {}
-        self._sent: dict[str, _Sent] = {}
+        self._hanging = HangingRequests(clock)
 
     def begin(
         self,
@@ -220,15 +220,16 @@
         fresh_connection: bool,
     ) -> None:
         """Note that a request was sent; it may hang."""
-        sent = _Sent(work_class, fresh_connection, self._clock.now())
         with self._lock:
-            self._sent[request_id] = sent
+            self._hanging.add(
+                request_id, work_class, fresh_connection=fresh_connection
+            )
             self._record(work_class)
 
     def abandon(self, request_id: str) -> None:
         """Forget a request that the caller cancelled."""
         with self._lock:
-            self._sent.pop(request_id, None)
+            self._hanging.remove(request_id)
 
     def observe(self, sample: Sample) -> None:
         """Add the evidence of a finished request.
@@ -237,7 +238,7 @@
         which may have been silent since before the request.
         """
         with self._lock:
-            self._sent.pop(sample.request_id, None)
+            self._hanging.remove(sample.request_id)
             if sample.timed_out and not sample.fresh_connection:
                 return
             self._record(sample.work_class).add(sample)
@@ -275,11 +276,26 @@
             return not sample.failed
         return log_excess(sample.seconds, baseline.median) < SLOWDOWN
 
+    def wants_fresh_connections(self) -> bool:
+        """Tell whether a request hangs on a reused connection.
+
+        Only requests on new connections show whether the server or the
+        connection is at fault.
+        """
+        with self._lock:
+            return any(
+                self._hanging.is_connection_silent(
+                    work_class, record.baseline.median
+                )
+                for work_class, record in self._classes.items()
+                if record.baseline is not None
+            )
+
     def reset(self) -> None:
         """Forget all requests, those that still hang included."""
         with self._lock:
             self._classes.clear()
-            self._sent.clear()
+            self._hanging.clear()
 
     def _may_eject(self, evidence: Evidence) -> bool:
         """Hold back while the siblings themselves become better or worse."""
@@ -302,7 +318,7 @@
         baseline = record.baseline
         score, hung = record.errors, 0
         if kind is EvidenceKind.SLOW:
-            weights = self._weigh_hanging(work_class, baseline)
+            weights = self._hanging.weigh(work_class, baseline)
             hung = len(weights)
             score = record.slow + math.fsum(weights)
         return Evidence(
@@ -315,17 +331,3 @@
             score=score,
             threshold=_THRESHOLDS[self._weighing_of(work_class)],
         )
-
-    def _weigh_hanging(
-        self,
-        work_class: str,
-        baseline: Baseline,
-    ) -> list[float]:
-        now = self._clock.now()
-        scale = find_scale(baseline.median, baseline.spread)
-        weights = [
-            weigh_hang(log_excess(now - sent.started, baseline.median), scale)
-            for sent in self._sent.values()
-            if sent.fresh_connection and sent.work_class == work_class
-        ]
-        return [weight for weight in weights if weight > 0]
--- a/tests/godwitknot/test_outliers.py
+++ b/tests/godwitknot/test_outliers.py
@@ -83,8 +83,15 @@
     """Guards against ejecting a server for connections that went silent."""
     judged = Judged()
     judged.hang(4, fresh=False)
+    assert not judged.policy.wants_fresh_connections()
     judged.clock.advance(60)
+    assert judged.policy.wants_fresh_connections()
     assert not judged.policy.verdict().suspect
+    judged.policy.begin('new', 'lookup', fresh_connection=True)
+    assert not judged.policy.verdict().suspect
+    judged.clock.advance(1)
+    assert judged.policy.verdict().evidence.hung == 5
+    judged.policy.abandon('new')
     for number in range(4):
         judged.policy.observe(
             Sample('lookup', 10, True, False, 0, True, f'r{number}')
