--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of godwitknot."""
+"""Sessions, measurements and soak runs with real processes."""
