--- a/godwitknot/control.capnp
+++ b/godwitknot/control.capnp
@@ -122,6 +122,7 @@
   spread @6 :Float32;         # seconds, median absolute deviation
   errorShare @7 :Float32;     # 0 to 1
   age @8 :Float32;            # seconds since the window ended
+  slowShare @9 :Float32;      # share of times above 3 medians, 0 to 1
 }
 
 struct Summary {
--- a/godwitknot/evidence.py
+++ b/godwitknot/evidence.py
@@ -16,6 +16,7 @@
 
     SLOW = 'slow'
     ERRORS = 'errors'
+    SLOW_SHARE = 'slow-share'
     CONSECUTIVE_ERRORS = 'consecutive-errors'
 
 
--- a/godwitknot/likelihood.py
+++ b/godwitknot/likelihood.py
@@ -18,7 +18,10 @@
 _LEAST_ERROR_SHARE = 0.01
 _FAILING_ERROR_SHARE = 0.2
 _FAILING_FACTOR = 10
-_GREATEST_ERROR_SHARE = 0.9
+_GREATEST_SHARE = 0.9
+_LEAST_SLOW_SHARE = 0.02
+_FAILING_SLOW_SHARE = 0.2
+_FAILING_SLOW_FACTOR = 4
 # One hung request alone stays below every threshold.
 _HUNG_LIMIT = 8.0
 
@@ -58,12 +61,25 @@
 def weigh_outcome(*, failed: bool, error_share: float) -> float:
     """Weigh success or failure against the error share of the siblings."""
     healthy = max(_LEAST_ERROR_SHARE, error_share)
-    failing = min(
-        _GREATEST_ERROR_SHARE,
-        max(_FAILING_ERROR_SHARE, _FAILING_FACTOR * healthy),
-    )
+    failing = max(_FAILING_ERROR_SHARE, _FAILING_FACTOR * healthy)
+    return _weigh_share(failed, healthy, failing)
+
+
+def weigh_slow_share(*, slow: bool, slow_share: float) -> float:
+    """Weigh whether a request was much slower than the baseline.
+
+    Finds a server that is slow for a share of its requests, whose other
+    requests would outweigh them in :func:`weigh_time`.
+    """
+    healthy = max(_LEAST_SLOW_SHARE, slow_share)
+    failing = max(_FAILING_SLOW_SHARE, _FAILING_SLOW_FACTOR * healthy)
+    return _weigh_share(slow, healthy, failing)
+
+
+def _weigh_share(hit: bool, healthy: float, failing: float) -> float:
+    failing = min(_GREATEST_SHARE, failing)
     if failing <= healthy:
         return 0
-    if failed:
+    if hit:
         return math.log(failing / healthy)
     return math.log((1 - failing) / (1 - healthy))
--- a/godwitknot/messages.py
+++ b/godwitknot/messages.py
@@ -149,6 +149,7 @@
     :param spread: median absolute deviation in seconds.
     :param error_share: from 0 to 1.
     :param age: seconds since the window ended.
+    :param slow_share: share of times above 3 medians, 0 to 1.
     """
 
     service: str
@@ -160,6 +161,7 @@
     spread: float
     error_share: float
     age: float
+    slow_share: float = 0
 
 
 @attrs.frozen
--- a/godwitknot/outliers.py
+++ b/godwitknot/outliers.py
@@ -1,7 +1,6 @@
 """Outlier detection of one server: a sequential test against siblings."""
 
 import abc
-import collections
 import math
 import threading
 import types
@@ -13,18 +12,13 @@
 from godwitknot.declaration import Weighing
 from godwitknot.evidence import Evidence, EvidenceKind
 from godwitknot.hanging import HangingRequests
-from godwitknot.likelihood import (
-    SLOWDOWN,
-    find_scale,
-    log_excess,
-    weigh_hang,
-    weigh_outcome,
-    weigh_time,
-)
+from godwitknot.likelihood import SLOWDOWN, log_excess
+from godwitknot.samples import Sample
+from godwitknot.scores import ClassScores
 from godwitknot.siblings import Baseline
 
-_SAMPLES_KEPT = 256
 _SAMPLE_AGE_SECONDS = 300.0
+_KINDS = (EvidenceKind.SLOW, EvidenceKind.ERRORS, EvidenceKind.SLOW_SHARE)
 # A CUSUM with threshold ln(x) gives at most one false alarm in about x
 # requests, if healthy requests follow the baseline.
 _THRESHOLDS = types.MappingProxyType(
@@ -37,32 +31,6 @@
 # A suspect server refuses stay promises. Two slow requests suffice, so that
 # servers that all slow down at once refuse each other early.
 _SUSPECT_STRENGTH = 0.35
-# A baseline that moved lately mixes times from before and after a general
-# trouble, so each server looks bad against it.
-_SETTLING_SECONDS = 12.0
-_SETTLED_FACTOR = 1.5
-_SETTLED_ERRORS = 0.1
-
-
-@attrs.frozen
-class Sample:
-    """A finished request, as the sidecar saw it.
-
-    :param seconds: service time without the reader's pace.
-    :param failed: error, broken or timed-out response of the server.
-    :param fresh_connection: whether the connection was new.
-    :param started: when it was sent, on the monotonic clock.
-    :param timed_out: whether no response came in time.
-    :param request_id: as given to ``begin``, empty if it was not called.
-    """
-
-    work_class: str
-    seconds: float
-    failed: bool
-    fresh_connection: bool
-    started: float
-    timed_out: bool = False
-    request_id: str = ''
 
 
 @attrs.frozen
@@ -119,78 +87,6 @@
         """Forget a request that the caller cancelled."""
 
 
-@attrs.frozen
-class _Past:
-    """Baseline at a moment."""
-
-    at: float
-    baseline: Baseline
-
-
-@attrs.define
-class _ClassRecord:
-    """Samples and scores of one class against one baseline."""
-
-    samples: collections.deque[Sample] = attrs.field(
-        factory=lambda: collections.deque(maxlen=_SAMPLES_KEPT)
-    )
-    baseline: Baseline | None = None
-    slow: float = 0
-    errors: float = 0
-    past: collections.deque[_Past] = attrs.field(factory=collections.deque)
-
-    def is_settled(self, kind: EvidenceKind) -> bool:
-        """Tell whether the siblings stayed the same for a window."""
-        if not self.past:
-            return True
-        if kind is EvidenceKind.ERRORS:
-            shares = [each.baseline.error_share for each in self.past]
-            return max(shares) <= _SETTLED_ERRORS + min(shares)
-        medians = [each.baseline.median for each in self.past]
-        return max(medians) <= _SETTLED_FACTOR * min(medians)
-
-    def follow_baseline(self, now: float) -> None:
-        """Note the present baseline and forget what was before a window."""
-        if self.baseline is not None:
-            self.past.append(_Past(now, self.baseline))
-        while self.past and self.past[0].at < now - _SETTLING_SECONDS:
-            self.past.popleft()
-
-    def add(self, sample: Sample) -> None:
-        self.samples.append(sample)
-        self._score(sample)
-
-    def rescore(self, baseline: Baseline | None, oldest: float) -> None:
-        """Weigh all samples again against a new baseline.
-
-        Evidence from before a general slowdown was known vanishes as soon
-        as the siblings report it.
-        """
-        while self.samples and self.samples[0].started < oldest:
-            self.samples.popleft()
-        self.baseline = baseline
-        self.slow = 0
-        self.errors = 0
-        for sample in self.samples:
-            self._score(sample)
-
-    def _score(self, sample: Sample) -> None:
-        baseline = self.baseline
-        if baseline is None:
-            return
-        weight = weigh_outcome(
-            failed=sample.failed, error_share=baseline.error_share
-        )
-        self.errors = max(0, self.errors + weight)
-        if sample.failed and not sample.timed_out:
-            # Errors are often fast; they say nothing about the speed.
-            return
-        excess = log_excess(sample.seconds, baseline.median)
-        scale = find_scale(baseline.median, baseline.spread)
-        weigh = weigh_hang if sample.timed_out else weigh_time
-        self.slow = max(0, self.slow + weigh(excess, scale))
-
-
 class SequentialPolicy(OutlierPolicy):
     """CUSUM of log-likelihood ratios per class and test."""
 
@@ -209,7 +105,7 @@
         self._baseline_of = baseline_of
         self._weighing_of = weighing_of
         self._lock = threading.Lock()
-        self._classes: dict[str, _ClassRecord] = {}
+        self._classes: dict[str, ClassScores] = {}
         self._hanging = HangingRequests(clock)
 
     def begin(
@@ -257,7 +153,7 @@
             found = [
                 self._gather(work_class, record, kind)
                 for work_class, record in self._classes.items()
-                for kind in (EvidenceKind.SLOW, EvidenceKind.ERRORS)
+                for kind in _KINDS
                 if record.baseline is not None
             ]
         strongest = max(found, key=lambda each: each.strength, default=None)
@@ -302,25 +198,25 @@
         record = self._classes.get(evidence.work_class)
         return record is not None and record.is_settled(evidence.kind)
 
-    def _record(self, work_class: str) -> _ClassRecord:
+    def _record(self, work_class: str) -> ClassScores:
         record = self._classes.get(work_class)
         if record is None:
-            record = _ClassRecord(baseline=self._baseline_of(work_class))
+            record = ClassScores(baseline=self._baseline_of(work_class))
             self._classes[work_class] = record
         return record
 
     def _gather(
         self,
         work_class: str,
-        record: _ClassRecord,
+        record: ClassScores,
         kind: EvidenceKind,
     ) -> Evidence:
         baseline = record.baseline
-        score, hung = record.errors, 0
+        score, hung = record.score(kind), 0
         if kind is EvidenceKind.SLOW:
             weights = self._hanging.weigh(work_class, baseline)
             hung = len(weights)
-            score = record.slow + math.fsum(weights)
+            score += math.fsum(weights)
         return Evidence(
             work_class=work_class,
             kind=kind,
--- a/godwitknot/siblings.py
+++ b/godwitknot/siblings.py
@@ -19,6 +19,7 @@
 # A median of fewer requests says little about its server.
 _MIN_REQUESTS = 3
 _MIN_SIBLINGS = 2
+_SLOW_FACTOR = 3
 # Keeps a message well below the datagram limit of 1,200 bytes.
 _SUMMARIES_PER_MESSAGE = 8
 # Messages go to this many random siblings.
@@ -39,12 +40,14 @@
     :param spread: median absolute deviation in seconds.
     :param error_share: from 0 to 1.
     :param siblings: servers that it rests on.
+    :param slow_share: share of times above 3 medians, 0 to 1.
     """
 
     median: float
     spread: float
     error_share: float
     siblings: int
+    slow_share: float = 0
 
 
 @attrs.frozen
@@ -228,6 +231,7 @@
     median = statistics.median(times)
     spread = statistics.median(abs(seconds - median) for seconds in times)
     failures = len(recent) - len(answered)
+    slow = sum(seconds > _SLOW_FACTOR * median for seconds in times)
     return ServerSummary(
         *identity,
         count=len(recent),
@@ -235,6 +239,7 @@
         spread=spread,
         error_share=failures / len(recent),
         age=0,
+        slow_share=slow / len(times),
     )
 
 
@@ -250,6 +255,7 @@
         statistics.median_high(summary.spread for summary in usable),
         statistics.median_high(summary.error_share for summary in usable),
         len(usable),
+        statistics.median_high(summary.slow_share for summary in usable),
     )
 
 
@@ -259,10 +265,11 @@
         summary.spread,
         summary.error_share,
         summary.age,
+        summary.slow_share,
     )
     if not all(math.isfinite(figure) and figure >= 0 for figure in figures):
         return False
-    return summary.error_share <= 1
+    return max(summary.error_share, summary.slow_share) <= 1
 
 
 def _key(summary: ServerSummary) -> _ServerKey:
--- a/tests/godwitknot/test_outliers.py
+++ b/tests/godwitknot/test_outliers.py
@@ -134,6 +134,17 @@
     assert Judged(baseline=shared).feed(1000, error_share=0.3) is None
 
 
+def test_slowness_of_a_share_of_requests_is_found():
+    """Guards against slow requests that the fast ones outweigh."""
+    judged = Judged()
+    for _ in range(60):
+        judged.feed(3)
+        judged.feed(1, factor=8)
+    evidence = judged.policy.verdict().evidence
+    assert evidence.kind is EvidenceKind.SLOW_SHARE
+    assert evidence.strength >= 1
+
+
 def test_verdict_explains_itself():
     judged = Judged()
     judged.feed(50, factor=5)
