--- a/godwitknot/admission.py
+++ b/godwitknot/admission.py
@@ -138,12 +138,12 @@
         """Open the gate with all slots free.
 
         :param slots: requests that the server runs at a time.
-        :param order: order of the queue, first come first served if left out.
+        :param order: order of the queue, earliest deadline first if left out.
         """
         self.server_name = server_name
         self._slots = slots
         self._clock = clock
-        self._order = order or FifoOrder()
+        self._order = order or EarliestDeadlineOrder()
         self._lock = threading.Lock()
         self._running: dict[str, Slot] = {}
         self._queue: list[Waiter] = []
