Name the process in moved keys of the idempotency machine

Cause: the Hypothesis machine resolved a moved key to whatever process ran at its place when it was presented, so a restarted process redeemed the key of an earlier one: move, answer, crash, answer ran twice in the machine. A real moved key names node and incarnation, so the fleet does not do this. Change: the machine's moved keys name node and incarnation as real ones do; the check itself is unchanged.

--- a/tests/godwitknot/test_idempotency.py
+++ b/tests/godwitknot/test_idempotency.py
@@ -237,8 +237,8 @@
         if isinstance(found, Permit):
             self.permits.append((found, shown, place))
         elif isinstance(found, Moved):
-            nonce, target = found.key.split('@')
-            owner = self.owners[int(target)]
+            nonce, node_id, incarnation = found.key.split('@')
+            owner = Owner(node_id, int(incarnation))
             moved = ticket(nonce, owner, shown.expires, moved=True)
             if owner in self.books:
                 self.present(moved, owner)
@@ -266,7 +266,12 @@
         permit, shown, place = self.permits.pop(pick % len(self.permits))
         other = 1 - self.owners.index(place)
         if how == 'move' and not shown.moved:
-            permit.move(f'{shown.nonce}@{other}')
+            # The key names the process, so that one started later at the
+            # same place may not redeem it.
+            sibling = self.owners[other]
+            permit.move(
+                f'{shown.nonce}@{sibling.node_id}@{sibling.incarnation}'
+            )
             return
         if how in {'unsent', 'move'}:
             permit.release()
