Tell subscribers of server states without the directory lock

Change: the record is put under the lock, subscribers are told after it. An apply during an outage says that the store is down and nothing was changed.

--- a/godwitknot/members.py
+++ b/godwitknot/members.py
@@ -51,8 +51,7 @@
     def update_own(self, **changes: object) -> NodeRecord:
         """Change fields of the own record as its next version."""
         with self._lock:
-            version = self.own.version + 1
-            self._table.put(attrs.evolve(self.own, version=version, **changes))
+            self._put_own(changes)
         self._notify({self._own_id})
         return self.own
 
@@ -76,7 +75,10 @@
                 else server
                 for server in self.own.servers
             )
-            return self.update_own(servers=servers)
+            self._put_own({'servers': servers})
+        # Subscribers have locks of their own and read the directory.
+        self._notify({self._own_id})
+        return self.own
 
     def merge(self, record: NodeRecord) -> bool:
         """Take a whole record in, if it is newer than the one held.
@@ -125,6 +127,10 @@
             changed |= self._judge_reports()
         self._notify(changed)
 
+    def _put_own(self, changes: dict[str, object]) -> None:
+        version = self.own.version + 1
+        self._table.put(attrs.evolve(self.own, version=version, **changes))
+
     def _merge_other(self, change: RecordChange) -> Merge:
         node_id = change.record.node_id
         if not self.is_new(node_id, change.record.freshness):
--- a/godwitknot/operatorclient.py
+++ b/godwitknot/operatorclient.py
@@ -210,4 +210,6 @@
         return AccessError(message)
     if code is ApiCode.ANSWER_LOST:
         return NodeUnreachableError(message)
+    if code is ApiCode.STORE_DOWN:
+        return NodeFailureError('the store is down; nothing was changed')
     return NodeFailureError(f'{code}: {message}')
--- a/tests/godwitknot/test_members.py
+++ b/tests/godwitknot/test_members.py
@@ -1,6 +1,7 @@
 """Directory: merge rules, tombstones, reachability and own record."""
 
 import random
+import threading
 
 import attrs
 import pytest
@@ -378,6 +379,22 @@
     assert removal.base == 0
 
 
+def test_subscribers_of_a_server_state_run_without_the_lock():
+    """Guards against a node that hangs when two servers start at once."""
+    directory = make_directory('x')
+    directory.update_own(servers=(make_server('s1'),))
+    heard = []
+
+    def read_from_another_thread(*_changed):
+        reader = threading.Thread(target=lambda: heard.append(directory.hash))
+        reader.start()
+        reader.join(5)
+
+    directory.subscribe(read_from_another_thread)
+    directory.set_server_state('s1', ServerState.DRAINING)
+    assert heard == [directory.hash]
+
+
 def test_server_that_is_as_before_is_part_of_the_change():
     """Guards against a returned server that others take for ejected.
 
