Report unknown names in sections that have other faults

Cause: a class or migration with a fault was left out of the check of the names it refers to, so an operator met those faults only on a second run. Change: references are checked on the raw sections.

--- a/godwitknot/declaration.py
+++ b/godwitknot/declaration.py
@@ -250,6 +250,14 @@
     {'service': Service, 'class': WorkClass, 'migration': Migration},
 )
 
+# Keys that name another section, and its kind.
+_REFERENCES = types.MappingProxyType(
+    {
+        'class': {'service': 'service'},
+        'migration': {'work-class': 'class', 'to': 'service'},
+    },
+)
+
 
 def parse_declaration(text: str) -> Declaration:
     """Read a declaration.
@@ -274,7 +282,7 @@
         found[kind][name] = read_section(
             _SECTIONS[kind], title, values, problems, name=name
         )
-    _check_references(found, problems)
+    _check_references(sections, found, problems)
     _check_overlaps(found['class'], problems)
     if problems or fleet is None:
         raise DeclarationError(problems)
@@ -301,28 +309,22 @@
 
 
 def _check_references(
-    found: dict[str, dict],
+    sections: Mapping[str, Mapping[str, str]],
+    found: Mapping[str, Mapping[str, object]],
     problems: list[Problem],
 ) -> None:
-    services = found['service']
-    classes = found['class']
-    expected = f'a declared service ({", ".join(services)})'
-    if not classes:
+    """Check names of services and classes, also in sections with faults."""
+    if not found['class']:
         problems.append(Problem('', '', 'at least one [class NAME] section'))
-    for work in filter(None, classes.values()):
-        if work.service not in services:
-            title = f'class {work.name}'
-            problems.append(Problem(title, 'service', expected, work.service))
-    for move in filter(None, found['migration'].values()):
-        title = f'migration {move.name}'
-        if move.to not in services:
-            problems.append(Problem(title, 'to', expected, move.to))
-        if move.work_class not in classes:
-            problems.append(
-                Problem(
-                    title, 'work-class', 'a declared class', move.work_class
-                )
-            )
+    for title, values in sections.items():
+        kind = title.partition(' ')[0]
+        for key, meant in _REFERENCES.get(kind, {}).items():
+            name = values.get(key)
+            if name is None or name in found[meant]:
+                continue
+            known = ', '.join(found[meant]) or 'none is declared'
+            expected = f'a declared {meant} ({known})'
+            problems.append(Problem(title, key, expected, name))
 
 
 def _check_overlaps(
--- a/tests/godwitknot/test_declaration.py
+++ b/tests/godwitknot/test_declaration.py
@@ -83,3 +83,15 @@
     twice = VALID.replace('GET /slots/*', 'POST /bookings')
     with pytest.raises(DeclarationError, match='slot-booking'):
         parse_declaration(twice)
+
+
+def test_unknown_names_are_reported_beside_other_faults():
+    """Guards against a second round of errors after the first is mended."""
+    broken = VALID.replace('service = booking\n', 'service = bokking\n')
+    broken = broken.replace('95% within 200ms', 'soon')
+    with pytest.raises(DeclarationError) as caught:
+        parse_declaration(broken)
+    assert [problem.key for problem in caught.value.problems] == [
+        'latency',
+        'service',
+    ]
