Start soak fleets on the shared fleet of bench

Soak runs used a local fleet that was merged into bench.fleet. A fleet that does not start ends what it started.

An attempt inquiry names the incarnation that it asks about, and its answer is not trusted 60 s after the send: a restarted sidecar, or one that has forgotten the attempt, reported "not run" for what may have run.

--- a/bench/soakcallers.py
+++ b/bench/soakcallers.py
@@ -8,6 +8,7 @@
 
 import urllib3
 
+from bench.fleet import TOKEN
 from bench.histories import (
     ApplyRecord,
     CallRecord,
@@ -15,7 +16,6 @@
     History,
     VersionRecord,
 )
-from bench.localfleet import TOKEN
 from bench.soakfleet import DECLARATION, SERVICE, SoakFleet
 from godwitknot.access import Access
 from godwitknot.errors import UserError
--- a/bench/soakfleet.py
+++ b/bench/soakfleet.py
@@ -1,25 +1,30 @@
 """The fleet of a soak run, and what its parts observed."""
 
+import contextlib
+import shutil
 import signal
 import subprocess
 import sys
+import threading
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
-from bench.histories import ClaimRecord, RunRecord
-from bench.localfleet import (
-    LOOPBACK,
-    TOKEN,
-    LocalFleet,
+import urllib3
+
+from bench.fleet import (
+    Fleet,
     NodePlan,
     RunningNode,
-    free_address,
-    wait_until,
+    ServerPlan,
+    reserve_addresses,
 )
+from bench.histories import ClaimRecord, RunRecord
 from godwitknot.claimrows import ClaimState
 from godwitknot.store import Write
-from godwitknot.units import Address
+from godwitknot.units import Address, parse_address
+from standins.backend import FakeServer, FakeServerHost
 from standins.cutter import Cutter
+from standins.platform import PlatformApplication, build_server
 from standins.tables import MemoryTables
 
 SERVICE = 'booking'
@@ -45,11 +50,15 @@
 timeout = 4s
 never-repeat = yes
 """
-_PLANS = tuple(
-    NodePlan(f'n{n}', 'reykjanes', f'reykjanes-{n}', {f's{n}': SERVICE})
-    for n in range(3)
-)
+_NODES = 3
 _SERVICE_SECONDS = 0.02
+_WAIT_SECONDS = 60.0
+_POLL_SECONDS = 0.1
+_OK = 200
+_FAST = (
+    ('poll-interval = 2s', 'poll-interval = 500ms'),
+    ('timeout = 1s', 'timeout = 500ms'),
+)
 
 
 class RecordingTables(MemoryTables):
@@ -69,41 +78,76 @@
                 self.claims.append(ClaimRecord(key, time.time()))
 
 
-class SoakFleet(LocalFleet):
-    """Three nodes whose ways to their server and to the store can be cut."""
+class SoakFleet(Fleet):
+    """Three nodes whose ways to their server and to the store can be cut.
+
+    The servers and the platform run in threads of this process, which
+    records what they do and switches their faults.
+    """
 
-    def __init__(self, directory: object, variant: str) -> None:
+    def __init__(self, variant: str) -> None:
         """Prepare the fleet.
 
         :param variant: of the nodes, see :mod:`bench.soaknode`.
         """
-        super().__init__(directory, _PLANS, _SERVICE_SECONDS)
-        self.platform.tables = RecordingTables()
+        super().__init__([_plan_node(number) for number in range(_NODES)])
+        self.application = PlatformApplication()
+        self.tables = RecordingTables()
+        self.application.tables = self.tables
+        self.servers = FakeServerHost()
         self.cutters: list[Cutter] = []
         self._variant = variant
+        self._store = build_server(self.platform, self.application)
+
+    def start(self) -> None:
+        """Start everything and wait until each node knows all servers."""
+        self._store.prepare()
+        threading.Thread(target=self._store.serve, daemon=True).start()
+        for node in self.nodes.values():
+            for name, address in node.servers.items():
+                server = FakeServer(name, service_seconds=_SERVICE_SECONDS)
+                self.servers.add(server, address)
+            self._cut_in(node)
+            self.start_node(node.plan.node_id)
+        self._wait(self._knows_all, 'all nodes know all servers')
 
     def start_node(self, node_id: str) -> None:
         """Start the process of a node; does not wait for it."""
         node = self.nodes[node_id]
         words = ('-m', 'bench.soaknode', str(node.settings), self._variant)
-        with (self.directory / f'{node_id}.log').open('ab') as log:
+        with self.log_path.open('ab') as log:
             node.process = subprocess.Popen(
                 [sys.executable, *words], stdout=log, stderr=log
             )
 
+    def stop(self) -> list[int]:
+        """End everything and remove the files."""
+        for node_id in self.nodes:
+            self.kill_node(node_id)
+        codes = super().stop()
+        self.servers.stop()
+        self._store.stop()
+        shutil.rmtree(self.folder)
+        return codes
+
     def kill_node(self, node_id: str) -> None:
         """End a node at once."""
-        self.signal_node(node_id, signal.SIGKILL)
-        self.nodes[node_id].process.wait()
-
-    def wait_serving(self) -> None:
-        """Wait until each node listens and knows all servers."""
-        wait_until(
-            lambda: all(map(self._knows_all, self.nodes.values())),
-            'all nodes know all servers',
-        )
-
-    def list_runs(self) -> list[RunRecord]:
+        process = self.nodes[node_id].process
+        if process is not None:
+            process.kill()
+            process.wait()
+
+    def signal_node(self, node_id: str, number: signal.Signals) -> None:
+        """Send a signal to the process of a node, if it is up."""
+        process = self.nodes[node_id].process
+        if process.poll() is None:
+            process.send_signal(number)
+
+    def wait_ready(self) -> None:
+        """Wait until each node takes requests of callers."""
+        self._wait(self._is_ready, 'all nodes are ready')
+
+    def list_all_runs(self) -> list[RunRecord]:
         """Give what all fake servers ran."""
         return [
             RunRecord(name, run.at, run.request_id, run.key, run.body)
@@ -111,33 +155,49 @@
             for run in list(server.executions)
         ]
 
+    def _wait(self, holds: Callable[[RunningNode], bool], what: str) -> None:
+        deadline = time.monotonic() + _WAIT_SECONDS
+        while not all(map(holds, self.nodes.values())):
+            if time.monotonic() > deadline:
+                raise TimeoutError(what)
+            time.sleep(_POLL_SECONDS)
+
     def _knows_all(self, node: RunningNode) -> bool:
-        if not self._answers(f'http://{node.operator}/status'):
-            return False
-        fields = {'Authorization': f'Bearer {TOKEN}'}
-        url = f'http://{node.operator}/status'
-        status = self.http.request('GET', url, headers=fields).json()
-        states = [server['state'] for server in status['servers']]
-        return states.count('ready') == len(_PLANS)
-
-    def _write_settings(self, node: RunningNode) -> None:
-        super()._write_settings(node)
+        with contextlib.suppress(urllib3.exceptions.HTTPError, KeyError):
+            status = self.status(node.plan.node_id)
+            states = [server['state'] for server in status['servers']]
+            return states.count('ready') == _NODES
+        return False
+
+    def _is_ready(self, node: RunningNode) -> bool:
+        url = f'http://{node.ingress}/.godwitknot/ready'
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            return self.http.request('GET', url).status == _OK
+        return False
+
+    def _cut_in(self, node: RunningNode) -> None:
+        """Lead the ways to the store and to the server through cutters."""
         text = node.settings.read_text(encoding='utf-8')
-        lines = text.replace('poll-interval = 1s', 'poll-interval = 500ms')
-        settings = []
-        for line in lines.splitlines():
+        for slow, fast in _FAST:
+            text = text.replace(slow, fast)
+        lines = []
+        for line in text.splitlines():
             name, _, place = line.partition(' = ')
             if name in {'tables', 'address'}:
-                settings.append(f'{name} = {self._cut(place)}')
+                lines.append(f'{name} = {self._cut(parse_address(place))}')
             else:
-                settings.append(line)
-        settings.insert(settings.index('[keys]'), 'timeout = 500ms')
-        node.settings.write_text('\n'.join(settings), encoding='utf-8')
-
-    def _cut(self, place: str) -> Address:
-        host, _, port = place.rpartition(':')
-        address = free_address()
-        cutter = Cutter(address, Address(host or LOOPBACK, int(port)))
+                lines.append(line)
+        node.settings.write_text('\n'.join(lines), encoding='utf-8')
+
+    def _cut(self, target: Address) -> Address:
+        address = reserve_addresses(1)[0]
+        cutter = Cutter(address, target)
         cutter.start()
         self.cutters.append(cutter)
         return address
+
+
+def _plan_node(number: int) -> NodePlan:
+    server = ServerPlan(f's{number}', SERVICE)
+    domain = f'reykjanes-{number}'
+    return NodePlan(f'n{number}', 'reykjanes', domain, (server,))
--- a/bench/soakrun.py
+++ b/bench/soakrun.py
@@ -1,9 +1,7 @@
 """One history of a soak run: a fleet, its callers, and its faults."""
 
-import pathlib
 import random
 import signal
-import tempfile
 import threading
 import time
 from collections.abc import Callable
@@ -125,18 +123,18 @@
         self._fleet.start_node(node_id)
 
     def _store_down(self) -> None:
-        self._fleet.platform.faults.down = True
+        self._fleet.application.faults.down = True
         time.sleep(self._random.uniform(0.2, 1))
-        self._fleet.platform.faults.down = False
+        self._fleet.application.faults.down = False
 
     def _store_slow(self) -> None:
         # Beyond 500 ms the nodes give up before the write takes effect.
-        self._fleet.platform.faults.slow_ms = self._random.choice((50, 700))
+        self._fleet.application.faults.slow_ms = self._random.choice((50, 700))
         time.sleep(self._random.uniform(0.2, 1))
-        self._fleet.platform.faults.slow_ms = 0
+        self._fleet.application.faults.slow_ms = 0
 
     def _lose_answers(self) -> None:
-        self._fleet.platform.faults.lose_writes = self._random.randint(1, 8)
+        self._fleet.application.faults.lose_writes = self._random.randint(1, 8)
 
     def _cut_off(self) -> None:
         cutter = self._random.choice(self._fleet.cutters)
@@ -168,12 +166,11 @@
             return
         node_id = self._pick_node()
         node = self._fleet.nodes[node_id]
-        server = next(iter(node.plan.servers))
+        server = node.plan.servers[0].name
         target = f'{node_id}/{server}'
-        process = self._fleet.start_command(node_id, 'stop', target)
         self._drained.add(node_id)
-        out, _ = process.communicate(timeout=60)
-        if process.returncode == 0 and 'draining' in out:
+        done = self._fleet.try_command(node_id, 'stop', target)
+        if done.returncode == 0 and 'draining' in done.stdout:
             self._history.drains.append(DrainRecord(server, time.time()))
 
     def _pick_node(self) -> str:
@@ -189,15 +186,12 @@
     :raises SoakError: if the fleet did not start.
     """
     history = History(lease=LEASE_SECONDS)
-    with tempfile.TemporaryDirectory(prefix='soak-') as folder:
-        with SoakFleet(pathlib.Path(folder), variant) as fleet:
-            _start(fleet, history)
-            faults = FaultScript(fleet, history, seed)
-            _work_together(fleet, history, seed, faults)
-            history.runs.extend(fleet.list_runs())
-            history.claims.extend(fleet.platform.tables.claims)
-            for node_id in fleet.nodes:
-                fleet.kill_node(node_id)
+    with SoakFleet(variant) as fleet:
+        _start(fleet, history)
+        faults = FaultScript(fleet, history, seed)
+        _work_together(fleet, history, seed, faults)
+        history.runs.extend(fleet.list_all_runs())
+        history.claims.extend(fleet.tables.claims)
     found = tuple(check_history(history))
     return Report(
         seed, history.operations, faults.count, len(history.runs), found
@@ -205,7 +199,6 @@
 
 
 def _start(fleet: SoakFleet, history: History) -> None:
-    fleet.wait_serving()
     for _ in range(_START_TRIES):
         if apply_text(fleet, history, 'n0', DECLARATION):
             fleet.wait_ready()
--- a/godwitknot/peerlink.py
+++ b/godwitknot/peerlink.py
@@ -41,6 +41,8 @@
 # Silence after which a sidecar is asked whether it has the request.
 _INQUIRY_SECONDS = 1.0
 _CONTROL_SECONDS = 2.0
+# Half of the time for which a sidecar remembers an attempt.
+_TRUSTED_SECONDS = 60.0
 
 
 class LinkError(GodwitknotError):
@@ -92,7 +94,8 @@
             request.deadline,
             caller,
         )
-        inquire = functools.partial(self._inquire, address, request)
+        sent = self._clock.now()
+        inquire = functools.partial(self._inquire, address, request, sent)
         try:
             exchange.send(call)
             response = exchange.wait(call, _INQUIRY_SECONDS, inquire)
@@ -103,7 +106,7 @@
                 detail=str(error),
             ) from error
         except ExchangeError as error:
-            raise self._settle(address, request, error) from error
+            raise self._settle(address, request, sent, error) from error
         return self._decode(exchange, request, response)
 
     def call(
@@ -158,9 +161,11 @@
                 self._pools[address] = pool
             return pool
 
-    def _inquire(self, address: Address, request: RelayRequest) -> None:
+    def _inquire(
+        self, address: Address, request: RelayRequest, sent: float
+    ) -> None:
         """Give up waiting if the sidecar does not have the request."""
-        state = self._ask_state(address, request)
+        state = self._ask_state(address, request, sent)
         if state is AttemptState.RUNNING:
             return
         if state is None and request.tag.never_repeat:
@@ -173,11 +178,12 @@
         self,
         address: Address,
         request: RelayRequest,
+        sent: float,
         error: ExchangeError,
     ) -> RefusalError:
         if isinstance(error, CallerLeftError):
             return RefusalError(Code.CANCELLED, Outcome.MAY_HAVE_RUN)
-        if self._ask_state(address, request) is AttemptState.NOT_RUN:
+        if self._ask_state(address, request, sent) is AttemptState.NOT_RUN:
             return RefusalError(Code.LINK_LOST)
         late = self._clock.now() >= request.deadline
         code = Code.DEADLINE_PASSED if late else Code.LINK_LOST
@@ -187,13 +193,19 @@
         self,
         address: Address,
         request: RelayRequest,
+        sent: float,
     ) -> AttemptState | None:
-        name = f'attempts/{request.attempt_id}'
+        name = f'attempts/{request.incarnation}/{request.attempt_id}'
         try:
             document = self.call(address, name, timeout=_INQUIRY_SECONDS)
-            return AttemptState(document['state'])
+            state = AttemptState(document['state'])
         except (LinkError, LookupError, ValueError):
             return None
+        # After a pause of this node the sidecar may have forgotten an
+        # attempt that ran, and it takes an unknown one for not run.
+        if self._clock.now() - sent > _TRUSTED_SECONDS:
+            return None
+        return state
 
     def _decode(
         self,
--- a/godwitknot/sidecar.py
+++ b/godwitknot/sidecar.py
@@ -67,8 +67,15 @@
         )
         return attrs.evolve(answer, close=close)
 
-    def settle(self, attempt_id: str) -> AttemptState:
-        """Tell the state of an attempt whose hop was lost."""
+    def settle(self, name: str) -> AttemptState:
+        """Tell the state of an attempt whose hop was lost.
+
+        :param name: incarnation that it was sent to, a slash and its id.
+        """
+        incarnation, _, attempt_id = name.partition('/')
+        if incarnation != str(self._incarnation):
+            # An earlier process may have run it.
+            return AttemptState.ENDED
         return self._attempts.settle(attempt_id)
 
     def _run(
--- a/tests/godwitknot/test_keydispatch.py
+++ b/tests/godwitknot/test_keydispatch.py
@@ -4,6 +4,7 @@
 import pytest
 import urllib3
 
+from godwitknot.attempts import AttemptState
 from godwitknot.records import NodeState
 from godwitknot.tickets import Owner
 from standins.cutter import Cutter
@@ -186,3 +187,9 @@
         healed.cut_backward = False
     assert reserve(plane, key).status == 200
     assert len(executions(plane)) == 1
+
+
+def test_a_restarted_sidecar_does_not_speak_for_the_old_one(plane):
+    """Guards against "not run" for what ran before a restart."""
+    assert plane.sidecar.settle('1/a') is AttemptState.NOT_RUN
+    assert plane.sidecar.settle('2/a') is AttemptState.ENDED
