--- a/godwitknot/baselines.py
+++ b/godwitknot/baselines.py
@@ -97,9 +97,15 @@
             return Verdict(eject=self._out_until is not None)
 
     def reset(self) -> None:
-        """Forget the errors in a row, not the number of ejections."""
+        """Forget the errors in a row; the caller keeps the server out.
+
+        The number of ejections is kept.
+        """
         with self._lock:
             self._errors = 0
+            if self._out_until is not None:
+                self._out_until = None
+                self._quota.give_back()
 
     def _eject(self) -> None:
         if self._out_until is not None or not self._quota.take():
--- a/godwitknot/serverset.py
+++ b/godwitknot/serverset.py
@@ -3,6 +3,11 @@
 import functools
 from collections.abc import Callable
 
+from godwitknot.baselines import (
+    ConsecutiveErrorsPolicy,
+    EjectionQuota,
+    RoundRobinPolicy,
+)
 from godwitknot.clock import Clock
 from godwitknot.controlplane import ControlPlane
 from godwitknot.declaration import Declaration, Weighing
@@ -12,7 +17,7 @@
 from godwitknot.outliers import OutlierPolicy, SequentialPolicy
 from godwitknot.probes import Probe
 from godwitknot.records import ServerState
-from godwitknot.settings import NodeSettings, ServerSection
+from godwitknot.settings import NodeSettings, PolicyName, ServerSection
 from godwitknot.supervisor import Supervisor
 from godwitknot.upstream import UpstreamServer
 
@@ -32,6 +37,7 @@
         declaration: Callable[[], Declaration | None],
     ) -> None:
         """Build one supervisor for each server of the settings."""
+        self._policy = settings.node.outlier_policy
         self._plane = plane
         self._decisions = decisions
         self._clock = clock
@@ -89,6 +95,11 @@
         self._plane.announce_server(name, state, supervisor.incarnation)
 
     def _make_policy(self, section: ServerSection) -> OutlierPolicy:
+        if self._policy is PolicyName.ROUND_ROBIN:
+            return RoundRobinPolicy()
+        if self._policy is PolicyName.CONSECUTIVE_ERRORS:
+            # The floor bounds how many servers are out.
+            return ConsecutiveErrorsPolicy(self._clock, EjectionQuota(1))
         return SequentialPolicy(
             self._clock,
             functools.partial(
--- a/godwitknot/settings.py
+++ b/godwitknot/settings.py
@@ -1,5 +1,6 @@
 """Settings of one node, read from an INI file and checked at start."""
 
+import enum
 import pathlib
 import re
 from collections.abc import Mapping
@@ -71,6 +72,14 @@
 _HOST_PORT = 'IP number and port, as 10.0.0.1:8100'
 
 
+class PolicyName(enum.StrEnum):
+    """Outlier policies that a node can use."""
+
+    SEQUENTIAL = 'sequential'
+    CONSECUTIVE_ERRORS = 'consecutive-errors'
+    ROUND_ROBIN = 'round-robin'
+
+
 @attrs.frozen
 class NodeSection:
     """The ``[node]`` section; see docs/configuration.md."""
@@ -98,6 +107,11 @@
         'a duration such as 5s',
         _DEFAULT_POLL_SECONDS,
     )
+    outlier_policy: PolicyName = ini_field(
+        PolicyName,
+        'sequential, consecutive-errors or round-robin',
+        PolicyName.SEQUENTIAL,
+    )
 
 
 @attrs.frozen
--- a/tests/godwitknot/test_baselines.py
+++ b/tests/godwitknot/test_baselines.py
@@ -59,3 +59,13 @@
     policy = RoundRobinPolicy()
     policy.tick(0)
     assert not _feed(policy, FIVE_ERRORS)
+
+
+def test_reset_hands_the_time_out_to_the_caller():
+    """Guards against a second ejection for the same errors."""
+    quota = EjectionQuota(1)
+    policy = ConsecutiveErrorsPolicy(ManualClock(), quota)
+    assert _feed(policy, FIVE_ERRORS)
+    policy.reset()
+    assert not policy.verdict().eject
+    assert quota.take()
