Keep old and lost requests from spoiling a probation

Cause: a probation request whose end is never reported blocked the only place for ever, and a request sent before the probation counted as its result. Change: the place is free again after 30 s; only requests sent after the probation began count. Result: a test for each case; both fail without the change.

--- a/godwitknot/ejections.py
+++ b/godwitknot/ejections.py
@@ -89,10 +89,9 @@
                 return False
             if last_resort:
                 return True
-            if state != ServerState.PROBATION or absence.busy:
+            if state != ServerState.PROBATION or not repeatable:
                 return False
-            absence.busy = repeatable
-            return repeatable
+            return absence.take_place(self._clock.now())
 
     def share(self) -> float:
         """Give the share of its usual load that the server should get."""
@@ -106,6 +105,9 @@
         """
         with self._life.lock:
             if self.state == ServerState.PROBATION:
+                if sample.started < self._life.absence.until:
+                    # Sent before the probation, as a last resort perhaps.
+                    return
                 good = self._policy.is_good(sample)
                 self._life.count_probation(good=good)
                 return
@@ -118,7 +120,7 @@
         """Free the probation place of a request that was not sent."""
         with self._life.lock:
             if self._life.absence is not None:
-                self._life.absence.busy = False
+                self._life.absence.busy_until = 0
 
     def note_started(self) -> None:
         """The server is up and healthy; it begins to take requests."""
--- a/godwitknot/lifecycle.py
+++ b/godwitknot/lifecycle.py
@@ -18,6 +18,8 @@
 # More would not lengthen an ejection beyond the longest.
 _EJECTIONS_KEPT = 16
 _PROBATION_REQUESTS = 5
+# A request whose end is never reported must not block the probation.
+_PROBATION_REQUEST_SECONDS = 30.0
 RAMP_SECONDS = 10.0
 _RAMP_START = 0.1
 # A server on probation runs one request at a time.
@@ -30,14 +32,21 @@
 
     :param until: earliest start of the probation.
     :param successes: probation requests that succeeded in order.
-    :param busy: whether a probation request is running.
+    :param busy_until: when the running probation request is given up.
     """
 
     lease: Lease
     until: float
     next_renewal: float
     successes: int = 0
-    busy: bool = False
+    busy_until: float = 0
+
+    def take_place(self, now: float) -> bool:
+        """Take the only place for a probation request, if it is free."""
+        if now < self.busy_until:
+            return False
+        self.busy_until = now + _PROBATION_REQUEST_SECONDS
+        return True
 
 
 class ServerLifecycle:
@@ -118,7 +127,7 @@
     def count_probation(self, *, good: bool) -> None:
         """Take in the result of a probation request."""
         absence = self.absence
-        absence.busy = False
+        absence.busy_until = 0
         if not good:
             now = self._clock.now()
             absence.successes = 0
--- a/tests/godwitknot/test_ejections.py
+++ b/tests/godwitknot/test_ejections.py
@@ -81,7 +81,8 @@
         )
 
     def finish(self, *, failed=False):
-        self.health.observe(Sample('lookup', 0.05, failed, True, 0))
+        now = self.clock.now()
+        self.health.observe(Sample('lookup', 0.05, failed, True, now))
 
     def actions(self):
         return [each.action for each in self.decisions.of_server('s')]
@@ -138,6 +139,25 @@
     assert case.accepts()
 
 
+def test_lost_probation_request_blocks_only_for_a_while(case):
+    """Guards against a probation that never ends."""
+    case.eject()
+    case.run(5)
+    assert case.accepts()
+    assert not case.accepts()
+    case.run(30)
+    assert case.accepts()
+
+
+def test_requests_from_before_the_probation_do_not_count(case):
+    """Guards against a probation that fails by an old slow request."""
+    case.eject()
+    sent = case.clock.now()
+    case.run(5)
+    case.health.observe(Sample('lookup', 5, True, True, sent))
+    assert case.health.state == ServerState.PROBATION
+
+
 def test_flapping_server_waits_longer(case):
     """Guards against a flapping server that is tried every 5 seconds."""
     case.eject()
