--- a/godwitknot/spreading.py
+++ b/godwitknot/spreading.py
@@ -3,7 +3,6 @@
 import collections
 import random
 import threading
-from collections.abc import Iterable
 
 from godwitknot.budgets import ByteBudget
 from godwitknot.clock import Clock
@@ -16,6 +15,7 @@
     ConfigNotice,
     Item,
     RumorBuffer,
+    choose_news,
     pack_items,
 )
 from godwitknot.transport import Endpoint
@@ -47,11 +47,11 @@
         self._last = record
         while self._past[0][0] < now - _CHANGE_SPAN_SECONDS:
             self._past.popleft()
-        base = self._past[0][1]
+        base, *between = [past for _, past in self._past]
         if base.incarnation != record.incarnation:
             self._past.clear()
             return split_record(record)
-        return find_change(base, record)
+        return find_change(base, record, between)
 
 
 class Spreader:
@@ -96,10 +96,9 @@
         """Spread an item."""
         self.buffer.add(item, self._directory.count)
 
-    def add_changes(self, changes: Iterable[RecordChange]) -> None:
-        """Spread the parts of a record."""
-        for change in changes:
-            self.add(change)
+    def add_changes(self, changes: list[RecordChange]) -> None:
+        """Spread a new version of a record."""
+        self.add(choose_news(changes))
 
     def add_own(self, record: NodeRecord) -> None:
         """Spread a new version of the own record."""
