--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -9,7 +9,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 
 import attrs
 import urllib3
@@ -74,7 +74,7 @@
 class Fleet:
     """A platform stand-in, fake servers and nodes, as processes."""
 
-    def __init__(self, plans: list[NodePlan], poll: str = '2s') -> None:
+    def __init__(self, plans: Sequence[NodePlan], poll: str = '2s') -> None:
         """Prepare the settings; nothing runs yet.
 
         :param poll: interval at which nodes poll the store.
@@ -290,7 +290,7 @@
         return '\n'.join(lines)
 
 
-def _count_ports(plans: list[NodePlan]) -> int:
+def _count_ports(plans: Sequence[NodePlan]) -> int:
     return sum(3 + len(plan.servers) for plan in plans)
 
 
--- a/bench/latency.py
+++ b/bench/latency.py
@@ -49,6 +49,11 @@
 latency = 99% within 100ms
 """
 
+PLANS = (
+    NodePlan('a', 'r', 'r-a', (ServerPlan('near-1', 'near', service_ms=2),)),
+    NodePlan('b', 'r', 'r-b', (ServerPlan('far-1', 'far', service_ms=2),)),
+)
+
 
 @attrs.frozen
 class Quantiles:
@@ -78,6 +83,14 @@
         ]
 
 
+def apply_declaration(fleet: Fleet) -> None:
+    """Configure the fleet and let its servers finish their ramp."""
+    declaration = fleet.folder / 'latency.ini'
+    declaration.write_text(_DECLARATION)
+    fleet.apply(declaration, 'a')
+    time.sleep(2)
+
+
 def measure_quantiles(samples: list[float]) -> Quantiles:
     """Summarize seconds as milliseconds."""
     cuts = statistics.quantiles(samples, n=100)
@@ -147,17 +160,8 @@
 
 def main() -> int:
     """Measure, print and write the figures."""
-    plans = [
-        NodePlan(
-            'a', 'r', 'r-a', (ServerPlan('near-1', 'near', service_ms=2),)
-        ),
-        NodePlan('b', 'r', 'r-b', (ServerPlan('far-1', 'far', service_ms=2),)),
-    ]
-    with Fleet(plans) as fleet:
-        declaration = fleet.folder / 'latency.ini'
-        declaration.write_text(_DECLARATION)
-        fleet.apply(declaration, 'a')
-        time.sleep(2)
+    with Fleet(PLANS) as fleet:
+        apply_declaration(fleet)
         low = measure_added(fleet)
         near = measure_capacity(fleet, '/near/x')
         far = measure_capacity(fleet, '/far/x')
