Send the head of a response with its first chunk

Cause: cheroot sends the head and the first chunk with two system calls. Change: the writer holds the head and sends both with one sendmsg.

--- a/godwitknot/httpserver.py
+++ b/godwitknot/httpserver.py
@@ -6,13 +6,14 @@
 import socket
 from collections.abc import Callable
 
+import attrs
 import cherrypy
 from cheroot import server as cheroot_server
 from cheroot import wsgi
 from cherrypy.process.servers import ServerAdapter
 
 from godwitknot.pool import GrowingPool
-from godwitknot.sockfiles import make_file
+from godwitknot.sockfiles import Writer, make_file
 from godwitknot.units import Address
 
 SOCKET_KEY = 'godwitknot.socket'
@@ -85,6 +86,33 @@
             return False
         return True
 
+    def respond(self) -> None:
+        """Answer; a head without a body is sent at the end."""
+        with contextlib.ExitStack() as ending:
+            ending.callback(self.conn.wfile.flush)
+            super().respond()
+
+    def send_headers(self) -> None:
+        """Give the head to the writer, which sends it with the first bytes.
+
+        cheroot calls this right before it writes the first chunk.
+        """
+        with contextlib.ExitStack() as ending:
+            ending.callback(setattr, self.conn, 'wfile', self.conn.wfile)
+            self.conn.wfile = _HeadCatcher(self.conn.wfile)
+            super().send_headers()
+
+
+@attrs.frozen
+class _HeadCatcher:
+    """Stands for the writer while cheroot writes the head."""
+
+    writer: Writer
+
+    def write(self, head: bytes) -> None:
+        """Hold the head."""
+        self.writer.hold(head)
+
 
 class _Connection(cheroot_server.HTTPConnection):
     RequestHandlerClass = _Request
--- a/godwitknot/sockfiles.py
+++ b/godwitknot/sockfiles.py
@@ -54,19 +54,41 @@
     def __init__(self, sock: socket.socket) -> None:
         """Wrap a socket."""
         self._sock = sock
+        self._head = b''
         self.bytes_written = 0
 
+    def hold(self, head: bytes) -> None:
+        """Keep the head of a response until its first bytes follow.
+
+        Both then take one system call and, if they are short, one segment.
+        """
+        self._head = head
+
+    def flush(self) -> None:
+        """Send a head that no body followed."""
+        if self._head:
+            self.write(b'')
+
     def write(self, content: bytes) -> int:
         """Send all bytes.
 
         The timeout of the socket holds for each part that is sent, since a
         slow reader may need long for the whole.
         """
+        head = self._head
+        self._head = b''
         rest = memoryview(content)
+        if head:
+            sent = self._sock.sendmsg((head, rest))
+            self._send(memoryview(head)[sent:])
+            rest = rest[max(0, sent - len(head)) :]
+        self._send(rest)
+        self.bytes_written += len(head) + len(content)
+        return len(content)
+
+    def _send(self, rest: memoryview) -> None:
         while rest:
             rest = rest[self._sock.send(rest) :]
-        self.bytes_written += len(content)
-        return len(content)
 
 
 def make_file(
