--- a/godwitknot/messages.py
+++ b/godwitknot/messages.py
@@ -73,9 +73,25 @@
     parts: int = 1
 
 
+@attrs.frozen
+class VersionEntry:
+    """What the sender holds of one node.
+
+    :param reports: hash of the watchers that report it unreachable.
+    """
+
+    node_id: str
+    incarnation: int
+    version: int
+    reports: int = 0
+
+
 @attrs.frozen
 class Rumors:
-    """Changes that spread through the fleet."""
+    """Changes that spread through the fleet.
+
+    :param news: versions of records that are too large to be sent unasked.
+    """
 
     records: tuple[NodeRecord, ...] = ()
     unreachable: tuple[Unreachable, ...] = ()
@@ -83,6 +99,7 @@
     clearances: tuple[Clearance, ...] = ()
     config_version: int = 0
     changes: tuple[RecordChange, ...] = ()
+    news: tuple[VersionEntry, ...] = ()
 
 
 @attrs.frozen
@@ -108,19 +125,6 @@
     buckets: tuple[int, ...] = ()
 
 
-@attrs.frozen
-class VersionEntry:
-    """What the sender holds of one node.
-
-    :param reports: hash of the watchers that report it unreachable.
-    """
-
-    node_id: str
-    incarnation: int
-    version: int
-    reports: int = 0
-
-
 @attrs.frozen
 class Versions:
     """Versions held; ``complete`` if nothing else is held.
@@ -149,6 +153,7 @@
     :param spread: median absolute deviation in seconds.
     :param error_share: from 0 to 1.
     :param age: seconds since the window ended.
+    :param slow_share: share of times above 3 medians, 0 to 1.
     """
 
     service: str
@@ -160,6 +165,7 @@
     spread: float
     error_share: float
     age: float
+    slow_share: float = 0
 
 
 @attrs.frozen
--- a/godwitknot/reconcile.py
+++ b/godwitknot/reconcile.py
@@ -12,7 +12,8 @@
 
 from godwitknot.budgets import ByteBudget
 from godwitknot.clock import Clock
-from godwitknot.fingerprints import BUCKETS, bucket_of
+from godwitknot.fingerprints import BUCKETS
+from godwitknot.joining import Joining
 from godwitknot.members import Directory
 from godwitknot.messages import (
     Digest,
@@ -27,18 +28,11 @@
 from godwitknot.transport import Endpoint
 from godwitknot.units import Address
 
-INTERVAL_SECONDS = 5.0
-_JITTER = (0.8, 1.2)
-# Until a node that joins holds as many records as its peers.
-_JOIN_INTERVAL_SECONDS = 0.1
-# Bytes of the budget that are left for rumours.
-RUMOR_RESERVE = 2000
-# About 30 bytes each: a message stays within one datagram.
-_MAX_ENTRIES = 32
+# A message of versions stays within one datagram.
+_ENTRIES_BYTES = 1000
+_ENTRY_BYTES = 24
 _MAX_REQUESTED = 12
-# Tombstones expire at slightly different times on different nodes, so a
-# small difference in number does not mean that this node is joining.
-_JOINED_SHARE = 0.9
+_FIRST_PEERS = 3
 
 
 class Reconciler:
@@ -67,7 +61,7 @@
         self._stopped = threading.Event()
         self._thread: threading.Thread | None = None
         self.seeds: tuple[Address, ...] = ()
-        self._largest_count = 0
+        self._joining = Joining(directory, rng)
         endpoint.subscribe(Digest, self._answer_digest)
         endpoint.subscribe(Versions, self._answer_versions)
         endpoint.subscribe(RecordsRequest, self._answer_request)
@@ -92,49 +86,36 @@
             part = wanted[start : start + _MAX_REQUESTED]
             self._send(address, RecordsRequest(part))
 
+    def compare_with(self, address: Address) -> None:
+        """Start an exchange with a peer."""
+        joining = self._joining.is_joining()
+        self._send(address, _make_digest(self._directory, joining))
+
     def _run(self) -> None:
         while not self._stopped.is_set():
             self._directory.tick()
-            address = self._choose_peer()
+            address = self._joining.choose_peer(self.seeds)
             if address is not None:
-                self._send(address, self._make_digest(self._is_joining()))
-            self._stopped.wait(self._pause())
-
-    def _pause(self) -> float:
-        if self._is_joining():
-            return _JOIN_INTERVAL_SECONDS
-        # Spreads the rounds of nodes that started together.
-        return INTERVAL_SECONDS * self._rng.uniform(*_JITTER)
-
-    def _is_joining(self) -> bool:
-        if self._directory.count == 1 and self.seeds:
-            return True
-        return self._directory.count < self._largest_count * _JOINED_SHARE
-
-    def _choose_peer(self) -> Address | None:
-        own = self._directory.own
-        # Unreachable peers too: so two halves of the fleet find each other
-        # when a partition ends.
-        peers = [
-            record.peer
-            for record in self._directory.nodes()
-            if record.node_id != own.node_id
-        ]
-        candidates = peers or [each for each in self.seeds if each != own.peer]
-        return self._rng.choice(candidates) if candidates else None
-
-    def _make_digest(self, with_buckets: bool) -> Digest:
-        buckets = self._directory.buckets if with_buckets else ()
-        return Digest(self._directory.hash, self._directory.count, buckets)
+                self.compare_with(address)
+            self._stopped.wait(self._joining.pause())
 
     def _answer_digest(
         self, sender: str, address: Address, digest: Digest
     ) -> None:
-        self._largest_count = digest.count
+        self._joining.note_count(digest.count)
+        if self._directory.node(sender) is None:
+            # Others learn its address from here, so that it has more peers
+            # to ask than the seeds.
+            self.request(address, [sender])
         if digest.directory_hash == self._directory.hash:
             return
+        if digest.count <= _FIRST_PEERS < self._directory.count:
+            self._send_first_peers(sender, address)
+            return
         if not digest.buckets:
-            self._send(address, self._make_digest(with_buckets=True))
+            self._send(
+                address, _make_digest(self._directory, with_buckets=True)
+            )
             return
         differing = [
             index
@@ -145,21 +126,41 @@
         ]
         self._send_versions(address, differing)
 
+    def _send_first_peers(self, sender: str, address: Address) -> None:
+        """Send a joining node a few peers, which it asks for the rest.
+
+        A seed could not send the whole directory to many nodes that start
+        together.
+        """
+        node_ids = [
+            record.node_id
+            for record in self._directory.nodes()
+            if self._directory.is_reachable(record.node_id)
+            and record.node_id != sender
+        ]
+        self._rng.shuffle(node_ids)
+        self._send_records(address, node_ids[:_FIRST_PEERS])
+
     def _send_versions(self, address: Address, buckets: list[int]) -> None:
         """Send the versions of as many buckets as one datagram takes."""
         self._rng.shuffle(buckets)
         chosen: list[int] = []
         entries: list[VersionEntry] = []
+        room = _ENTRIES_BYTES
         for bucket in buckets:
             held = self._directory.entries([bucket])
-            if entries and len(entries) + len(held) > _MAX_ENTRIES:
+            size = sum(map(_entry_bytes, held))
+            if chosen and size > room:
                 break
+            room -= size
             chosen.append(bucket)
             entries.extend(held)
-        for start in range(0, max(len(entries), 1), _MAX_ENTRIES):
-            part = tuple(entries[start : start + _MAX_ENTRIES])
-            complete = len(entries) <= _MAX_ENTRIES
-            self._send(address, Versions(part, complete, tuple(chosen)))
+        while room < 0:
+            # One bucket is too large, so some of its entries are left out.
+            room += _entry_bytes(entries.pop())
+        complete = len(entries) == len(self._directory.entries(chosen))
+        message = Versions(tuple(entries), complete, tuple(chosen))
+        self._send(address, message)
 
     def _answer_versions(
         self, sender: str, address: Address, versions: Versions
@@ -178,7 +179,9 @@
                 node_id, (entry.incarnation, entry.version)
             )
         ]
-        self.request(address, newer)
+        # What is left comes from the peers of the next rounds.
+        limit = min(_MAX_REQUESTED, self._directory.count)
+        self.request(address, newer[:limit])
         to_send = [
             entry.node_id
             for entry in mine.values()
@@ -216,12 +219,21 @@
         :returns: whether there was budget for it.
         """
         datagram = self._endpoint.seal(message)
-        if not self._budget.try_take(len(datagram.payload), RUMOR_RESERVE):
+        if not self._budget.try_take(len(datagram.payload)):
             return False
         self._endpoint.send_sealed(address, datagram)
         return True
 
 
+def _make_digest(directory: Directory, with_buckets: bool) -> Digest:
+    buckets = directory.buckets if with_buckets else ()
+    return Digest(directory.hash, directory.count, buckets)
+
+
+def _entry_bytes(entry: VersionEntry) -> int:
+    return _ENTRY_BYTES + len(entry.node_id)
+
+
 def _is_wanted(mine: VersionEntry, theirs: VersionEntry | None) -> bool:
     if theirs is None:
         return True
