Use new connections while one is silent, and summarize warm servers only

Cause: the policy's wish for new connections was not wired into the node, and summaries contained cold servers and timeouts of silent connections. Change: the sidecar asks the policy before it takes a connection; requests of a cold server and timeouts on reused connections stay out of the windows that siblings compare themselves with.

--- a/godwitknot/supervisor.py
+++ b/godwitknot/supervisor.py
@@ -126,6 +126,10 @@
             request.attempt_id, request.tag.name, fresh_connection=fresh
         )
 
+    def wants_fresh_connections(self) -> bool:
+        """Tell whether a request hangs on a reused connection."""
+        return self.policy.wants_fresh_connections()
+
     def note_result(self, result: Result) -> None:
         """Weigh a finished run."""
         request = result.request
@@ -145,13 +149,17 @@
             request_id=request.attempt_id,
         )
         self.health.observe(sample)
-        self.siblings.note(
-            request.service,
-            self.upstream.section.name,
-            request.tag.name,
-            result.seconds,
-            failed=result.failed,
-        )
+        # Siblings compare themselves with warm servers, and a timeout on a
+        # reused connection may be the fault of the connection.
+        silent = sample.timed_out and not sample.fresh_connection
+        if not silent and not self.health.is_cold:
+            self.siblings.note(
+                request.service,
+                self.upstream.section.name,
+                request.tag.name,
+                result.seconds,
+                failed=result.failed,
+            )
         if not result.failed:
             self.board.report_success(
                 request.service, fingerprint_request(request)
--- a/godwitknot/upstream.py
+++ b/godwitknot/upstream.py
@@ -31,6 +31,10 @@
     def note_result(self, result: Result) -> None:
         """Note how a run ended."""
 
+    def wants_fresh_connections(self) -> bool:
+        """Tell whether requests should be sent on new connections only."""
+        return False
+
 
 class UpstreamServer(RunHost):
     """Runs requests on one backend server, within its slots."""
@@ -123,7 +127,8 @@
 
         :raises ConnectFailedError: if none could be opened.
         """
-        return self._pool.take(fresh=fresh)
+        suspected = self._observer.wants_fresh_connections()
+        return self._pool.take(fresh=fresh or suspected)
 
     def make_exchange(self, channel: Channel) -> Exchange:
         """Give an exchange on a connection of this server."""
