Look up the fields of a relayed message in a mapping

Cause: signature check, decoding and the answer of a relayed request searched the list of header fields 24 times. Change: hop, peerapp and peerlink take the fields as a mapping; stripping lowers each name once.

--- a/godwitknot/headers.py
+++ b/godwitknot/headers.py
@@ -27,9 +27,11 @@
 # A backend server that sheds a request says so with this header and 503.
 NOT_RUN = 'X-Not-Run'
 
-_HOP_BY_HOP = frozenset(
+_NOT_PASSED_ON = frozenset(
     (
         'connection',
+        'content-length',
+        'expect',
         'keep-alive',
         'proxy-authenticate',
         'proxy-authorization',
@@ -70,17 +72,17 @@
 
     :param pairs: header fields of a request or an answer.
     """
-    pairs = list(pairs)
-    dropped = _HOP_BY_HOP | {'content-length', 'expect'}
-    named = set()
+    dropped = set(_NOT_PASSED_ON)
+    kept = []
     for name, text in pairs:
-        if name.lower() == 'connection':
-            named.update(part.strip().lower() for part in text.split(','))
-    return [
-        (name, text)
-        for name, text in pairs
-        if name.lower() not in dropped and name.lower() not in named
-    ]
+        lowered = name.lower()
+        if lowered == 'connection':
+            dropped.update(part.strip().lower() for part in text.split(','))
+        elif lowered not in _NOT_PASSED_ON:
+            kept.append((name, text))
+    if len(dropped) == len(_NOT_PASSED_ON):
+        return kept
+    return [(name, text) for name, text in kept if name.lower() not in dropped]
 
 
 def strip_own(pairs: Iterable[tuple[str, str]]) -> Pairs:
--- a/godwitknot/hop.py
+++ b/godwitknot/hop.py
@@ -52,16 +52,14 @@
     keys: FleetKeys,
     method: str,
     target: str,
-    pairs: headers.Pairs,
+    fields: Mapping[str, str],
 ) -> None:
     """Check the MAC header.
 
+    :param fields: all header fields, names in title case.
     :raises VerificationError: if it is missing or wrong.
     """
-    fields = {name: headers.find_header(pairs, name) for name in _SIGNED}
-    key_id, separator, text = headers.find_header(pairs, headers.MAC).partition(
-        ':'
-    )
+    key_id, separator, text = fields.get(headers.MAC, '').partition(':')
     try:
         mac = bytes.fromhex(text)
     except ValueError:
@@ -115,44 +113,42 @@
 def decode_request(
     method: str,
     target: str,
-    pairs: headers.Pairs,
+    fields: Mapping[str, str],
     body: RequestBody,
     clock: Clock,
 ) -> RelayRequest:
     """Read a relayed request; its MAC was verified before.
 
+    :param fields: all header fields, names in title case.
     :raises ProtocolError: if a field is malformed.
     """
-    service, _, server = headers.find_header(pairs, headers.SERVER).partition(
+    attempt_id = fields.get(headers.ATTEMPT, '')
+    service, _, server = fields.get(headers.SERVER, '').partition(
         _SERVICE_SEPARATOR,
     )
     try:
-        left = (
-            int(headers.find_header(pairs, headers.DEADLINE_MS)) / _MILLISECONDS
-        )
-        incarnation = int(headers.find_header(pairs, headers.INCARNATION))
-    except ValueError as error:
+        left = int(fields[headers.DEADLINE_MS]) / _MILLISECONDS
+        incarnation = int(fields[headers.INCARNATION])
+    except (KeyError, ValueError) as error:
         raise ProtocolError('malformed relay header') from error
-    key = headers.find_header(pairs, headers.IDEMPOTENCY_KEY)
-    attempt_id = headers.find_header(pairs, headers.ATTEMPT)
     if not (attempt_id and server):
         raise ProtocolError('relay header missing')
     return RelayRequest(
         method=method,
         target=target,
-        headers=headers.strip_own(pairs),
+        headers=headers.strip_own(headers.strip_hop_by_hop(fields.items())),
         body=body,
         attempt_id=attempt_id,
-        request_id=headers.find_header(pairs, headers.REQUEST),
-        tag=parse_tag(headers.find_header(pairs, headers.CLASS)),
+        request_id=fields.get(headers.REQUEST, ''),
+        tag=parse_tag(fields.get(headers.CLASS, '')),
         service=service,
         server=server,
         incarnation=incarnation,
-        account=headers.find_header(pairs, headers.ACCOUNT),
+        account=fields.get(headers.ACCOUNT, ''),
         deadline=clock.now() + left,
-        key=key,
-        last_resort=bool(headers.find_header(pairs, headers.LAST_RESORT)),
-        moved_key=headers.find_header(pairs, headers.MOVED_KEY),
+        key=fields.get(headers.IDEMPOTENCY_KEY, ''),
+        last_resort=bool(fields.get(headers.LAST_RESORT)),
+        moved_key=fields.get(headers.MOVED_KEY, ''),
     )
 
 
@@ -168,22 +164,23 @@
     return fields
 
 
-def decode_refusal(pairs: headers.Pairs) -> RefusalError | None:
+def decode_refusal(fields: Mapping[str, str]) -> RefusalError | None:
     """Give the refusal that an answer carries, or ``None``.
 
+    :param fields: header fields; the names may have any case.
     :raises ProtocolError: if its code or outcome is unknown.
     """
-    code = headers.find_header(pairs, headers.CODE)
+    code = fields.get(headers.CODE, '')
     if not code:
         return None
-    retry_after = headers.find_header(pairs, headers.RETRY_AFTER)
+    retry_after = fields.get(headers.RETRY_AFTER)
     try:
         return RefusalError(
             Code(code),
-            Outcome(headers.find_header(pairs, headers.OUTCOME)),
+            Outcome(fields.get(headers.OUTCOME, '')),
             int(retry_after) if retry_after else None,
             relayed=True,
-            moved_key=headers.find_header(pairs, headers.MOVED_KEY),
+            moved_key=fields.get(headers.MOVED_KEY, ''),
         )
     except ValueError as error:
         raise ProtocolError('unknown refusal') from error
--- a/godwitknot/peerapp.py
+++ b/godwitknot/peerapp.py
@@ -66,15 +66,15 @@
         """Answer one request."""
         method = environ['REQUEST_METHOD']
         target = read_target(environ)
-        pairs = headers.read_environ(environ)
+        fields = dict(headers.read_environ(environ))
         try:
-            hop.verify_fields(self._keys, method, target, pairs)
+            hop.verify_fields(self._keys, method, target, fields)
         except VerificationError:
             self._metrics.count('peer.unverified')
             return respond_json(start_response, _FORBIDDEN, {})
         if target.startswith(OWN_PREFIX):
             return self._serve_own(environ, start_response, target)
-        return self._serve_relay(environ, start_response, pairs)
+        return self._serve_relay(environ, start_response, fields)
 
     def _serve_own(
         self,
@@ -97,41 +97,40 @@
         self,
         environ: Environ,
         start_response: StartResponse,
-        pairs: headers.Pairs,
+        fields: dict[str, str],
     ) -> Iterable[bytes]:
-        attempt_id = headers.find_header(pairs, headers.ATTEMPT)
-        request_id = headers.find_header(pairs, headers.REQUEST)
+        attempt_id = fields.get(headers.ATTEMPT, '')
+        request_id = fields.get(headers.REQUEST, '')
         try:
-            request = self._decode(environ, pairs)
+            request = self._decode(environ, fields)
             answer = self._sidecar.relay(request, environ[SOCKET_KEY])
         except RefusalError as refusal:
-            fields = [(headers.ATTEMPT, attempt_id)]
+            extra = [(headers.ATTEMPT, attempt_id)]
             if refusal.moved_key:
-                fields.append((headers.MOVED_KEY, refusal.moved_key))
-            return respond_refusal(start_response, refusal, request_id, fields)
+                extra.append((headers.MOVED_KEY, refusal.moved_key))
+            return respond_refusal(start_response, refusal, request_id, extra)
         except ProtocolError as error:
             self._metrics.count('peer.malformed')
             document = {'detail': str(error)}
             return respond_json(start_response, _BAD_REQUEST, document)
-        fields = hop.encode_answer(attempt_id, answer)
-        return respond_answer(start_response, answer, fields)
+        extra = hop.encode_answer(attempt_id, answer)
+        return respond_answer(start_response, answer, extra)
 
     def _decode(
         self,
         environ: Environ,
-        pairs: headers.Pairs,
+        fields: dict[str, str],
     ) -> hop.RelayRequest:
-        key = headers.find_header(pairs, headers.IDEMPOTENCY_KEY)
         body = read_body(
             environ['wsgi.input'],
             read_length(environ),
             _BODY_LIMIT_BYTES,
-            whole=bool(key),
+            whole=bool(fields.get(headers.IDEMPOTENCY_KEY)),
         )
         return hop.decode_request(
             environ['REQUEST_METHOD'],
             read_target(environ),
-            headers.strip_hop_by_hop(pairs),
+            fields,
             body,
             self._clock,
         )
--- a/godwitknot/peerlink.py
+++ b/godwitknot/peerlink.py
@@ -201,16 +201,16 @@
         request: RelayRequest,
         response: HTTPResponse,
     ) -> RelayAnswer:
-        pairs = list(response.headers.iteritems())
-        attempt_id = headers.find_header(pairs, headers.ATTEMPT)
+        fields = response.headers
+        attempt_id = fields.get(headers.ATTEMPT)
         # An answer to another request must reach nobody.
         if attempt_id != request.attempt_id:
             exchange.abort()
             self._metrics.count('ingress.mismatched_answers')
             raise RefusalError(Code.BAD_ANSWER, Outcome.MAY_HAVE_RUN)
         try:
-            refusal = hop.decode_refusal(pairs)
-            outcome = Outcome(headers.find_header(pairs, headers.OUTCOME))
+            refusal = hop.decode_refusal(fields)
+            outcome = Outcome(fields.get(headers.OUTCOME, ''))
             length = answer_length(response)
         except (ProtocolError, ValueError) as error:
             exchange.abort()
@@ -219,7 +219,7 @@
         if refusal is not None:
             _drain(chunks)
             raise refusal
-        server_ms = headers.find_header(pairs, headers.SERVER_MS)
+        server_ms = fields.get(headers.SERVER_MS)
         return RelayAnswer(
             status=response.status,
             reason=response.reason or '',
@@ -228,7 +228,7 @@
             length=length,
             close=exchange.abort,
             outcome=outcome,
-            load=parse_load(headers.find_header(pairs, headers.LOAD)),
+            load=parse_load(fields.get(headers.LOAD, '')),
             server_seconds=int(server_ms or 0) / _MILLISECONDS,
         )
 
