Cut the ways between nodes in soak runs

A one-way partition between nodes was not part of the faults.

Soak nodes announce the address of a relay, so that TCP and UDP to a node can be cut in one direction. A handover gives up after 3 tries of 5 s instead of 5 of 10 s, since a stop should not wait longer for an heir.

--- a/bench/soakfleet.py
+++ b/bench/soakfleet.py
@@ -79,7 +79,7 @@
 
 
 class SoakFleet(Fleet):
-    """Three nodes whose ways to their server and to the store can be cut.
+    """Three nodes; the ways to nodes, servers and the store can be cut.
 
     The servers and the platform run in threads of this process, which
     records what they do and switches their faults.
@@ -96,6 +96,7 @@
         self.application.tables = self.tables
         self.servers = FakeServerHost()
         self.cutters: list[Cutter] = []
+        self._advertised: dict[str, Address] = {}
         self._variant = variant
         self._store = build_server(self.platform, self.application)
 
@@ -108,13 +109,20 @@
                 server = FakeServer(name, service_seconds=_SERVICE_SECONDS)
                 self.servers.add(server, address)
             self._cut_in(node)
+            self._advertised[node.plan.node_id] = self._cut(node.peer)
             self.start_node(node.plan.node_id)
         self._wait(self._knows_all, 'all nodes know all servers')
 
     def start_node(self, node_id: str) -> None:
         """Start the process of a node; does not wait for it."""
         node = self.nodes[node_id]
-        words = ('-m', 'bench.soaknode', str(node.settings), self._variant)
+        words = (
+            '-m',
+            'bench.soaknode',
+            str(node.settings),
+            str(self._advertised[node_id]),
+            self._variant,
+        )
         with self.log_path.open('ab') as log:
             node.process = subprocess.Popen(
                 [sys.executable, *words], stdout=log, stderr=log
--- a/bench/soaknode.py
+++ b/bench/soaknode.py
@@ -17,6 +17,7 @@
 from godwitknot.settings import load_settings
 from godwitknot.store import Row
 from godwitknot.tickets import Ticket
+from godwitknot.units import Address, parse_address
 
 # A pause in a soak run must outlast it within a few seconds.
 LEASE_SECONDS = 1.0
@@ -113,19 +114,30 @@
 )
 
 
-def main(path: str, variant: str) -> None:
+class SoakNode(Node):
+    """A node that others reach through a relay that can be cut."""
+
+    advertised: Address
+
+    def start(self) -> None:
+        """Announce the address of the relay, then start as usual."""
+        self.plane.directory.update_own(peer=self.advertised)
+        super().start()
+
+
+def main(path: str, advertised: str, variant: str) -> None:
     """Run a node until a signal stops it.
 
     :param path: settings file.
+    :param advertised: peer address that other nodes are told.
     :param variant: name from :data:`VARIANTS`.
     """
     settings = load_settings(pathlib.Path(path))
     configure_logs(settings.node.log_format)
-    node_class = type(
-        'SoakNode', (Node,), {'key_service_class': VARIANTS[variant]}
-    )
-    node_class(settings).run()
+    SoakNode.key_service_class = VARIANTS[variant]
+    SoakNode.advertised = parse_address(advertised)
+    SoakNode(settings).run()
 
 
 if __name__ == '__main__':
-    main(sys.argv[1], sys.argv[2])
+    main(*sys.argv[1:])
--- a/godwitknot/keyservice.py
+++ b/godwitknot/keyservice.py
@@ -26,8 +26,8 @@
 
 # Half of the several hundred writes a second that the table service takes.
 _FLEET_WRITES_PER_SECOND = 150.0
-_HANDOVER_SECONDS = 10.0
-_HANDOVER_TRIES = 5
+_HANDOVER_SECONDS = 5.0
+_HANDOVER_TRIES = 3
 _RETRY_SECONDS = 0.2
 _ADOPTED = 'adopted'
 
