Send a read of the store again when its connection broke

Cause: a read on a kept connection that the service had just closed was taken for an outage; under load a settled write then failed with a lost answer. Change: a read is sent once more on a broken connection, never a write; the stand-in's lost answer closes the connection without a 500.

--- a/godwitknot/storeclient.py
+++ b/godwitknot/storeclient.py
@@ -50,8 +50,12 @@
     changes: bool = False
 
 
+class _BrokenReadError(StoreDownError):
+    """The connection broke during a read."""
+
+
 class _PlatformClient:
-    """Sends requests and types every failure; never sends one twice."""
+    """Sends requests and types every failure; repeats reads only."""
 
     def __init__(self, address: Address, timeout: float) -> None:
         self._pool = urllib3.HTTPConnectionPool(
@@ -63,6 +67,18 @@
         )
 
     def call(self, call: _Call) -> urllib3.BaseHTTPResponse:
+        """Send a request; a read whose connection broke is sent once more.
+
+        The service may close an idle connection just as it is reused.
+        """
+        if call.changes:
+            return self._send(call)
+        try:
+            return self._send(call)
+        except _BrokenReadError:
+            return self._send(call)
+
+    def _send(self, call: _Call) -> urllib3.BaseHTTPResponse:
         try:
             response = self._pool.request(
                 call.method,
@@ -77,6 +93,8 @@
         except (urllib3.exceptions.HTTPError, OSError) as broken:
             if call.changes:
                 raise LostAnswerError(f'{call.path}: no answer') from broken
+            if isinstance(broken, urllib3.exceptions.ProtocolError):
+                raise _BrokenReadError(f'{call.path}: cut off') from broken
             raise StoreDownError(f'{call.path}: no answer') from broken
         return self._check(call, response)
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import errno
 import json
 import threading
 import time
@@ -153,7 +154,9 @@
         with self._lock:
             lost = self.faults.use_up('lose_writes')
         if lost:
-            raise ConnectionResetError('answer lost on purpose')
+            raise ConnectionResetError(
+                errno.ECONNRESET, 'answer lost on purpose'
+            )
 
     def _show_faults(self, _environ: dict[str, object], _body: bytes) -> Reply:
         return _reply_json(attrs.asdict(self.faults))
--- a/tests/godwitknot/test_storeclient.py
+++ b/tests/godwitknot/test_storeclient.py
@@ -1,3 +1,6 @@
+import socket
+import threading
+
 import pytest
 
 from godwitknot.errors import (
@@ -120,3 +123,24 @@
     assert platform.objects.get('abc') != b'stored text'
     with pytest.raises(MissingObjectError):
         platform.objects.get('other')
+
+
+def test_a_read_survives_a_connection_that_the_service_closed():
+    """Guards against an outage seen where only an idle connection ended."""
+    listener = socket.create_server(('127.0.0.1', 0))
+    row = b'{"key": "a", "version": 1, "columns": {}}'
+    answer = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b'
+
+    def serve():
+        for broken in (False, True, False):
+            sock, _ = listener.accept()
+            sock.recv(65536)
+            if not broken:
+                sock.sendall(answer % (len(row), row))
+            sock.close()
+
+    threading.Thread(target=serve, daemon=True).start()
+    tables = HttpTableService(Address(*listener.getsockname()), 5.0)
+    assert tables.read('a').version == 1
+    assert tables.read('a').version == 1
+    listener.close()
