--- a/godwitknot/dispatch.py
+++ b/godwitknot/dispatch.py
@@ -2,6 +2,7 @@
 
 import socket
 import uuid
+from collections.abc import Iterator
 
 import attrs
 
@@ -44,6 +45,7 @@
     :param deadline: on the node's clock, seconds.
     :param caller: socket of the caller.
     :param key: idempotency key, empty if none.
+    :param moved_key: issued key that carries the right of ``key``.
     """
 
     method: str
@@ -56,6 +58,7 @@
     deadline: float
     caller: socket.socket | None
     key: str = ''
+    moved_key: str = ''
 
     @property
     def tag(self) -> ClassTag:
@@ -88,7 +91,7 @@
         metrics: Metrics,
     ) -> None:
         """Take the collaborators."""
-        self._chooser = chooser
+        self.chooser = chooser
         self._link = link
         self._sidecar = sidecar
         self._clock = clock
@@ -133,7 +136,7 @@
             progress.tried,
             job.deadline - self._clock.now(),
         )
-        target = self._chooser.choose(wish)
+        target = self.chooser.choose(wish)
         if target is not None:
             return target
         if progress.last is not None:
@@ -149,23 +152,35 @@
         progress.tried.add(target.key)
         progress.sends += 1
         request = _make_request(job, target)
-        self._chooser.note_sent(target)
+        self.chooser.note_sent(target)
         try:
             answer = self._relay(job, target, request)
         except RefusalError as refusal:
-            self._chooser.note_ended(target, None)
+            self.chooser.note_ended(target, None)
             self._note_refusal(target, refusal)
             raise
         if answer.status < _SERVER_ERROR:
             self._budget(job).note_success()
-        close = _Ending(self._chooser, target, answer)
+        if target.crosses_region:
+            self.chooser.note_bytes(target, job.body.length or 0)
+            answer.chunks = self._charge(target, answer.chunks)
+        close = _Ending(self.chooser, target, answer)
         return attrs.evolve(answer, close=close)
 
+    def _charge(
+        self,
+        target: Target,
+        chunks: Iterator[bytes],
+    ) -> Iterator[bytes]:
+        for chunk in chunks:
+            self.chooser.note_bytes(target, len(chunk))
+            yield chunk
+
     def _note_refusal(self, target: Target, refusal: RefusalError) -> None:
         if refusal.code in _LINK_CODES:
-            self._chooser.note_link_failed(target)
+            self.chooser.note_link_failed(target)
         elif refusal.code in _STATE_CODES:
-            self._chooser.note_refused(target)
+            self.chooser.note_refused(target)
 
     def _relay(
         self,
@@ -270,6 +285,7 @@
         deadline=job.deadline,
         key=job.key,
         last_resort=target.last_resort,
+        moved_key=job.moved_key,
     )
 
 
--- a/godwitknot/httpserver.py
+++ b/godwitknot/httpserver.py
@@ -1,16 +1,20 @@
 """HTTP servers of a node: cheroot with strict framing, run by cherrypy."""
 
 import collections
+import contextlib
 import re
 import socket
 from collections.abc import Callable
 
+import attrs
 import cherrypy
 from cheroot import server as cheroot_server
 from cheroot import wsgi
 from cherrypy.process.servers import ServerAdapter
 
+from godwitknot.connections import poll_sockets
 from godwitknot.pool import GrowingPool
+from godwitknot.sockfiles import Writer, make_file
 from godwitknot.units import Address
 
 SOCKET_KEY = 'godwitknot.socket'
@@ -21,6 +25,9 @@
 _BACKLOG = 512
 # A slow line may take long to drain the send buffer once.
 _IDLE_SECONDS = 120
+# Covers the gap between two requests of a busy connection, and delays the
+# stop of a server by no more than its own time limit.
+_KEEP_THREAD_SECONDS = 0.5
 # Bounds the memory that one slow reader holds in the kernel.
 _SEND_BUFFER_BYTES = 262144
 _LENGTH = b'Content-Length'
@@ -83,10 +90,62 @@
             return False
         return True
 
+    def respond(self) -> None:
+        """Answer; a head without a body is sent at the end."""
+        with contextlib.ExitStack() as ending:
+            ending.callback(self.conn.wfile.flush)
+            super().respond()
+
+    def send_headers(self) -> None:
+        """Give the head to the writer, which sends it with the first bytes.
+
+        cheroot calls this right before it writes the first chunk.
+        """
+        with contextlib.ExitStack() as ending:
+            ending.callback(setattr, self.conn, 'wfile', self.conn.wfile)
+            self.conn.wfile = _HeadCatcher(self.conn.wfile)
+            super().send_headers()
+
+
+@attrs.frozen
+class _HeadCatcher:
+    """Stands for the writer while cheroot writes the head."""
+
+    writer: Writer
+
+    def write(self, head: bytes) -> None:
+        """Hold the head."""
+        self.writer.hold(head)
+
 
 class _Connection(cheroot_server.HTTPConnection):
     RequestHandlerClass = _Request
 
+    def __init__(self, server: object, sock: socket.socket, *_: object):
+        """Take over an accepted socket."""
+        super().__init__(server, sock, make_file)
+
+    def communicate(self) -> bool:
+        """Answer requests while they follow one another closely.
+
+        The thread keeps the connection for a moment after each answer,
+        because the way through the selector and the queue takes two changes
+        of threads for each request.
+
+        :returns: whether the connection goes back to the selector.
+        """
+        while super().communicate():
+            if not self._has_next():
+                return True
+        return False
+
+    def _has_next(self) -> bool:
+        if self.rfile.has_data():
+            return True
+        if not (self.server.ready and self.server.requests.has_spare_threads):
+            return False
+        return bool(poll_sockets([self.socket], _KEEP_THREAD_SECONDS))
+
 
 class _Gateway(wsgi.Gateway_10):
     """Tells the application the socket, to notice a caller that left."""
@@ -134,6 +193,33 @@
         )
         return listener
 
+    def close_listener(self) -> None:
+        """Accept no connection from now on; the open ones go on.
+
+        cheroot can only stop as a whole, so the listener is taken out of
+        its selector.
+        """
+        listener = self.socket
+        if listener is None:
+            return
+        with contextlib.suppress(KeyError, ValueError, OSError):
+            self._connections._selector.unregister(listener.fileno())
+        with contextlib.suppress(OSError):
+            listener.close()
+
+
+def prepare_engine() -> None:
+    """Take from the cherrypy engine what a node does not use.
+
+    That is the server on port 8080, reloading, signal handlers and lines in
+    the log for each step of the engine.
+    """
+    cherrypy.server.unsubscribe()
+    cherrypy.engine.autoreload.unsubscribe()
+    cherrypy.log.screen = False
+    cherrypy.log.error_log.propagate = False
+    cherrypy.log.access_log.propagate = False
+
 
 def subscribe_server(server: NodeServer) -> ServerAdapter:
     """Let the cherrypy engine start and stop a server.
--- a/godwitknot/members.py
+++ b/godwitknot/members.py
@@ -52,26 +52,34 @@
     def update_own(self, **changes: object) -> NodeRecord:
         """Change fields of the own record as its next version."""
         with self._lock:
-            version = self.own.version + 1
-            self._table.put(attrs.evolve(self.own, version=version, **changes))
+            self._put_own(changes)
         self._notify({self._own_id})
         return self.own
 
-    def set_server_state(self, name: str, state: ServerState) -> NodeRecord:
+    def set_server_state(
+        self,
+        name: str,
+        state: ServerState,
+        **changes: object,
+    ) -> NodeRecord:
         """Set the state of an own server.
 
+        :param changes: other fields of the server that change with it.
         :raises KeyError: if this node has no server of this name.
         """
         with self._lock:
             if self.own.find_server(name) is None:
                 raise KeyError(name)
             servers = tuple(
-                attrs.evolve(server, state=state)
+                attrs.evolve(server, state=state, **changes)
                 if server.name == name
                 else server
                 for server in self.own.servers
             )
-            return self.update_own(servers=servers)
+            self._put_own({'servers': servers})
+        # Subscribers have locks of their own and read the directory.
+        self._notify({self._own_id})
+        return self.own
 
     def merge(self, record: NodeRecord) -> bool:
         """Take a whole record in, if it is newer than the one held.
@@ -120,6 +128,10 @@
             changed |= self._judge_reports()
         self._notify(changed)
 
+    def _put_own(self, changes: dict[str, object]) -> None:
+        version = self.own.version + 1
+        self._table.put(attrs.evolve(self.own, version=version, **changes))
+
     def _merge_other(self, change: RecordChange) -> Merge:
         node_id = change.record.node_id
         if not self.is_new(node_id, change.record.freshness):
--- a/godwitknot/outliers.py
+++ b/godwitknot/outliers.py
@@ -1,7 +1,6 @@
 """Outlier detection of one server: a sequential test against siblings."""
 
 import abc
-import collections
 import math
 import threading
 import types
@@ -12,18 +11,14 @@
 from godwitknot.clock import Clock
 from godwitknot.declaration import Weighing
 from godwitknot.evidence import Evidence, EvidenceKind
-from godwitknot.likelihood import (
-    SLOWDOWN,
-    find_scale,
-    log_excess,
-    weigh_hang,
-    weigh_outcome,
-    weigh_time,
-)
+from godwitknot.hanging import HangingRequests
+from godwitknot.likelihood import SLOWDOWN, log_excess
+from godwitknot.samples import Sample
+from godwitknot.scores import ClassScores
 from godwitknot.siblings import Baseline
 
-_SAMPLES_KEPT = 256
 _SAMPLE_AGE_SECONDS = 300.0
+_KINDS = (EvidenceKind.SLOW, EvidenceKind.ERRORS, EvidenceKind.SLOW_SHARE)
 # A CUSUM with threshold ln(x) gives at most one false alarm in about x
 # requests, if healthy requests follow the baseline.
 _THRESHOLDS = types.MappingProxyType(
@@ -33,29 +28,9 @@
         Weighing.CAUTION: math.log(10**10),
     },
 )
-# Refuses stay promises and takes no probation traffic from here on.
-_SUSPECT_STRENGTH = 0.5
-
-
-@attrs.frozen
-class Sample:
-    """A finished request, as the sidecar saw it.
-
-    :param seconds: service time without the reader's pace.
-    :param failed: error, broken or timed-out response of the server.
-    :param fresh_connection: whether the connection was new.
-    :param started: when it was sent, on the monotonic clock.
-    :param timed_out: whether no response came in time.
-    :param request_id: as given to ``begin``, empty if it was not called.
-    """
-
-    work_class: str
-    seconds: float
-    failed: bool
-    fresh_connection: bool
-    started: float
-    timed_out: bool = False
-    request_id: str = ''
+# A suspect server refuses stay promises. Two slow requests suffice, so that
+# servers that all slow down at once refuse each other early.
+_SUSPECT_STRENGTH = 0.35
 
 
 @attrs.frozen
@@ -95,6 +70,10 @@
         """Judge one request of a server on probation."""
         return not sample.failed
 
+    def wants_fresh_connections(self) -> bool:
+        """Tell whether requests should be sent on new connections only."""
+        return False
+
     def begin(
         self,
         request_id: str,
@@ -108,57 +87,6 @@
         """Forget a request that the caller cancelled."""
 
 
-@attrs.frozen
-class _Sent:
-    work_class: str
-    fresh_connection: bool
-    started: float
-
-
-@attrs.define
-class _ClassRecord:
-    """Samples and scores of one class against one baseline."""
-
-    samples: collections.deque[Sample] = attrs.field(
-        factory=lambda: collections.deque(maxlen=_SAMPLES_KEPT)
-    )
-    baseline: Baseline | None = None
-    slow: float = 0
-    errors: float = 0
-
-    def add(self, sample: Sample) -> None:
-        self.samples.append(sample)
-        self._score(sample)
-
-    def rescore(self, baseline: Baseline | None, oldest: float) -> None:
-        """Weigh all samples again against a new baseline.
-
-        Evidence from before a general slowdown was known vanishes as soon
-        as the siblings report it.
-        """
-        while self.samples and self.samples[0].started < oldest:
-            self.samples.popleft()
-        self.baseline = baseline
-        self.slow = 0
-        self.errors = 0
-        for sample in self.samples:
-            self._score(sample)
-
-    def _score(self, sample: Sample) -> None:
-        baseline = self.baseline
-        if baseline is None:
-            return
-        weight = weigh_outcome(
-            failed=sample.failed, error_share=baseline.error_share
-        )
-        self.errors = max(0, self.errors + weight)
-        # Errors are often fast; they say nothing about the speed.
-        if sample.timed_out or not sample.failed:
-            excess = log_excess(sample.seconds, baseline.median)
-            scale = find_scale(baseline.median, baseline.spread)
-            self.slow = max(0, self.slow + weigh_time(excess, scale))
-
-
 class SequentialPolicy(OutlierPolicy):
     """CUSUM of log-likelihood ratios per class and test."""
 
@@ -177,8 +105,8 @@
         self._baseline_of = baseline_of
         self._weighing_of = weighing_of
         self._lock = threading.Lock()
-        self._classes: dict[str, _ClassRecord] = {}
-        self._sent: dict[str, _Sent] = {}
+        self._classes: dict[str, ClassScores] = {}
+        self._hanging = HangingRequests(clock)
 
     def begin(
         self,
@@ -188,15 +116,16 @@
         fresh_connection: bool,
     ) -> None:
         """Note that a request was sent; it may hang."""
-        sent = _Sent(work_class, fresh_connection, self._clock.now())
         with self._lock:
-            self._sent[request_id] = sent
+            self._hanging.add(
+                request_id, work_class, fresh_connection=fresh_connection
+            )
             self._record(work_class)
 
     def abandon(self, request_id: str) -> None:
         """Forget a request that the caller cancelled."""
         with self._lock:
-            self._sent.pop(request_id, None)
+            self._hanging.remove(request_id)
 
     def observe(self, sample: Sample) -> None:
         """Add the evidence of a finished request.
@@ -205,7 +134,7 @@
         which may have been silent since before the request.
         """
         with self._lock:
-            self._sent.pop(sample.request_id, None)
+            self._hanging.remove(sample.request_id)
             if sample.timed_out and not sample.fresh_connection:
                 return
             self._record(sample.work_class).add(sample)
@@ -216,6 +145,7 @@
             for work_class, record in self._classes.items():
                 baseline = self._baseline_of(work_class)
                 record.rescore(baseline, now - _SAMPLE_AGE_SECONDS)
+                record.follow_baseline(now)
 
     def verdict(self) -> Verdict:
         """Judge by the strongest evidence of any class."""
@@ -223,7 +153,7 @@
             found = [
                 self._gather(work_class, record, kind)
                 for work_class, record in self._classes.items()
-                for kind in (EvidenceKind.SLOW, EvidenceKind.ERRORS)
+                for kind in _KINDS
                 if record.baseline is not None
             ]
         strongest = max(found, key=lambda each: each.strength, default=None)
@@ -231,7 +161,7 @@
             return Verdict()
         return Verdict(
             strongest.strength >= _SUSPECT_STRENGTH,
-            strongest.strength >= 1,
+            strongest.strength >= 1 and self._may_eject(strongest),
             strongest,
         )
 
@@ -242,31 +172,51 @@
             return not sample.failed
         return log_excess(sample.seconds, baseline.median) < SLOWDOWN
 
+    def wants_fresh_connections(self) -> bool:
+        """Tell whether a request hangs on a reused connection.
+
+        Only requests on new connections show whether the server or the
+        connection is at fault.
+        """
+        with self._lock:
+            return any(
+                self._hanging.is_connection_silent(
+                    work_class, record.baseline.median
+                )
+                for work_class, record in self._classes.items()
+                if record.baseline is not None
+            )
+
     def reset(self) -> None:
         """Forget all requests, those that still hang included."""
         with self._lock:
             self._classes.clear()
-            self._sent.clear()
+            self._hanging.clear()
+
+    def _may_eject(self, evidence: Evidence) -> bool:
+        """Hold back while the siblings themselves become better or worse."""
+        record = self._classes.get(evidence.work_class)
+        return record is not None and record.is_settled(evidence.kind)
 
-    def _record(self, work_class: str) -> _ClassRecord:
+    def _record(self, work_class: str) -> ClassScores:
         record = self._classes.get(work_class)
         if record is None:
-            record = _ClassRecord(baseline=self._baseline_of(work_class))
+            record = ClassScores(baseline=self._baseline_of(work_class))
             self._classes[work_class] = record
         return record
 
     def _gather(
         self,
         work_class: str,
-        record: _ClassRecord,
+        record: ClassScores,
         kind: EvidenceKind,
     ) -> Evidence:
         baseline = record.baseline
-        score, hung = record.errors, 0
+        score, hung = record.score(kind), 0
         if kind is EvidenceKind.SLOW:
-            weights = self._weigh_hanging(work_class, baseline)
+            weights = self._hanging.weigh(work_class, baseline)
             hung = len(weights)
-            score = record.slow + math.fsum(weights)
+            score += math.fsum(weights)
         return Evidence(
             work_class=work_class,
             kind=kind,
@@ -277,17 +227,3 @@
             score=score,
             threshold=_THRESHOLDS[self._weighing_of(work_class)],
         )
-
-    def _weigh_hanging(
-        self,
-        work_class: str,
-        baseline: Baseline,
-    ) -> list[float]:
-        now = self._clock.now()
-        scale = find_scale(baseline.median, baseline.spread)
-        weights = [
-            weigh_hang(log_excess(now - sent.started, baseline.median), scale)
-            for sent in self._sent.values()
-            if sent.fresh_connection and sent.work_class == work_class
-        ]
-        return [weight for weight in weights if weight > 0]
--- a/godwitknot/sidecar.py
+++ b/godwitknot/sidecar.py
@@ -9,8 +9,9 @@
 from godwitknot.attempts import AttemptLog, AttemptState
 from godwitknot.metrics import Metrics
 from godwitknot.outcomes import Code, Outcome, RefusalError
+from godwitknot.redemption import Redemption
 from godwitknot.relay import RelayAnswer, RelayRequest
-from godwitknot.upstream import UpstreamServer
+from godwitknot.supervisor import Supervisor
 
 
 class Sidecar:
@@ -19,19 +20,23 @@
     def __init__(
         self,
         incarnation: int,
-        servers: Mapping[str, UpstreamServer],
+        servers: Mapping[str, Supervisor],
         attempts: AttemptLog,
         metrics: Metrics,
+        redemption: Redemption | None = None,
     ) -> None:
         """Take the servers.
 
         :param incarnation: of this node.
         :param servers: by name.
+        :param redemption: runs requests of never-repeat classes, which
+            are refused without it.
         """
         self._incarnation = incarnation
         self._servers = servers
         self._attempts = attempts
         self._metrics = metrics
+        self._redemption = redemption
 
     def relay(
         self,
@@ -62,28 +67,60 @@
         )
         return attrs.evolve(answer, close=close)
 
-    def settle(self, attempt_id: str) -> AttemptState:
-        """Tell the state of an attempt whose hop was lost."""
+    def settle(self, name: str) -> AttemptState:
+        """Tell the state of an attempt whose hop was lost.
+
+        :param name: incarnation that it was sent to, a slash and its id.
+        """
+        incarnation, _, attempt_id = name.partition('/')
+        if incarnation != str(self._incarnation):
+            # An earlier process may have run it.
+            return AttemptState.ENDED
         return self._attempts.settle(attempt_id)
 
     def _run(
         self,
-        server: UpstreamServer,
+        server: Supervisor,
         request: RelayRequest,
         caller: socket.socket | None,
     ) -> RelayAnswer:
         # A request that may not run twice runs to its end, so that a resend
         # gets its answer.
-        watched = None if request.tag.never_repeat else caller
-        return server.run(request, watched, _always_send)
+        if not request.tag.never_repeat:
+            return self._send(server, request, caller, _always_send)
+        if self._redemption is None or not request.key:
+            raise RefusalError(Code.NOT_READY, Outcome.MAY_HAVE_RUN)
+        send = functools.partial(self._send, server, request, None)
+        answer = self._redemption.run(request, send)
+        return attrs.evolve(answer, load=server.load())
+
+    def _send(
+        self,
+        server: Supervisor,
+        request: RelayRequest,
+        caller: socket.socket | None,
+        check_send: Callable[[], None],
+    ) -> RelayAnswer:
+        server.admit(request)
+        try:
+            answer = server.upstream.run(request, caller, check_send)
+        except RefusalError as refusal:
+            unsent = refusal.code is Code.CLAIM_LAPSED
+            if unsent or refusal.outcome is Outcome.NOT_RUN:
+                server.health.note_unsent()
+            raise
+        return attrs.evolve(answer, load=server.load())
 
-    def _find_server(self, request: RelayRequest) -> UpstreamServer:
-        if request.incarnation != self._incarnation:
-            raise RefusalError(Code.WRONG_INCARNATION)
+    def _find_server(self, request: RelayRequest) -> Supervisor:
         server = self._servers.get(request.server)
-        if server is None or server.section.service != request.service:
-            raise RefusalError(Code.WRONG_INCARNATION)
-        return server
+        current = request.incarnation == self._incarnation
+        if current and server is not None:
+            if server.upstream.section.service == request.service:
+                return server
+        # Another process may have run a request of this key.
+        keyed = bool(request.key)
+        outcome = Outcome.MAY_HAVE_RUN if keyed else Outcome.NOT_RUN
+        raise RefusalError(Code.WRONG_INCARNATION, outcome)
 
     def _end(self, attempt_id: str, close: Callable[[], None]) -> None:
         close()
--- a/godwitknot/upstream.py
+++ b/godwitknot/upstream.py
@@ -31,6 +31,10 @@
     def note_result(self, result: Result) -> None:
         """Note how a run ended."""
 
+    def wants_fresh_connections(self) -> bool:
+        """Tell whether requests should be sent on new connections only."""
+        return False
+
 
 class UpstreamServer(RunHost):
     """Runs requests on one backend server, within its slots."""
@@ -61,6 +65,13 @@
         with self._lock:
             return list(self._running.values())
 
+    def count_active(self) -> int:
+        """Count requests that wait, run or whose answer is passed on."""
+        with self._lock:
+            passed_on = len(self._bodies)
+        counted = self.gate.load()
+        return max(passed_on, counted.running + counted.queued)
+
     def load(self) -> Load:
         """Give the load that this node counts."""
         counted = self.gate.load()
@@ -116,7 +127,8 @@
 
         :raises ConnectFailedError: if none could be opened.
         """
-        return self._pool.take(fresh=fresh)
+        suspected = self._observer.wants_fresh_connections()
+        return self._pool.take(fresh=fresh or suspected)
 
     def make_exchange(self, channel: Channel) -> Exchange:
         """Give an exchange on a connection of this server."""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import errno
 import json
 import threading
 import time
@@ -153,7 +154,9 @@
         with self._lock:
             lost = self.faults.use_up('lose_writes')
         if lost:
-            raise ConnectionResetError('answer lost on purpose')
+            raise ConnectionResetError(
+                errno.ECONNRESET, 'answer lost on purpose'
+            )
 
     def _show_faults(self, _environ: dict[str, object], _body: bytes) -> Reply:
         return _reply_json(attrs.asdict(self.faults))
@@ -182,9 +185,15 @@
     address: Address, application: PlatformApplication
 ) -> wsgi.Server:
     """Build the HTTP server; port 0 takes a free one."""
-    return wsgi.Server(
+    server = wsgi.Server(
         (address.host, address.port), application, numthreads=_THREADS
     )
+    server.error_log = _ignore_log
+    return server
+
+
+def _ignore_log(*_args: object, **_options: object) -> None:
+    """Drop the errors that faults raise on purpose."""
 
 
 def serve_platform(address: Address) -> None:
@@ -194,6 +203,7 @@
     bound = (address.host, address.port)
     servers.ServerAdapter(engine, server, bound).subscribe()
     engine.autoreload.unsubscribe()
+    cherrypy.server.unsubscribe()
     engine.signals.subscribe()
     engine.start()
     engine.block()
--- a/tests/godwitknot/test_outliers.py
+++ b/tests/godwitknot/test_outliers.py
@@ -83,8 +83,15 @@
     """Guards against ejecting a server for connections that went silent."""
     judged = Judged()
     judged.hang(4, fresh=False)
+    assert not judged.policy.wants_fresh_connections()
     judged.clock.advance(60)
+    assert judged.policy.wants_fresh_connections()
     assert not judged.policy.verdict().suspect
+    judged.policy.begin('new', 'lookup', fresh_connection=True)
+    assert not judged.policy.verdict().suspect
+    judged.clock.advance(1)
+    assert judged.policy.verdict().evidence.hung == 5
+    judged.policy.abandon('new')
     for number in range(4):
         judged.policy.observe(
             Sample('lookup', 10, True, False, 0, True, f'r{number}')
@@ -102,6 +109,16 @@
     assert not judged.policy.verdict().suspect
 
 
+def test_nobody_is_ejected_while_the_baseline_moves():
+    """Guards against ejections against a mix of old and new times."""
+    judged = Judged()
+    judged.feed(10)
+    judged.baseline = Baseline(0.1, 0.024, 0, 7)
+    judged.policy.tick(judged.clock.now())
+    assert judged.feed(15, factor=8) is None
+    assert judged.feed(20, factor=8) is not None
+
+
 def test_no_baseline_no_verdict():
     assert Judged(baseline=None).feed(100, error_share=1) is None
 
@@ -117,6 +134,17 @@
     assert Judged(baseline=shared).feed(1000, error_share=0.3) is None
 
 
+def test_slowness_of_a_share_of_requests_is_found():
+    """Guards against slow requests that the fast ones outweigh."""
+    judged = Judged()
+    for _ in range(60):
+        judged.feed(3)
+        judged.feed(1, factor=8)
+    evidence = judged.policy.verdict().evidence
+    assert evidence.kind is EvidenceKind.SLOW_SHARE
+    assert evidence.strength >= 1
+
+
 def test_verdict_explains_itself():
     judged = Judged()
     judged.feed(50, factor=5)
