--- a/bench/restarts.py
+++ b/bench/restarts.py
@@ -9,7 +9,7 @@
 import statistics
 import time
 
-from bench.fleet import Fleet, Process, run_fleet
+from bench.controlfleet import Fleet, Process, run_fleet
 
 _SIZES = (20, 40)
 _EVENTS = 6
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -18,7 +18,7 @@
 
 from bench import scaling
 from bench.fits import Fit, fit_line
-from bench.fleet import Fleet, run_fleet
+from bench.controlfleet import Fleet, run_fleet
 
 _DOCS = pathlib.Path(__file__).parent.parent / 'docs'
 _DESIGN_NODES = 420
