Break the kept connection of the read test at a fixed point

Change: the server takes the second request and then closes without an answer, which is the harder case; the next connection answers.

--- a/tests/godwitknot/test_storeclient.py
+++ b/tests/godwitknot/test_storeclient.py
@@ -132,12 +132,14 @@
     answer = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b'
 
     def serve():
-        for broken in (False, True, False):
-            sock, _ = listener.accept()
-            sock.recv(65536)
-            if not broken:
-                sock.sendall(answer % (len(row), row))
-            sock.close()
+        first, _ = listener.accept()
+        first.recv(65536)
+        first.sendall(answer % (len(row), row))
+        first.recv(65536)
+        first.close()
+        second, _ = listener.accept()
+        second.recv(65536)
+        second.sendall(answer % (len(row), row))
 
     threading.Thread(target=serve, daemon=True).start()
     tables = HttpTableService(Address(*listener.getsockname()), 5.0)
