Split execution by job and rename the ticket of the gate

Change: runresults holds how a run ended, answerbody the body on its way to the caller, execution the run itself. The gate takes a SlotRequest.

--- a/godwitknot/admission.py
+++ b/godwitknot/admission.py
@@ -23,7 +23,7 @@
 
 
 @attrs.frozen
-class Ticket:
+class SlotRequest:
     """A request that asks for a slot.
 
     :param request_id: unique among the requests at the gate.
@@ -57,7 +57,7 @@
     :param refusal: set if it leaves the queue without a slot.
     """
 
-    ticket: Ticket
+    request: SlotRequest
     sequence: int
     wake: threading.Event = attrs.field(factory=threading.Event)
     refusal: RefusalError | None = None
@@ -84,7 +84,7 @@
 
     def rank(self, waiter: Waiter) -> tuple[float, int]:
         """Rank by deadline, then by arrival."""
-        return (waiter.ticket.deadline, waiter.sequence)
+        return (waiter.request.deadline, waiter.sequence)
 
 
 class _Times:
@@ -109,9 +109,9 @@
 class Slot:
     """A slot that a request holds."""
 
-    def __init__(self, gate: 'Gate', ticket: Ticket, now: float) -> None:
+    def __init__(self, gate: 'Gate', request: SlotRequest, now: float) -> None:
         """Note when the request got the slot."""
-        self.ticket = ticket
+        self.request = request
         self.since = now
         self.answered = False
         self._gate = gate
@@ -152,12 +152,12 @@
         self._held = _Times()
 
     @contextlib.contextmanager
-    def enter(self, ticket: Ticket) -> Iterator[Slot]:
+    def enter(self, request: SlotRequest) -> Iterator[Slot]:
         """Wait for a slot and hold it for the body of the ``with``.
 
         :raises RefusalError: as not run, if the request gets no slot.
         """
-        slot = self._take(ticket)
+        slot = self._take(request)
         try:
             yield slot
         finally:
@@ -175,7 +175,7 @@
         """
         with self._lock:
             for waiter in self._queue:
-                if waiter.ticket.request_id == request_id:
+                if waiter.request.request_id == request_id:
                     self._dismiss(waiter, RefusalError(Code.CANCELLED))
                     return True
         return False
@@ -191,18 +191,18 @@
             if not slot.answered:
                 slot.answered = True
                 elapsed = self._clock.now() - slot.since
-                self._service.add(slot.ticket.work_class, elapsed)
+                self._service.add(slot.request.work_class, elapsed)
 
-    def _take(self, ticket: Ticket) -> Slot:
-        waiter = Waiter(ticket, next(self._sequence))
+    def _take(self, request: SlotRequest) -> Slot:
+        waiter = Waiter(request, next(self._sequence))
         with self._lock:
             self._check_deadline(waiter)
             if len(self._running) < self._slots:
-                return self._start(ticket)
+                return self._start(request)
             self._queue.append(waiter)
             if len(self._queue) > self._slots * _QUEUE_PER_SLOT:
                 self._shed(waiter)
-        remaining = ticket.deadline - self._clock.now()
+        remaining = request.deadline - self._clock.now()
         waiter.wake.wait(max(0, remaining))
         return self._finish_wait(waiter)
 
@@ -212,31 +212,31 @@
                 self._dismiss(waiter, RefusalError(Code.DEADLINE_PASSED))
             if waiter.refusal is not None:
                 raise waiter.refusal
-            return self._running[waiter.ticket.request_id]
+            return self._running[waiter.request.request_id]
 
-    def _start(self, ticket: Ticket) -> Slot:
-        slot = Slot(self, ticket, self._clock.now())
-        self._running[ticket.request_id] = slot
+    def _start(self, request: SlotRequest) -> Slot:
+        slot = Slot(self, request, self._clock.now())
+        self._running[request.request_id] = slot
         return slot
 
     def _release(self, slot: Slot) -> None:
         with self._lock:
             now = self._clock.now()
-            work_class = slot.ticket.work_class
+            work_class = slot.request.work_class
             self._held.add(work_class, now - slot.since)
             if not slot.answered:
                 self._service.add(work_class, now - slot.since)
-            self._running.pop(slot.ticket.request_id)
+            self._running.pop(slot.request.request_id)
             while self._queue and len(self._running) < self._slots:
                 self._start_next(now)
 
     def _start_next(self, now: float) -> None:
         waiter = min(self._queue, key=self._order.rank)
-        if waiter.ticket.deadline <= now:
+        if waiter.request.deadline <= now:
             self._dismiss(waiter, RefusalError(Code.DEADLINE_PASSED))
             return
         self._queue.remove(waiter)
-        self._start(waiter.ticket)
+        self._start(waiter.request)
         waiter.wake.set()
 
     def _dismiss(self, waiter: Waiter, refusal: RefusalError) -> None:
@@ -245,12 +245,12 @@
         waiter.wake.set()
 
     def _check_deadline(self, waiter: Waiter) -> None:
-        ticket = waiter.ticket
-        remaining = ticket.deadline - self._clock.now()
+        request = waiter.request
+        remaining = request.deadline - self._clock.now()
         if remaining <= 0:
             raise RefusalError(Code.DEADLINE_PASSED)
         wait = self._estimate_wait(waiter)
-        needed = wait + self._service.median(ticket.work_class)
+        needed = wait + self._service.median(request.work_class)
         if remaining < needed:
             raise RefusalError(
                 Code.DEADLINE_TOO_SHORT,
@@ -263,23 +263,25 @@
             return 0
         rank = self._order.rank(waiter)
         ahead = [
-            other.ticket
+            other.request
             for other in self._queue
             if self._order.rank(other) < rank
         ]
-        running = [slot.ticket for slot in self._running.values()]
-        next_free = statistics.fmean(self._hold(ticket) for ticket in running)
-        queued = math.fsum(self._hold(ticket) for ticket in ahead)
+        running = [slot.request for slot in self._running.values()]
+        next_free = statistics.fmean(self._hold(request) for request in running)
+        queued = math.fsum(self._hold(request) for request in ahead)
         return (next_free + queued) / self._slots
 
-    def _hold(self, ticket: Ticket) -> float:
-        return self._held.median(ticket.work_class)
+    def _hold(self, request: SlotRequest) -> float:
+        return self._held.median(request.work_class)
 
     def _shed(self, newcomer: Waiter) -> None:
         """Remove one request: lowest priority, then largest account."""
-        lowest = max(waiter.ticket.priority for waiter in self._queue)
+        lowest = max(waiter.request.priority for waiter in self._queue)
         candidates = [
-            waiter for waiter in self._queue if waiter.ticket.priority == lowest
+            waiter
+            for waiter in self._queue
+            if waiter.request.priority == lowest
         ]
         entries = collections.Counter(
             _account_key(waiter) for waiter in candidates
@@ -295,4 +297,4 @@
 
 
 def _account_key(waiter: Waiter) -> tuple[str, str]:
-    return (waiter.ticket.work_class, waiter.ticket.account)
+    return (waiter.request.work_class, waiter.request.account)
--- a/godwitknot/execution.py
+++ b/godwitknot/execution.py
@@ -2,14 +2,12 @@
 
 import abc
 import contextlib
-import enum
 import socket
-from collections.abc import Iterator
 
-import attrs
 from urllib3.response import HTTPResponse
 
 from godwitknot import headers
+from godwitknot.answerbody import AnswerBody, BodyOwner
 from godwitknot.connections import Channel, ConnectFailedError
 from godwitknot.errors import ProtocolError
 from godwitknot.exchange import (
@@ -24,6 +22,7 @@
 )
 from godwitknot.outcomes import Code, Outcome, RefusalError
 from godwitknot.relay import Load, RelayAnswer, RelayRequest
+from godwitknot.runresults import Result, RunEnd
 
 _MILLISECONDS = 1000
 _SERVICE_UNAVAILABLE = 503
@@ -32,45 +31,6 @@
 # A reused connection that stays silent this long while the server answers
 # on others is taken for dead.
 _SILENCE_SECONDS = 1.0
-# A reader that blocks the relay for longer than this is the bottleneck, and
-# the server's slot is free for other work.
-_SLOW_READER_SECONDS = 0.25
-
-
-class RunEnd(enum.StrEnum):
-    """How a run ended, as evidence about the server."""
-
-    ANSWERED = 'answered'
-    FAILED = 'failed'
-    TIMED_OUT = 'timed-out'
-    REFUSED = 'refused'
-    LOST = 'lost'
-    ABANDONED = 'abandoned'
-
-
-_INNOCENT_ENDS = frozenset((RunEnd.ANSWERED, RunEnd.ABANDONED))
-
-
-@attrs.frozen
-class Result:
-    """How one run on the server went, as evidence about the server.
-
-    :param started: when it was sent, on the node's clock.
-    :param seconds: time that the server took, slots and reader excluded.
-    :param end: how it ended.
-    :param fresh: whether the connection was a new one.
-    """
-
-    request: RelayRequest
-    started: float
-    seconds: float
-    end: RunEnd
-    fresh: bool = True
-
-    @property
-    def failed(self) -> bool:
-        """Whether the server is to blame for a bad end."""
-        return self.end not in _INNOCENT_ENDS
 
 
 class RunHost(abc.ABC):
@@ -112,7 +72,7 @@
         """Note that the server answered something."""
 
     @abc.abstractmethod
-    def note_body(self, attempt_id: str, body: 'AnswerBody') -> None:
+    def note_body(self, attempt_id: str, body: AnswerBody) -> None:
         """Note that an answer is being passed on."""
 
     @abc.abstractmethod
@@ -120,7 +80,7 @@
         """Pass on how a run went."""
 
 
-class Run:
+class Run(BodyOwner):
     """One run: the connection, its time and its end."""
 
     def __init__(
@@ -304,63 +264,3 @@
 
 class _DeadConnectionError(ExchangeError):
     """A reused connection is dead; the request goes to a new one."""
-
-
-class AnswerBody:
-    """The body of an answer, with the time that the server took for it."""
-
-    def __init__(
-        self,
-        run: Run,
-        chunks: Iterator[bytes],
-        held: contextlib.ExitStack,
-        end: RunEnd,
-    ) -> None:
-        """Take over the body.
-
-        :param held: the slot.
-        :param end: how the run ends if the body is whole.
-        """
-        self._run = run
-        self._end = end
-        self._chunks = chunks
-        self._held = held
-        self._closed = False
-        self._yielded: float | None = None
-
-    def free_slot(self, now: float) -> None:
-        """Give the slot back if the reader keeps the relay waiting."""
-        since = self._yielded
-        if since is not None and now - since > _SLOW_READER_SECONDS:
-            self._held.close()
-
-    def read(self) -> Iterator[bytes]:
-        """Give the chunks.
-
-        :raises ProtocolError: if the server cut the body short.
-        """
-        while True:
-            started = self._run.now()
-            try:
-                chunk = next(self._chunks, b'')
-            except ProtocolError:
-                self._finish(RunEnd.FAILED)
-                raise
-            self._run.add_time(self._run.now() - started)
-            if not chunk:
-                break
-            self._yielded = self._run.now()
-            yield chunk
-            self._yielded = None
-        self._finish(self._end)
-
-    def close(self) -> None:
-        """Release the slot and the connection."""
-        self._finish(RunEnd.ABANDONED)
-
-    def _finish(self, end: RunEnd) -> None:
-        if self._closed:
-            return
-        self._closed = True
-        self._held.close()
-        self._run.end(end)
--- a/godwitknot/supervisor.py
+++ b/godwitknot/supervisor.py
@@ -9,7 +9,6 @@
 from godwitknot.clock import Clock
 from godwitknot.crashes import compute_fingerprint
 from godwitknot.ejections import ServerHealth
-from godwitknot.execution import Result, RunEnd
 from godwitknot.messages import CrashReport
 from godwitknot.metrics import Metrics
 from godwitknot.outcomes import Code, RefusalError
@@ -17,6 +16,7 @@
 from godwitknot.probes import Probe
 from godwitknot.records import ServerState
 from godwitknot.relay import BufferedBody, Load, RelayRequest
+from godwitknot.runresults import Result, RunEnd
 from godwitknot.siblings import SiblingStatistics
 from godwitknot.upstream import RunObserver, UpstreamServer
 
--- a/godwitknot/upstream.py
+++ b/godwitknot/upstream.py
@@ -6,12 +6,14 @@
 import threading
 from collections.abc import Callable
 
-from godwitknot.admission import Gate, Ticket
+from godwitknot.admission import Gate, SlotRequest
+from godwitknot.answerbody import AnswerBody
 from godwitknot.clock import Clock
 from godwitknot.connections import Channel, ChannelPool
 from godwitknot.exchange import Exchange
+from godwitknot.execution import Run, RunHost
 from godwitknot.relay import Load, RelayAnswer, RelayRequest
-from godwitknot.execution import AnswerBody, Result, Run, RunEnd, RunHost
+from godwitknot.runresults import Result, RunEnd
 from godwitknot.settings import ServerSection
 
 _MOST_IDLE = 8
@@ -101,7 +103,7 @@
         :param check_send: called right before the send; may raise.
         :raises RefusalError: with what is known about the execution.
         """
-        ticket = Ticket(
+        slot_request = SlotRequest(
             request.attempt_id,
             request.tag.name,
             request.account,
@@ -110,7 +112,7 @@
         )
         self.free_slots()
         with contextlib.ExitStack() as stack:
-            slot = stack.enter_context(self.gate.enter(ticket))
+            slot = stack.enter_context(self.gate.enter(slot_request))
             check_send()
             run = Run(self, request, caller)
             answer = run.start()
--- a/tests/godwitknot/test_admission.py
+++ b/tests/godwitknot/test_admission.py
@@ -8,7 +8,7 @@
     FifoOrder,
     Gate,
     Load,
-    Ticket,
+    SlotRequest,
 )
 from godwitknot.clock import ManualClock
 from godwitknot.outcomes import Code, Outcome, RefusalError
@@ -25,20 +25,20 @@
         self._threads = []
         self._holders = []
 
-    def ticket(self, name, *, account='', priority=5, within=100):
+    def request(self, name, *, account='', priority=5, within=100):
         deadline = self.clock.now() + within
-        return Ticket(name, 'lookup', account, priority, deadline)
+        return SlotRequest(name, 'lookup', account, priority, deadline)
 
     def hold(self, name):
-        holder = self.gate.enter(self.ticket(name))
+        holder = self.gate.enter(self.request(name))
         holder.__enter__()
         self._holders.append(holder)
 
     def queue(self, name, **options):
         before = self.gate.load().queued
         options.setdefault('within', 100)
-        ticket = self.ticket(name, **options)
-        thread = threading.Thread(target=self._enter, args=(ticket,))
+        request = self.request(name, **options)
+        thread = threading.Thread(target=self._enter, args=(request,))
         thread.start()
         self._threads.append(thread)
         while thread.is_alive() and self.gate.load().queued == before:
@@ -51,12 +51,12 @@
         for thread in self._threads:
             thread.join()
 
-    def _enter(self, ticket):
+    def _enter(self, request):
         try:
-            with self.gate.enter(ticket):
-                self.served.append(ticket.request_id)
+            with self.gate.enter(request):
+                self.served.append(request.request_id)
         except RefusalError as refusal:
-            self.refused[ticket.request_id] = refusal
+            self.refused[request.request_id] = refusal
 
 
 @pytest.mark.parametrize(
@@ -105,7 +105,7 @@
     for name in ('a', 'b'):
         crowd.queue(name, account=name)
     with pytest.raises(RefusalError) as caught:
-        with crowd.gate.enter(crowd.ticket('c', account='c')):
+        with crowd.gate.enter(crowd.request('c', account='c')):
             pytest.fail('entered a full gate')
     assert caught.value.code == Code.QUEUE_FULL
     crowd.finish()
@@ -115,11 +115,11 @@
     """Guards against work that is late before it starts."""
     crowd = Crowd()
     for number in range(5):
-        with crowd.gate.enter(crowd.ticket(f'r{number}')):
+        with crowd.gate.enter(crowd.request(f'r{number}')):
             crowd.clock.advance(2)
     crowd.hold('running')
     with pytest.raises(RefusalError) as caught:
-        crowd.gate.enter(crowd.ticket('late', within=3)).__enter__()
+        crowd.gate.enter(crowd.request('late', within=3)).__enter__()
     assert caught.value.code == Code.DEADLINE_TOO_SHORT
     assert caught.value.outcome == Outcome.NOT_RUN
     assert crowd.gate.load().queued == 0
@@ -130,11 +130,11 @@
     """Guards against refusals because earlier callers read slowly."""
     crowd = Crowd()
     for number in range(5):
-        with crowd.gate.enter(crowd.ticket(f'r{number}')) as slot:
+        with crowd.gate.enter(crowd.request(f'r{number}')) as slot:
             slot.note_answered()
             crowd.clock.advance(60)
     assert crowd.gate.median_service('lookup') == 0
-    with crowd.gate.enter(crowd.ticket('next', within=1)):
+    with crowd.gate.enter(crowd.request('next', within=1)):
         assert crowd.gate.load().running == 1
 
 
@@ -168,10 +168,10 @@
 
     def work(number):
         for turn in range(50):
-            ticket = crowd.ticket(f'{number}-{turn}', account=str(number))
-            with contextlib.suppress(RefusalError), crowd.gate.enter(ticket):
+            request = crowd.request(f'{number}-{turn}', account=str(number))
+            with contextlib.suppress(RefusalError), crowd.gate.enter(request):
                 if not inside.acquire(blocking=False):
-                    overruns.append(ticket)
+                    overruns.append(request)
                     continue
                 inside.release()
 
