Skip every interim response of a server

Cause: http.client skips only 100, so a 103 was passed on as the answer and the answer itself was left on the connection. Change: the connection treats each status below 200 like 100. Result: test_early_hints_are_not_taken_for_the_answer (test_proxying) failed before and passes.

--- a/godwitknot/connections.py
+++ b/godwitknot/connections.py
@@ -9,6 +9,7 @@
 import select
 import socket
 import threading
+from http.client import CONTINUE, OK, HTTPResponse
 
 import attrs
 from urllib3.connection import HTTPConnection
@@ -26,6 +27,21 @@
 _MILLISECONDS = 1000
 
 
+class _FinalResponse(HTTPResponse):
+    """Skips all interim responses, of which the library knows only 100."""
+
+    def _read_status(self) -> tuple[str, int, str]:
+        version, status, reason = super()._read_status()
+        if status < OK:
+            # The caller of this method skips a 100 and its header fields.
+            status = CONTINUE
+        return version, status, reason
+
+
+class _Connection(HTTPConnection):
+    response_class = _FinalResponse
+
+
 class ConnectFailedError(OSError):
     """No connection was made, so nothing was sent."""
 
@@ -75,7 +91,7 @@
             channel = self._take_idle()
             if channel is not None:
                 return channel
-        connection = HTTPConnection(
+        connection = _Connection(
             self.address.host,
             self.address.port,
             timeout=CONNECT_SECONDS,
