Take a queued request out when its caller has left

Cause: nothing watched the caller while a request waited for a slot, and Gate.cancel had no user; the request ran although nobody wanted the answer. Change: the server's housekeeping step checks the callers of queued requests and cancels theirs as not run.

--- a/godwitknot/supervisor.py
+++ b/godwitknot/supervisor.py
@@ -161,6 +161,7 @@
         """Probe and decide until stopped."""
         while not self._stopped.wait(_STEP_SECONDS):
             self.upstream.free_slots()
+            self.upstream.cancel_abandoned()
             self._probe_if_due()
             self.health.step()
 
--- a/godwitknot/upstream.py
+++ b/godwitknot/upstream.py
@@ -4,12 +4,17 @@
 import contextlib
 import socket
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from godwitknot.admission import Gate, SlotRequest
 from godwitknot.answerbody import AnswerBody
 from godwitknot.clock import Clock
-from godwitknot.connections import Channel, ChannelPool
+from godwitknot.connections import (
+    Channel,
+    ChannelPool,
+    has_left,
+    poll_sockets,
+)
 from godwitknot.exchange import Exchange
 from godwitknot.execution import Run, RunHost
 from godwitknot.relay import Load, RelayAnswer, RelayRequest
@@ -57,6 +62,7 @@
         self._lock = threading.Lock()
         self._running: dict[str, tuple[RelayRequest, float]] = {}
         self._bodies: dict[str, AnswerBody] = {}
+        self._callers: dict[str, socket.socket] = {}
 
     def running(self) -> list[tuple[RelayRequest, float]]:
         """Give the requests on the server and when each was sent."""
@@ -87,6 +93,15 @@
         for body in bodies:
             body.free_slot(now)
 
+    def cancel_abandoned(self) -> None:
+        """Take requests out of the queue whose callers have left."""
+        with self._lock:
+            callers = dict(self._callers)
+        readable = poll_sockets(list(callers.values()), 0)
+        for attempt_id, caller in callers.items():
+            if caller.fileno() in readable and has_left(caller):
+                self.gate.cancel(attempt_id)
+
     def forget_connections(self) -> None:
         """Drop idle connections, for example after a restart."""
         self._pool.close_idle()
@@ -112,7 +127,8 @@
         )
         self.free_slots()
         with contextlib.ExitStack() as stack:
-            slot = stack.enter_context(self.gate.enter(slot_request))
+            with self._watching(request, caller):
+                slot = stack.enter_context(self.gate.enter(slot_request))
             check_send()
             run = Run(self, request, caller)
             answer = run.start()
@@ -164,6 +180,24 @@
         self._observer.note_result(result)
         self._forget(attempt_id)
 
+    @contextlib.contextmanager
+    def _watching(
+        self,
+        request: RelayRequest,
+        caller: socket.socket | None,
+    ) -> Iterator[None]:
+        """Let :meth:`cancel_abandoned` watch the caller meanwhile."""
+        if caller is None:
+            yield
+            return
+        with self._lock:
+            self._callers[request.attempt_id] = caller
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._callers.pop(request.attempt_id)
+
     def _forget(self, attempt_id: str) -> None:
         with self._lock:
             self._running.pop(attempt_id, None)
--- a/tests/dataplane.py
+++ b/tests/dataplane.py
@@ -188,13 +188,14 @@
     def fake(self, name):
         return self.host.servers[name]
 
-    def free_slots_in_background(self):
+    def keep_house_in_background(self):
         """Do what the node's housekeeping thread does."""
 
         def free():
             while not self._stopped.wait(0.05):
                 for upstream in self.upstreams.values():
                     upstream.free_slots()
+                    upstream.cancel_abandoned()
 
         threading.Thread(target=free, daemon=True).start()
 
