--- a/bench/soaknode.py
+++ b/bench/soaknode.py
@@ -1,7 +1,11 @@
 """A node for soak runs: a short lease, and broken variants on demand."""
 
+import os
 import pathlib
+import signal
 import sys
+import threading
+import time
 import types
 
 from godwitknot.claimrows import ClaimState
@@ -125,6 +129,13 @@
         super().start()
 
 
+def _end_with_parent(parent: int) -> None:
+    """End at once when the soak run was stopped and cannot end its nodes."""
+    while os.getppid() == parent:
+        time.sleep(1)
+    os.kill(os.getpid(), signal.SIGKILL)
+
+
 def main(path: str, advertised: str, variant: str) -> None:
     """Run a node until a signal stops it.
 
@@ -132,6 +143,9 @@
     :param advertised: peer address that other nodes are told.
     :param variant: name from :data:`VARIANTS`.
     """
+    threading.Thread(
+        target=_end_with_parent, args=(os.getppid(),), daemon=True
+    ).start()
     settings = load_settings(pathlib.Path(path))
     configure_logs(settings.node.log_format)
     SoakNode.key_service_class = VARIANTS[variant]
