--- a/godwitknot/storeclient.py
+++ b/godwitknot/storeclient.py
@@ -15,6 +15,7 @@
     LostAnswerError,
     MissingObjectError,
     StoreDownError,
+    StoreError,
 )
 from godwitknot.store import ObjectStore, Row, TableService, Write
 from godwitknot.units import Address
@@ -91,11 +92,7 @@
         except _NOT_SENT as refused:
             raise StoreDownError(f'{call.path}: not connected') from refused
         except (urllib3.exceptions.HTTPError, OSError) as broken:
-            if call.changes:
-                raise LostAnswerError(f'{call.path}: no answer') from broken
-            if isinstance(broken, urllib3.exceptions.ProtocolError):
-                raise _BrokenReadError(f'{call.path}: cut off') from broken
-            raise StoreDownError(f'{call.path}: no answer') from broken
+            raise _explain_silence(call, broken) from broken
         return self._check(call, response)
 
     def _check(
@@ -110,6 +107,14 @@
         raise failure(f'{call.path}: status {status}')
 
 
+def _explain_silence(call: _Call, broken: Exception) -> StoreError:
+    if call.changes:
+        return LostAnswerError(f'{call.path}: no answer')
+    if isinstance(broken, urllib3.exceptions.ProtocolError):
+        return _BrokenReadError(f'{call.path}: cut off')
+    return StoreDownError(f'{call.path}: no answer')
+
+
 class HttpTableService(TableService):
     """The table service over HTTP."""
 
