--- a/godwitknot/storeclient.py
+++ b/godwitknot/storeclient.py
@@ -15,7 +15,6 @@
     LostAnswerError,
     MissingObjectError,
     StoreDownError,
-    StoreError,
 )
 from godwitknot.store import ObjectStore, Row, TableService, Write
 from godwitknot.units import Address
@@ -92,8 +91,7 @@
         except _NOT_SENT as refused:
             raise StoreDownError(f'{call.path}: not connected') from refused
         except (urllib3.exceptions.HTTPError, OSError) as broken:
-            failure = _type_failure(call, broken)
-            raise failure(f'{call.path}: no answer') from broken
+            raise _explain_silence(call, broken) from broken
         return self._check(call, response)
 
     def _check(
@@ -108,12 +106,12 @@
         raise failure(f'{call.path}: status {status}')
 
 
-def _type_failure(call: _Call, broken: Exception) -> type[StoreError]:
+def _explain_silence(call: _Call, broken: Exception) -> StoreError:
     if call.changes:
-        return LostAnswerError
+        return LostAnswerError(f'{call.path}: no answer')
     if isinstance(broken, urllib3.exceptions.ProtocolError):
-        return _BrokenReadError
-    return StoreDownError
+        return _BrokenReadError(f'{call.path}: cut off')
+    return StoreDownError(f'{call.path}: no answer')
 
 
 class HttpTableService(TableService):
