Test lost answers and a paused node with real processes

Cause: acceptance in spite of lost answers, and the names of nodes that have not confirmed, were tested with fakes only. Change: a session that loses two answers of the store and corrupts a read, and one apply while a node is paused.

--- a/tests/sessions/test_sessions.py
+++ b/tests/sessions/test_sessions.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 import re
+import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -406,3 +407,21 @@
     session.note(f'stop n4: {stopped.splitlines()[-1]}')
     session.run('status')
     assert session.transcript == snapshot
+
+
+def test_lost_answers_and_a_paused_node(session):
+    """Guards against an apply that counts twice or hides a silent node."""
+    begin(session)
+    session.write('fleet.ini', LOWER)
+    session.fleet.set_platform_faults(lose_writes=2, corrupt_reads=1)
+    assert session.run('apply', 'fleet.ini', '--wait').returncode == 0
+    session.write('fleet.ini', LONGER)
+    process = session.fleet.nodes['n4'].process
+    process.send_signal(signal.SIGSTOP)
+    late = session.run('apply', 'fleet.ini', '--wait', '--timeout', '3')
+    process.send_signal(signal.SIGCONT)
+    assert late.returncode == 6
+    assert 'accepted, but not confirmed by n4' in late.stderr
+    done = session.run('apply', 'fleet.ini', '--wait')
+    assert done.returncode == 0
+    assert session.ask('n4', 'status')['version'] == 3
