Read a stored text back again after a broken connection

Change: a failed read back counts as one of the three attempts; the message of an apply during an outage names what did not answer.

--- a/godwitknot/headstore.py
+++ b/godwitknot/headstore.py
@@ -71,7 +71,7 @@
             # leave the fleet without the text once this node is gone.
             try:
                 self.get_text(declaration.digest)
-            except (MissingObjectError, CorruptObjectError) as error:
+            except StoreError as error:
                 failure = error
             else:
                 return
--- a/godwitknot/operatorclient.py
+++ b/godwitknot/operatorclient.py
@@ -211,5 +211,7 @@
     if code is ApiCode.ANSWER_LOST:
         return NodeUnreachableError(message)
     if code is ApiCode.STORE_DOWN:
-        return NodeFailureError('the store is down; nothing was changed')
+        return NodeFailureError(
+            f'the store is down; nothing was changed ({message})'
+        )
     return NodeFailureError(f'{code}: {message}')
