--- a/godwitknot/storeclient.py
+++ b/godwitknot/storeclient.py
@@ -15,6 +15,7 @@
     LostAnswerError,
     MissingObjectError,
     StoreDownError,
+    StoreError,
 )
 from godwitknot.store import ObjectStore, Row, TableService, Write
 from godwitknot.units import Address
