--- a/bench/realfaults.py
+++ b/bench/realfaults.py
@@ -2,22 +2,18 @@
 
 import collections
 import json
-import pathlib
 import random
-import tempfile
 import threading
 import time
 
 import attrs
 import urllib3
 
-from bench.localfleet import LocalFleet, NodePlan, RunningNode
+from bench.fleet import Fleet, NodePlan, RunningNode, ServerPlan
 from godwitknot.settings import PolicyName
-from standins.backend import FakeServer
-from standins.faults import Faults
 
 _SERVERS = 8
-_SERVICE_SECONDS = 0.03
+_SERVICE_MS = 30
 _CALLERS = 16
 # Requests a second of each caller; each server gets about 4.
 _CALLER_RATE = 4.0
@@ -46,14 +42,16 @@
 weigh = {weigh}
 """
 _TARGET_SECONDS = 0.2
+# Fleets of several policies draw their ports from one source.
+_PORTS_LOCK = threading.Lock()
 
 REAL_FAULTS = {
-    'fails all work, answers probes': Faults(error_share=1),
-    'hung with open connections': Faults(hang=True),
-    '10x slower': Faults(slow_factor=10),
-    '3x slower': Faults(slow_factor=3),
-    'cut-short answers on 50%': Faults(cut_share=0.5),
-    'errors on 20%': Faults(error_share=0.2),
+    'fails all work, answers probes': {'error_share': 1},
+    'hung with open connections': {'hang': True},
+    '10x slower': {'slow_factor': 10},
+    '3x slower': {'slow_factor': 3},
+    'cut-short answers on 50%': {'cut_share': 0.5},
+    'errors on 20%': {'error_share': 0.2},
 }
 
 
@@ -98,23 +96,24 @@
     executions: int
 
 
-class _PolicyFleet(LocalFleet):
+class _PolicyFleet(Fleet):
     """A fleet whose nodes use a given policy."""
 
-    policy = PolicyName.SEQUENTIAL
+    def __init__(self, policy: PolicyName) -> None:
+        self._policy = policy
+        with _PORTS_LOCK:
+            super().__init__(_plan())
 
-    def _write_settings(self, node: RunningNode) -> None:
-        super()._write_settings(node)
-        text = node.settings.read_text(encoding='utf-8')
-        line = f'[node]\nlog-format = json\noutlier-policy = {self.policy}'
-        changed = text.replace('[node]', line)
-        node.settings.write_text(changed, encoding='utf-8')
+    def _format_settings(self, node: RunningNode, seeds: list[str]) -> str:
+        text = super()._format_settings(node, seeds)
+        line = f'[node]\noutlier-policy = {self._policy}'
+        return text.replace('[node]', line)
 
 
 class _Callers:
     """Threads that call at random times until they are stopped."""
 
-    def __init__(self, fleet: LocalFleet, seed: int) -> None:
+    def __init__(self, fleet: Fleet, seed: int) -> None:
         self.calls: list[Call] = []
         self._fleet = fleet
         self._stopped = threading.Event()
@@ -153,12 +152,8 @@
 
 def run_policy(policy: PolicyName, seed: int) -> RealRun:
     """Start a fleet and switch on one fault after the other."""
-    with tempfile.TemporaryDirectory() as name:
-        directory = pathlib.Path(name)
-        fleet = _PolicyFleet(directory, _plan(), _SERVICE_SECONDS)
-        fleet.policy = policy
-        with fleet:
-            return _measure(fleet, policy, seed)
+    with _PolicyFleet(policy) as fleet:
+        return _measure(fleet, policy, seed)
 
 
 def _plan() -> list[NodePlan]:
@@ -167,23 +162,23 @@
             f'n{number}',
             'north',
             'north-a',
-            {f'{each}-{number}': each for each in _CLASSES},
+            tuple(
+                ServerPlan(f'{each}-{number}', each, service_ms=_SERVICE_MS)
+                for each in _CLASSES
+            ),
         )
         for number in range(_SERVERS)
     ]
 
 
-def _measure(fleet: LocalFleet, policy: PolicyName, seed: int) -> RealRun:
-    declaration = fleet.directory / 'declaration.ini'
+def _measure(fleet: Fleet, policy: PolicyName, seed: int) -> RealRun:
+    declaration = fleet.folder / 'declaration.ini'
     sections = ''.join(
         _SECTION.format(name=name, weigh=weigh)
         for name, weigh in zip(_CLASSES, ('detection', 'caution'), strict=True)
     )
     declaration.write_text(_DECLARATION.format(sections=sections))
-    done = fleet.command('n0', 'apply', str(declaration), '--wait')
-    if done.code:
-        raise RuntimeError(done.text)
-    fleet.wait_ready()
+    fleet.apply(declaration, 'n0')
     callers = _Callers(fleet, seed)
     callers.start()
     began = time.time()
@@ -200,45 +195,58 @@
         _count_false(fleet, faulty),
         hours,
         len(callers.calls),
-        sum(len(each.executions) for each in fleet.servers.servers.values()),
+        _count_runs(fleet),
     )
 
 
 def _apply_fault(
-    fleet: LocalFleet,
+    fleet: Fleet,
     callers: _Callers,
     number: int,
     fault: str,
     faulty: dict[str, list[tuple[float, float]]],
 ) -> list[RealRow]:
     """Break one server of each service for a while."""
-    servers = [fleet.servers.servers[f'{each}-{number}'] for each in _CLASSES]
+    node_id = f'n{number}'
+    servers = [f'{each}-{number}' for each in _CLASSES]
     began = time.time()
     for server in servers:
-        server.faults = REAL_FAULTS[fault]
+        fleet.set_faults(node_id, server, **REAL_FAULTS[fault])
     time.sleep(_FAULT_SECONDS)
     ended = time.time()
     for server in servers:
-        server.faults = Faults()
-        faulty.setdefault(server.name, []).append((began, ended))
+        fleet.set_faults(node_id, server)
+        faulty.setdefault(server, []).append((began, ended))
     time.sleep(_RETURN_SECONDS)
     return [
-        _make_row(server, work_class, fault, callers.calls, began)
+        _make_row(
+            fleet.list_runs(node_id, server),
+            work_class,
+            fault,
+            callers.calls,
+            began,
+        )
         for server, work_class in zip(servers, _CLASSES, strict=True)
     ]
 
 
+def _count_runs(fleet: Fleet) -> int:
+    return sum(
+        len(fleet.list_runs(node_id, server))
+        for node_id, node in fleet.nodes.items()
+        for server in node.servers
+    )
+
+
 def _make_row(
-    server: FakeServer,
+    executions: list[dict],
     work_class: str,
     fault: str,
     calls: list[Call],
     began: float,
 ) -> RealRow:
     ended = began + _FAULT_SECONDS
-    runs = [
-        each.at for each in list(server.executions) if began <= each.at < ended
-    ]
+    runs = [each['at'] for each in executions if began <= each['at'] < ended]
     during = [
         call.good
         for call in list(calls)
@@ -264,20 +272,18 @@
 
 
 def _count_false(
-    fleet: LocalFleet,
+    fleet: Fleet,
     faulty: dict[str, list[tuple[float, float]]],
 ) -> collections.Counter[str]:
     """Count the ejections in the logs of servers without a fault."""
     counts: collections.Counter[str] = collections.Counter()
-    for node_id in fleet.nodes:
-        log = fleet.directory / f'{node_id}.log'
-        for line in log.read_text(encoding='utf-8').splitlines():
-            event = _parse_event(line)
-            if event is None or ' ejected;' not in event['why']:
-                continue
-            periods = faulty.get(event['name'], [])
-            if not any(a <= event['time'] <= b + 1 for a, b in periods):
-                counts[event['name'].partition('-')[0]] += 1
+    for line in fleet.log_path.read_text(encoding='utf-8').splitlines():
+        event = _parse_event(line)
+        if event is None or ' ejected;' not in event['why']:
+            continue
+        periods = faulty.get(event['name'], [])
+        if not any(a <= event['time'] <= b + 1 for a, b in periods):
+            counts[event['name'].partition('-')[0]] += 1
     return counts
 
 
