Follow the new name of the slot request in the queue bench

Cause: Ticket became SlotRequest on main, and make measure could not start. Change: the bench uses the new name.

--- a/bench/queues.py
+++ b/bench/queues.py
@@ -11,7 +11,7 @@
     FifoOrder,
     Gate,
     QueueOrder,
-    Ticket,
+    SlotRequest,
 )
 from godwitknot.clock import SystemClock
 from godwitknot.outcomes import RefusalError
@@ -91,10 +91,10 @@
         began = SystemClock().now()
         name = f'{source.random()}'
         deadline = began + kind.deadline
-        ticket = Ticket(name, kind.name, name, 5, deadline)
+        request = SlotRequest(name, kind.name, name, 5, deadline)
         refused = False
         try:
-            with self.gate.enter(ticket):
+            with self.gate.enter(request):
                 time.sleep(source.gammavariate(4, _SERVICE_SECONDS / 4))
         except RefusalError:
             refused = True
