Measure added latency at half of the capacity

Cause: the added latency was known only for an idle node. Change: bench.latency measures the three ways again while eight clients send half of the measured capacity.

--- a/bench/latency.py
+++ b/bench/latency.py
@@ -5,12 +5,14 @@
 hits all three alike. Figures are differences of quantiles in one run.
 """
 
+import contextlib
 import functools
 import json
 import os
 import pathlib
 import statistics
 import sys
+import threading
 import time
 from concurrent import futures
 
@@ -20,6 +22,7 @@
 from bench.fleet import Fleet, NodePlan, ServerPlan
 
 _ROUNDS = 1500
+_LOADED_ROUNDS = 500
 _WARM_UP = 200
 _LOAD_SECONDS = 6.0
 _CLIENTS = 8
@@ -113,7 +116,7 @@
     return samples
 
 
-def measure_added(fleet: Fleet) -> Added:
+def measure_added(fleet: Fleet, rounds: int = _ROUNDS) -> Added:
     """Measure the three ways to one server."""
     near = fleet.nodes['a'].servers['near-1']
     ingress = fleet.nodes['a'].ingress
@@ -122,10 +125,33 @@
         f'http://{ingress}/near/x',
         f'http://{ingress}/far/x',
     ]
-    samples = time_requests(urls, _ROUNDS)
+    samples = time_requests(urls, rounds)
     return Added(*(measure_quantiles(times) for times in samples))
 
 
+def measure_loaded(fleet: Fleet, rate: float) -> Added:
+    """Measure the three ways while other clients send requests.
+
+    :param rate: requests a second of the other clients together.
+    """
+    stopped = threading.Event()
+    url = f'http://{fleet.nodes["a"].ingress}/near/x'
+    with futures.ThreadPoolExecutor(_CLIENTS) as pool:
+        for _ in range(_CLIENTS):
+            pool.submit(_ask_at_rate, url, rate / _CLIENTS, stopped)
+        with contextlib.ExitStack() as ending:
+            ending.callback(stopped.set)
+            return measure_added(fleet, _LOADED_ROUNDS)
+
+
+def _ask_at_rate(url: str, rate: float, stopped: threading.Event) -> None:
+    pool = urllib3.PoolManager(retries=False)
+    due = time.monotonic()
+    while not stopped.wait(max(0, due - time.monotonic())):
+        pool.request('GET', url)
+        due = max(due + 1 / rate, time.monotonic())
+
+
 def measure_capacity(fleet: Fleet, path: str) -> tuple[float, float]:
     """Load one node from several clients.
 
@@ -165,15 +191,22 @@
         low = measure_added(fleet)
         near = measure_capacity(fleet, '/near/x')
         far = measure_capacity(fleet, '/far/x')
-    for name, p50, p99 in low.rows():
-        sys.stdout.write(f'{name}: p50 +{p50:.2f} ms, p99 +{p99:.2f} ms\n')
+        half = measure_loaded(fleet, near[0] / 2)
+    for load, added in (('low load', low), ('half capacity', half)):
+        for name, p50, p99 in added.rows():
+            sys.stdout.write(
+                f'{load}, {name}: p50 +{p50:.2f} ms, p99 +{p99:.2f} ms\n'
+            )
     sys.stdout.write(f'one node: {near[1]:.0f} requests for a core-second\n')
     sys.stdout.write(f'ingress only: {far[1]:.0f} for a core-second\n')
     document = {
+        'command': 'python -m bench.latency',
         'added': attrs.asdict(low),
+        'added_at_half_capacity': attrs.asdict(half),
         'near': near,
         'far': far,
         'rounds': _ROUNDS,
+        'rounds_at_half_capacity': _LOADED_ROUNDS,
     }
     text = json.dumps(document, indent=2)
     _RESULT.write_text(f'{text}\n')
