--- /dev/null
+++ b/bench/soaknode.py
@@ -0,0 +1,157 @@
+"""A node for soak runs: a short lease, and broken variants on demand."""
+
+import os
+import pathlib
+import signal
+import sys
+import threading
+import time
+import types
+
+from godwitknot.claimrows import ClaimState
+from godwitknot.claims import ClaimDesk
+from godwitknot.idempotency import IdempotencyBook, Moved
+from godwitknot.keydispatch import KeyDispatcher
+from godwitknot.keyservice import KeyService
+from godwitknot.logs import configure_logs
+from godwitknot.node import Node
+from godwitknot.outcomes import Outcome, RefusalError
+from godwitknot.relay import RelayAnswer
+from godwitknot.runs import Answer, Permit, RunState
+from godwitknot.settings import load_settings
+from godwitknot.store import Row
+from godwitknot.tickets import Ticket
+from godwitknot.units import Address, parse_address
+
+# A pause in a soak run must outlast it within a few seconds.
+LEASE_SECONDS = 1.0
+
+
+class ShortLeaseDesk(ClaimDesk):
+    """Claims that lapse soon; otherwise as in the fleet."""
+
+    lease = LEASE_SECONDS
+
+
+class TimelessDesk(ClaimDesk):
+    """Broken: sends however old its claim is."""
+
+    lease = float('inf')
+
+
+class EagerDesk(ShortLeaseDesk):
+    """Broken: takes over the claim of another sidecar."""
+
+    def _is_free(self, row: Row) -> bool:
+        return row.columns.get('state') != ClaimState.ANSWERED
+
+
+class ForgetfulBook(IdempotencyBook):
+    """Broken: forgets answers, as a cache with eviction would."""
+
+    def begin(
+        self, ticket: Ticket, digest: str, patience: float
+    ) -> Permit | Answer | Moved:
+        """Forget every run that has ended, then go on as usual."""
+        table = self._table
+        with table.changed:
+            ended = [
+                identity
+                for identity, run in table.runs.items()
+                if run.state is RunState.ANSWERED
+            ]
+            for identity in ended:
+                table.runs.pop(identity)
+        return super().begin(ticket, digest, patience)
+
+
+class AssumingDispatcher(KeyDispatcher):
+    """Broken: takes an outcome that is not known for "not run"."""
+
+    def run(self, job: object) -> RelayAnswer:
+        """Say "not run" wherever there is no answer."""
+        try:
+            return super().run(job)
+        except RefusalError as refusal:
+            refusal.outcome = Outcome.NOT_RUN
+            raise
+
+
+class SoakKeyService(KeyService):
+    """Issued keys and claims with the short lease."""
+
+    desk_class = ShortLeaseDesk
+
+
+class ForgetfulService(SoakKeyService):
+    """Broken: see :class:`ForgetfulBook`."""
+
+    book_class = ForgetfulBook
+
+
+class TimelessService(SoakKeyService):
+    """Broken: see :class:`TimelessDesk`."""
+
+    desk_class = TimelessDesk
+
+
+class EagerService(SoakKeyService):
+    """Broken: see :class:`EagerDesk`."""
+
+    desk_class = EagerDesk
+
+
+class AssumingService(SoakKeyService):
+    """Broken: see :class:`AssumingDispatcher`."""
+
+    dispatcher_class = AssumingDispatcher
+
+
+VARIANTS = types.MappingProxyType(
+    {
+        '': SoakKeyService,
+        'forgetful-book': ForgetfulService,
+        'no-lease': TimelessService,
+        'eager-claim': EagerService,
+        'false-not-run': AssumingService,
+    },
+)
+
+
+class SoakNode(Node):
+    """A node that others reach through a relay that can be cut."""
+
+    advertised: Address
+
+    def start(self) -> None:
+        """Announce the address of the relay, then start as usual."""
+        self.plane.directory.update_own(peer=self.advertised)
+        super().start()
+
+
+def _end_with_parent(parent: int) -> None:
+    """End at once when the soak run was stopped and cannot end its nodes."""
+    while os.getppid() == parent:
+        time.sleep(1)
+    os.kill(os.getpid(), signal.SIGKILL)
+
+
+def main(path: str, advertised: str, variant: str) -> None:
+    """Run a node until a signal stops it.
+
+    :param path: settings file.
+    :param advertised: peer address that other nodes are told.
+    :param variant: name from :data:`VARIANTS`.
+    """
+    threading.Thread(
+        target=_end_with_parent, args=(os.getppid(),), daemon=True
+    ).start()
+    settings = load_settings(pathlib.Path(path))
+    configure_logs(settings.node.log_format)
+    SoakNode.key_service_class = VARIANTS[variant]
+    SoakNode.advertised = parse_address(advertised)
+    SoakNode(settings).run()
+
+
+if __name__ == '__main__':
+    main(*sys.argv[1:])
--- a/godwitknot/storeclient.py
+++ b/godwitknot/storeclient.py
@@ -15,6 +15,7 @@
     LostAnswerError,
     MissingObjectError,
     StoreDownError,
+    StoreError,
 )
 from godwitknot.store import ObjectStore, Row, TableService, Write
 from godwitknot.units import Address
@@ -50,8 +51,12 @@
     changes: bool = False
 
 
+class _BrokenReadError(StoreDownError):
+    """The connection broke during a read."""
+
+
 class _PlatformClient:
-    """Sends requests and types every failure; never sends one twice."""
+    """Sends requests and types every failure; repeats reads only."""
 
     def __init__(self, address: Address, timeout: float) -> None:
         self._pool = urllib3.HTTPConnectionPool(
@@ -63,6 +68,18 @@
         )
 
     def call(self, call: _Call) -> urllib3.BaseHTTPResponse:
+        """Send a request; a read whose connection broke is sent once more.
+
+        The service may close an idle connection just as it is reused.
+        """
+        if call.changes:
+            return self._send(call)
+        try:
+            return self._send(call)
+        except _BrokenReadError:
+            return self._send(call)
+
+    def _send(self, call: _Call) -> urllib3.BaseHTTPResponse:
         try:
             response = self._pool.request(
                 call.method,
@@ -75,9 +92,7 @@
         except _NOT_SENT as refused:
             raise StoreDownError(f'{call.path}: not connected') from refused
         except (urllib3.exceptions.HTTPError, OSError) as broken:
-            if call.changes:
-                raise LostAnswerError(f'{call.path}: no answer') from broken
-            raise StoreDownError(f'{call.path}: no answer') from broken
+            raise _explain_silence(call, broken) from broken
         return self._check(call, response)
 
     def _check(
@@ -92,6 +107,14 @@
         raise failure(f'{call.path}: status {status}')
 
 
+def _explain_silence(call: _Call, broken: Exception) -> StoreError:
+    if call.changes:
+        return LostAnswerError(f'{call.path}: no answer')
+    if isinstance(broken, urllib3.exceptions.ProtocolError):
+        return _BrokenReadError(f'{call.path}: cut off')
+    return StoreDownError(f'{call.path}: no answer')
+
+
 class HttpTableService(TableService):
     """The table service over HTTP."""
 
--- a/tests/godwitknot/test_keydispatch.py
+++ b/tests/godwitknot/test_keydispatch.py
@@ -4,6 +4,7 @@
 import pytest
 import urllib3
 
+from godwitknot.attempts import AttemptState
 from godwitknot.records import NodeState
 from godwitknot.tickets import Owner
 from standins.cutter import Cutter
@@ -148,6 +149,16 @@
     assert [run.key for run in executions(plane)] == [old, fresh]
 
 
+def test_an_ingress_without_configuration_does_not_know(plane):
+    """Guards against "not run" for a resend to a node that just started.
+
+    Found by ``python -m bench.soak --seed 2``.
+    """
+    assert reserve(plane, 'k').status == 200
+    plane.ingress._serving = lambda: None
+    assert told(reserve(plane, 'k')) == ('not-ready', 'may-have-run')
+
+
 def test_an_unreachable_owner_is_not_reported_as_not_run(plane):
     """Guards against "not run" by an ingress that could not ask."""
     key = issue(plane)
@@ -176,3 +187,9 @@
         healed.cut_backward = False
     assert reserve(plane, key).status == 200
     assert len(executions(plane)) == 1
+
+
+def test_a_restarted_sidecar_does_not_speak_for_the_old_one(plane):
+    """Guards against "not run" for what ran before a restart."""
+    assert plane.sidecar.settle('1/a') is AttemptState.NOT_RUN
+    assert plane.sidecar.settle('2/a') is AttemptState.ENDED
--- a/tests/sessions/test_sessions.py
+++ b/tests/sessions/test_sessions.py
@@ -3,10 +3,12 @@
 import json
 import pathlib
 import re
+import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+import urllib3
 
 from bench.fleet import Fleet, NodePlan, ServerPlan
 
@@ -88,7 +90,7 @@
         answer = self.fleet.request(
             node, 'POST', f'/.godwitknot/keys?service={service}'
         )
-        assert answer.status == 200, answer.data
+        assert answer.status == 201, answer.data
         return json.loads(answer.data)['key']
 
     def list_runs(self):
@@ -142,6 +144,7 @@
         for node_id, (region, domain) in PLACES.items()
     ]
     fleet = Fleet(plans, poll='1s')
+    fleet.http = urllib3.PoolManager(retries=False, timeout=20, maxsize=64)
     fleet.start()
     try:
         started = Session(fleet, tmp_path)
@@ -400,6 +403,25 @@
             for one in work['objectives'][:1]
         )
     )
-    session.run('stop', 'n4', '--wait')
+    stopped = session.fleet.command('n1', 'stop', 'n4', '--wait')
+    session.note(f'stop n4: {stopped.splitlines()[-1]}')
     session.run('status')
     assert session.transcript == snapshot
+
+
+def test_lost_answers_and_a_paused_node(session):
+    """Guards against an apply that counts twice or hides a silent node."""
+    begin(session)
+    session.write('fleet.ini', LOWER)
+    session.fleet.set_platform_faults(lose_writes=2, corrupt_reads=1)
+    assert session.run('apply', 'fleet.ini', '--wait').returncode == 0
+    session.write('fleet.ini', LONGER)
+    process = session.fleet.nodes['n4'].process
+    process.send_signal(signal.SIGSTOP)
+    late = session.run('apply', 'fleet.ini', '--wait', '--timeout', '3')
+    process.send_signal(signal.SIGCONT)
+    assert late.returncode == 6
+    assert 'accepted, but not confirmed by n4' in late.stderr
+    done = session.run('apply', 'fleet.ini', '--wait')
+    assert done.returncode == 0
+    assert session.ask('n4', 'status')['version'] == 3
