Give the platform test a port below the outgoing range

Cause: a port from the outgoing range was taken by another process between its choice and its use; one of five parallel runs failed. Change: the test uses the bench's reservation.

--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -1,21 +1,18 @@
 import json
-import socket
 import subprocess
 import sys
 
 import urllib3
 
+from bench.fleet import reserve_addresses
 from godwitknot.store import ABSENT, Write
 from godwitknot.storeclient import HttpTableService
-from godwitknot.units import Address
 
 
 def test_the_platform_runs_as_a_process():
     """Guards against a command that does not start or does not stop."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        port = probe.getsockname()[1]
-    place = f'127.0.0.1:{port}'
+    address = reserve_addresses(1)[0]
+    place = str(address)
     command = (sys.executable, '-m', 'standins.commands', 'platform')
     process = subprocess.Popen((*command, '--address', place))
     try:
@@ -24,7 +21,7 @@
             f'http://{place}/stats',
             retries=urllib3.Retry(8, backoff_factor=0.1),
         )
-        tables = HttpTableService(Address('127.0.0.1', port), 2.0)
+        tables = HttpTableService(address, 2.0)
         tables.write([Write('a', ABSENT, {}, 'w1')])
         faults = urllib3.request(
             'POST', f'http://{place}/faults', json={'slow_ms': 1}
