Sign bodies of peer calls and close each response

Cause: the MAC of a call between nodes covered method and path only, so a handover could be changed on its way; cheroot does not close a response whose head cannot be sent, which would keep its slot.

--- a/godwitknot/headers.py
+++ b/godwitknot/headers.py
@@ -12,6 +12,8 @@
 ACCOUNT = 'X-Godwitknot-Account'
 MAC = 'X-Godwitknot-Mac'
 LAST_RESORT = 'X-Godwitknot-Last-Resort'
+# SHA-256 of the body of a call between nodes that is no relayed request.
+BODY_DIGEST = 'X-Godwitknot-Digest'
 # Issued key that carries a transferred right: on the request to its new
 # owner, and on the refusal by the old one.
 MOVED_KEY = 'X-Godwitknot-Moved-Key'
--- a/godwitknot/hop.py
+++ b/godwitknot/hop.py
@@ -30,6 +30,7 @@
     headers.LAST_RESORT,
     headers.IDEMPOTENCY_KEY,
     headers.MOVED_KEY,
+    headers.BODY_DIGEST,
 )
 _SERVICE_SEPARATOR = '/'
 
--- a/godwitknot/httpserver.py
+++ b/godwitknot/httpserver.py
@@ -156,6 +156,21 @@
         environ[SOCKET_KEY] = self.req.conn.socket
         return environ
 
+    def respond(self) -> None:
+        """Pass on a response, and close it however that ends.
+
+        cheroot does not close it if the head cannot be sent, and then the
+        slot of the request would stay taken.
+        """
+        response = self.req.server.wsgi_app(self.env, self.start_response)
+        with contextlib.ExitStack() as ending:
+            close = getattr(response, 'close', None)
+            if close is not None:
+                ending.callback(close)
+            ending.callback(self.req.ensure_headers_sent)
+            for chunk in filter(None, response):
+                self.write(chunk)
+
 
 class NodeServer(wsgi.Server):
     """An HTTP server for one WSGI application of the node."""
--- a/godwitknot/peerapp.py
+++ b/godwitknot/peerapp.py
@@ -10,7 +10,7 @@
 from godwitknot.keys import FleetKeys
 from godwitknot.metrics import Metrics
 from godwitknot.outcomes import RefusalError
-from godwitknot.relay import read_body
+from godwitknot.relay import BufferedBody, read_body
 from godwitknot.sidecar import Sidecar
 from godwitknot.wsgi import (
     OWN_PREFIX,
@@ -73,7 +73,7 @@
             self._metrics.count('peer.unverified')
             return respond_json(start_response, _FORBIDDEN, {})
         if target.startswith(OWN_PREFIX):
-            return self._serve_own(environ, start_response, target)
+            return self._serve_own(environ, start_response, target, fields)
         return self._serve_relay(environ, start_response, fields)
 
     def _serve_own(
@@ -81,6 +81,7 @@
         environ: Environ,
         start_response: StartResponse,
         target: str,
+        fields: dict[str, str],
     ) -> Iterable[bytes]:
         if target.startswith(_ATTEMPTS):
             state = self._sidecar.settle(target.removeprefix(_ATTEMPTS))
@@ -90,6 +91,9 @@
             return respond_json(start_response, _NOT_FOUND, {})
         length = read_length(environ) or 0
         content = environ['wsgi.input'].read(length) if length else b''
+        if BufferedBody(content).digest != fields.get(headers.BODY_DIGEST):
+            self._metrics.count('peer.unverified')
+            return respond_json(start_response, _FORBIDDEN, {})
         document = handler(environ['REQUEST_METHOD'], content)
         return respond_json(start_response, _OK, document)
 
--- a/godwitknot/peerlink.py
+++ b/godwitknot/peerlink.py
@@ -127,13 +127,15 @@
         target = f'{OWN_PREFIX}{name}'
         method = 'GET' if document is None else 'POST'
         content = b'' if document is None else json.dumps(document).encode()
-        mac = hop.sign_fields(self._keys, method, target, {})
+        body = BufferedBody(content)
+        fields = {headers.BODY_DIGEST: body.digest}
+        mac = hop.sign_fields(self._keys, method, target, fields)
         pool = self._find_pool(address)
         call = Call(
             method,
             target,
-            [(headers.MAC, mac)],
-            BufferedBody(content),
+            [*fields.items(), (headers.MAC, mac)],
+            body,
             self._clock.now() + timeout,
         )
         try:
--- a/tests/dataplane.py
+++ b/tests/dataplane.py
@@ -223,8 +223,10 @@
         )
         address = free_address()
         self._note_node(name, address)
-        app = PeerApp(self.sidecar, self.keys, self.clock, self.metrics)
-        self._serve(address, app)
+        self.peer_app = PeerApp(
+            self.sidecar, self.keys, self.clock, self.metrics
+        )
+        self._serve(address, self.peer_app)
         return Target(f'n-{name}', 1, name, 'shop', address, local)
 
     def _note_node(self, name, address):
--- a/tests/godwitknot/test_ingress.py
+++ b/tests/godwitknot/test_ingress.py
@@ -3,6 +3,9 @@
 import pytest
 import urllib3
 
+from godwitknot import headers, hop
+from godwitknot.peerlink import PeerLink
+from godwitknot.relay import BufferedBody
 from tests.dataplane import exchange_bytes, running_plane
 
 
@@ -104,3 +107,23 @@
     for name in ('health', 'ready'):
         answer = http.request('GET', f'{plane.url}/.godwitknot/{name}')
         assert answer.status == 200
+
+
+def test_peer_call_with_another_body_is_refused(plane, http):
+    """Guards against records that were changed on their way to an heir."""
+    calls = []
+    plane.peer_app.add_handler('note', lambda *call: calls.append(call))
+    link = PeerLink(plane.keys, plane.clock, plane.metrics)
+    address = plane.chooser.targets[-1].address
+    link.call(address, 'note', {'a': 1})
+    digest = BufferedBody(b'{"a": 1}').digest
+    fields = {headers.BODY_DIGEST: digest}
+    mac = hop.sign_fields(plane.keys, 'POST', '/.godwitknot/note', fields)
+    answer = http.request(
+        'POST',
+        f'http://{address}/.godwitknot/note',
+        body=b'{"a": 2}',
+        headers={**fields, headers.MAC: mac},
+    )
+    assert answer.status == 403
+    assert calls == [('POST', b'{"a": 1}')]
--- a/tests/godwitknot/test_proxying.py
+++ b/tests/godwitknot/test_proxying.py
@@ -377,7 +377,7 @@
 def test_attempt_that_was_settled_as_not_run_never_runs():
     """Guards against a sidecar that resumes with an old request to read."""
     with running_plane(names=('s1',)) as plane:
-        assert plane.sidecar.settle('a1') is AttemptState.NOT_RUN
+        assert plane.sidecar.settle('1/a1') is AttemptState.NOT_RUN
         with pytest.raises(RefusalError):
             plane.sidecar.relay(make_request(), None)
         assert not plane.fake('s1').executions
