Send summaries in parts and keep supervision alive after an error

Cause: eight summaries with names of 63 characters make a datagram of 1,459 bytes, and the error ended the exchange thread of the node; an error in a supervision step would likewise have ended the thread that ejects and returns a server.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 
 measure: setup
 	$(BIN)/python -m bench.measure
+	$(BIN)/python -m bench.latency
 
 soak: setup
 	$(BIN)/python -m bench.soak --seeds $(SEEDS)
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -20,7 +20,7 @@
 _PAGE = pathlib.Path('docs/measurements.md')
 _TABLE_START = '<!-- measured tables begin -->'
 _TABLE_END = '<!-- measured tables end -->'
-_PROCESSES = 3
+_PROCESSES = 6
 _FAULT_SECONDS = 60.0
 _REPEATS = 6
 _HEALTHY = 'no fault'
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -60,6 +60,7 @@
 ) -> None:
     """Check histories of fleets under faults.
 
+    \f
     :raises BadParameter: if the broken variant is unknown.
     """
     if broken not in VARIANTS:
--- a/godwitknot/node.py
+++ b/godwitknot/node.py
@@ -226,13 +226,10 @@
     def _get_ready(self, seeds: tuple[Address, ...]) -> None:
         """Get the first configuration from the store or from peers."""
         fetch = functools.partial(self._copies.fetch_all, seeds)
-        while not self.keeper.start(fetch):
-            if self._stopping.wait(_FIRST_TRY_SECONDS):
-                return
-            if self._poller.store_up:
-                break
+        self.keeper.start(fetch)
         self._registry.write(self.plane.directory.own)
         self._poller.start()
+        # From here on polls and heartbeats of peers bring a version too.
         while self.keeper.current is None:
             if self._stopping.wait(_FIRST_TRY_SECONDS):
                 return
--- a/godwitknot/summaries.py
+++ b/godwitknot/summaries.py
@@ -3,6 +3,7 @@
 import random
 import threading
 
+from godwitknot.errors import MessageTooLargeError
 from godwitknot.members import Directory
 from godwitknot.messages import Summary
 from godwitknot.records import NodeRecord
@@ -48,7 +49,18 @@
             if not summary.servers:
                 continue
             for node in self._draw_nodes(service):
-                self._endpoint.send(node.peer, summary)
+                self._send(node.peer, summary)
+
+    def _send(self, address: Address, summary: Summary) -> None:
+        """Send a summary, in parts if long names make it too large."""
+        try:
+            self._endpoint.send(address, summary)
+        except MessageTooLargeError:
+            half = len(summary.servers) // 2
+            # One entry fits, since names have at most 63 characters.
+            if half:
+                self._send(address, Summary(summary.servers[:half]))
+                self._send(address, Summary(summary.servers[half:]))
 
     def _draw_nodes(self, service: str) -> list[NodeRecord]:
         own = self._directory.own.node_id
--- a/godwitknot/supervisor.py
+++ b/godwitknot/supervisor.py
@@ -9,6 +9,7 @@
 from godwitknot.clock import Clock
 from godwitknot.crashes import compute_fingerprint
 from godwitknot.ejections import ServerHealth
+from godwitknot.errors import GodwitknotError
 from godwitknot.messages import CrashReport
 from godwitknot.metrics import Metrics
 from godwitknot.outcomes import Code, RefusalError
@@ -166,12 +167,22 @@
             )
 
     def watch(self) -> None:
-        """Probe and decide until stopped."""
+        """Probe and decide until stopped.
+
+        An error is counted and the next step tried, since without this
+        thread the server would never be ejected nor return.
+        """
         while not self._stopped.wait(_STEP_SECONDS):
-            self.upstream.free_slots()
-            self.upstream.cancel_abandoned()
-            self._probe_if_due()
-            self.health.step()
+            try:
+                self._step()
+            except (GodwitknotError, OSError, ValueError):
+                self.metrics.count('supervisor.errors')
+
+    def _step(self) -> None:
+        self.upstream.free_slots()
+        self.upstream.cancel_abandoned()
+        self._probe_if_due()
+        self.health.step()
 
     def _probe_if_due(self) -> None:
         now = self.clock.now()
