Read operators' files in one place

Cause: three modules had the same code to read a file and to report that it cannot be read. Change: inifile.load_text.

--- a/godwitknot/access.py
+++ b/godwitknot/access.py
@@ -7,7 +7,7 @@
 import attrs
 
 from godwitknot.errors import InvalidFileError, Problem, UserError
-from godwitknot.inifile import ini_field, read_section, read_text
+from godwitknot.inifile import ini_field, load_text, read_section, read_text
 from godwitknot.units import Address, parse_addresses
 
 _SECTION = 'operator'
@@ -54,11 +54,7 @@
 
     :raises InvalidFileError: with every fault in the file.
     """
-    try:
-        text = path.read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        problem = Problem('', str(path), 'a readable UTF-8 file', str(error))
-        raise InvalidFileError([problem]) from error
+    text = load_text(path, InvalidFileError)
     parser, problems = read_text(text)
     values = dict(parser[_SECTION]) if _SECTION in parser else {}
     access = read_section(Access, _SECTION, values, problems)
--- a/godwitknot/declaration.py
+++ b/godwitknot/declaration.py
@@ -11,7 +11,7 @@
 import attrs
 
 from godwitknot.errors import DeclarationError, Problem
-from godwitknot.inifile import ini_field, read_section, read_text
+from godwitknot.inifile import ini_field, load_text, read_section, read_text
 from godwitknot.settings import parse_name, parse_positive
 from godwitknot.units import (
     MIB,
@@ -300,12 +300,7 @@
 
     :raises DeclarationError: with every fault, also if it cannot be read.
     """
-    try:
-        text = path.read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        reason = Problem('', str(path), 'a readable UTF-8 file', str(error))
-        raise DeclarationError([reason]) from error
-    return parse_declaration(text)
+    return parse_declaration(load_text(path, DeclarationError))
 
 
 def _check_references(
--- a/godwitknot/inifile.py
+++ b/godwitknot/inifile.py
@@ -1,12 +1,13 @@
 """Reading of INI sections into attrs classes, with all faults at once."""
 
 import configparser
+import pathlib
 from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
 import attrs
 
-from godwitknot.errors import Problem
+from godwitknot.errors import InvalidFileError, Problem
 
 Section = TypeVar('Section')
 
@@ -36,6 +37,19 @@
     )
 
 
+def load_text(path: pathlib.Path, failure: type[InvalidFileError]) -> str:
+    """Read a file.
+
+    :param failure: type of the error to raise.
+    :raises InvalidFileError: of that type, if it cannot be read.
+    """
+    try:
+        return path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        reason = Problem('', str(path), 'a readable UTF-8 file', str(error))
+        raise failure([reason]) from error
+
+
 def read_text(text: str) -> tuple[configparser.ConfigParser, list[Problem]]:
     """Parse INI text.
 
--- a/godwitknot/settings.py
+++ b/godwitknot/settings.py
@@ -8,7 +8,7 @@
 import attrs
 
 from godwitknot.errors import Problem, SettingsError
-from godwitknot.inifile import ini_field, read_section, read_text
+from godwitknot.inifile import ini_field, load_text, read_section, read_text
 from godwitknot.units import (
     Address,
     parse_address,
@@ -177,12 +177,7 @@
 
     :raises SettingsError: with every fault, also if it cannot be read.
     """
-    try:
-        text = path.read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        reason = Problem('', str(path), 'a readable UTF-8 file', str(error))
-        raise SettingsError([reason]) from error
-    return parse_settings(text)
+    return parse_settings(load_text(path, SettingsError))
 
 
 def _read_keys(
