Send the request that is to queue when all slots are taken

Cause: the test sent five requests at once and took the fifth for the queued one; under load another one queued, and one of the parallel runs failed. Change: the fifth is sent after four run; the check is unchanged.

--- a/tests/godwitknot/test_proxying.py
+++ b/tests/godwitknot/test_proxying.py
@@ -241,11 +241,16 @@
         plane.fake('s1').faults = Faults(hang=True)
         payload = b'GET /%b HTTP/1.1\r\nHost: a\r\n\r\n'
         socks = []
-        for name in (b'1', b'2', b'3', b'4', b'queued'):
+        gate = plane.upstreams['s1'].gate
+        for name in (b'1', b'2', b'3', b'4'):
             sock = socket.create_connection(plane.ingress_address.pair)
             sock.sendall(payload % name)
             socks.append(sock)
-        gate = plane.upstreams['s1'].gate
+        # The last one is sent when all slots are taken.
+        wait_until(lambda: gate.load().running == 4)
+        sock = socket.create_connection(plane.ingress_address.pair)
+        sock.sendall(payload % b'queued')
+        socks.append(sock)
         wait_until(lambda: gate.load().queued == 1)
         socks[-1].close()
         wait_until(lambda: gate.load().queued == 0)
