--- a/godwitknot/errors.py
+++ b/godwitknot/errors.py
@@ -141,3 +141,31 @@
 
 class SupersededError(GodwitknotError):
     """Another process with this node id and a later incarnation runs."""
+
+
+class PlatformFormatError(GodwitknotError):
+    """A message, row or settings file of the platform cannot be read."""
+
+
+class ConnectionFailedError(GodwitknotError):
+    """A connection could not be opened; nothing was sent."""
+
+
+class ConnectionCutError(GodwitknotError):
+    """A connection ended while more was expected from it."""
+
+
+class HistoryLostError(StoreError):
+    """The store no longer has the history that a feed needs."""
+
+
+class RowChangedError(ConflictError):
+    """A conditional write found another version of the row.
+
+    ``version`` is the one found, 0 if there is no row.
+    """
+
+    def __init__(self, version: int) -> None:
+        """Keep the version that was found."""
+        super().__init__(f'row has version {version}')
+        self.version = version
--- /dev/null
+++ b/godwitknot/mesh/announcements.py
@@ -0,0 +1,122 @@
+"""What the local server and the platform ask of this node, over HTTP."""
+
+from collections.abc import Callable
+
+from godwitknot.errors import (
+    ConnectionCutError,
+    PlatformFormatError,
+    ProtocolError,
+)
+from godwitknot.mesh.channels import Channel
+from godwitknot.mesh.events import EventLog
+from godwitknot.mesh.httpwire import ServerSide
+from godwitknot.mesh.localserver import LocalServer
+from godwitknot.mesh.model import Answer, Departure, Message
+from godwitknot.mesh.ports import Dialect
+from godwitknot.mesh.telemetry import Telemetry
+
+_OK = 200
+_BAD_REQUEST = 400
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+_HEAD_BYTES = 16384
+_BODY_BYTES = 65536
+_HEAD_SECONDS = 5.0
+_JSON = ('Content-Type', 'application/json')
+_TEXT = ('Content-Type', 'text/plain')
+
+
+class SmallServer:
+    """Serves short requests of one kind on kept connections."""
+
+    def __init__(self, handle: Callable[[Message], Answer]) -> None:
+        """Take the handler of a request."""
+        self._handle = handle
+
+    async def serve(self, channel: Channel) -> None:
+        """Serve one connection until its end."""
+        side = ServerSide(channel, _HEAD_BYTES)
+        try:
+            while True:
+                message = await side.read(_BODY_BYTES, _HEAD_SECONDS)
+                if message is None:
+                    break
+                answer = self._handle(message)
+                await side.respond(answer, message.method, close=False)
+                if side.must_close:
+                    break
+        except (ConnectionCutError, ProtocolError, TimeoutError):
+            # The other side broke off, and asks again if it needs to.
+            channel.abort()
+        finally:
+            channel.close()
+
+
+class AnnouncementDesk:
+    """Takes heartbeats and departures of the local server."""
+
+    def __init__(
+        self,
+        server: LocalServer,
+        dialect: Dialect,
+        note_changed: Callable[[], None],
+        log: EventLog,
+        telemetry: Telemetry,
+    ) -> None:
+        """Take the collaborators.
+
+        :param note_changed: called after a change, before the answer.
+        """
+        self._server = server
+        self._dialect = dialect
+        self._note_changed = note_changed
+        self._log = log
+        self._telemetry = telemetry
+
+    def handle(self, message: Message) -> Answer:
+        """Answer one call of the local server."""
+        try:
+            call = self._dialect.read_announcement(
+                message.method, message.target, message.body
+            )
+        except PlatformFormatError as error:
+            self._telemetry.count('announcements_unreadable')
+            self._log.write('announcement unreadable', detail=str(error))
+            return Answer(_BAD_REQUEST, [_JSON], b'{}')
+        if call is None:
+            return Answer(_NOT_FOUND, [_JSON], b'{}')
+        if isinstance(call, Departure):
+            changed = self._server.depart(call)
+        else:
+            changed = self._server.hear(call)
+        if changed or self._server.wants_proof:
+            self._note_changed()
+        return Answer(_OK, [_JSON], b'{}')
+
+
+class ReadinessDesk:
+    """Tells the platform whether callers may come."""
+
+    def __init__(self, dialect: Dialect, is_ready: Callable[[], bool]) -> None:
+        """Take the question that decides."""
+        self._dialect = dialect
+        self._is_ready = is_ready
+
+    def handle(self, message: Message) -> Answer:
+        """Answer one question."""
+        if not self._dialect.is_readiness(message.target):
+            return Answer(_NOT_FOUND, [_TEXT], b'')
+        status = _OK if self._is_ready() else _UNAVAILABLE
+        return Answer(status, [_TEXT], b'')
+
+
+class MetricsDesk:
+    """Serves counters and histograms."""
+
+    def __init__(self, telemetry: Telemetry) -> None:
+        """Take the counters."""
+        self._telemetry = telemetry
+
+    def handle(self, message: Message) -> Answer:
+        """Answer one scrape."""
+        return Answer(_OK, [_TEXT], self._telemetry.render())
--- /dev/null
+++ b/godwitknot/mesh/dispatch.py
@@ -0,0 +1,358 @@
+"""The way of one request: choices, attempts and the final answer."""
+
+import asyncio
+
+import attrs
+
+from godwitknot.clock import Clock
+from godwitknot.mesh.budget import RepeatBudget
+from godwitknot.mesh.choice import Chooser, Target
+from godwitknot.mesh.events import EventLog
+from godwitknot.mesh.frames import Offer
+from godwitknot.mesh.membership import Directory
+from godwitknot.mesh.model import Answer, Message, Placement, Route
+from godwitknot.mesh.relay import Exchange, RelayClient
+from godwitknot.mesh.sidecar import Sidecar
+from godwitknot.mesh.telemetry import Telemetry
+from godwitknot.outcomes import Code, Outcome, RefusalError
+from godwitknot.units import Address
+
+_SERVER_ERROR = 500
+# Refusals by sidecars cost little, but each takes a round trip.
+_MOST_REFUSALS = 4
+# Part of the objective that a request may wait in a queue. Longer waits
+# would make the answer late, and a refusal tells the caller to come back.
+_QUEUE_SHARE = 0.6
+# Part of the objective after which a repeatable request is sent to another
+# server, so that the second answer still comes in time.
+_HEDGE_SHARE = 0.5
+_LEAST_HEDGE_SECONDS = 0.1
+# Callers come back after this long when there is no server at all.
+_NO_SERVER_SECONDS = 0.5
+# The server's own answer at its deadline comes back this much earlier.
+_ANSWER_SECONDS = 0.03
+_LINK_CODES = frozenset((Code.LINK_DOWN, Code.LINK_LOST))
+
+
+@attrs.define(eq=False)
+class Job:
+    """One request of a caller.
+
+    :param service: that the route's split has chosen.
+    :param deadline: of the final answer, on the node's clock.
+    :param fingerprint: recognizes the request in crash reports.
+    """
+
+    attempt_id: str
+    message: Message
+    route: Route
+    service: str
+    arrived: float
+    deadline: float
+    fingerprint: int
+    excluded: set[Address] = attrs.field(factory=set)
+    queued_at: set[Address] = attrs.field(factory=set)
+    refusals: int = 0
+    sends: int = 0
+    last: RefusalError | None = None
+    may_have_run: bool = False
+    fallback: Answer | None = None
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether the request may run more than once."""
+        return self.route.kind.repeatable
+
+
+@attrs.define(eq=False)
+class _Attempt:
+    """One send of a request; ``hedged`` once another one was started."""
+
+    target: Target
+    exchange: Exchange
+    task: asyncio.Task
+    started: float
+    hedged: bool = False
+
+
+class Dispatcher:
+    """Finds a server for each request and gives the final answer."""
+
+    def __init__(
+        self,
+        placement: Placement,
+        directory: Directory,
+        chooser: Chooser,
+        sidecar: Sidecar,
+        relay: RelayClient,
+        budget: RepeatBudget,
+        clock: Clock,
+        log: EventLog,
+        telemetry: Telemetry,
+    ) -> None:
+        """Take the collaborators."""
+        self._placement = placement
+        self._directory = directory
+        self._chooser = chooser
+        self._sidecar = sidecar
+        self._relay = relay
+        self._budget = budget
+        self._clock = clock
+        self._log = log
+        self._telemetry = telemetry
+
+    async def dispatch(self, job: Job) -> Answer:
+        """Give the answer of a server.
+
+        Cancelling, when the caller has left, ends all attempts.
+
+        :raises RefusalError: if there is none, with what is known.
+        """
+        self._budget.note_request(job.service)
+        attempts: list[_Attempt] = []
+        try:
+            return await self._run(job, attempts)
+        except RefusalError:
+            if job.fallback is None:
+                raise
+            return job.fallback
+        finally:
+            for attempt in attempts:
+                attempt.task.cancel()
+                self._chooser.note_ended(attempt.target, None)
+
+    async def _run(self, job: Job, attempts: list[_Attempt]) -> Answer:
+        while True:
+            if not attempts:
+                self._start(job, attempts)
+            now = self._clock.now()
+            timeout = min(job.deadline, self._next_hedge(job, attempts)) - now
+            tasks = [attempt.task for attempt in attempts]
+            done, _ = await asyncio.wait(
+                tasks,
+                timeout=max(0, timeout),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for attempt in [each for each in attempts if each.task in done]:
+                attempts.remove(attempt)
+                answer = self._take(job, attempt)
+                if answer is not None:
+                    return answer
+            if attempts:
+                self._check_deadline(job, attempts)
+                self._hedge(job, attempts)
+
+    def _take(self, job: Job, attempt: _Attempt) -> Answer | None:
+        """Take the result of an attempt; ``None`` to go on."""
+        target, exchange = attempt.target, attempt.exchange
+        error = attempt.task.exception()
+        self._chooser.note_ended(target, exchange.load)
+        if error is None:
+            answer = attempt.task.result()
+            job.may_have_run = True
+            if answer.status >= _SERVER_ERROR and job.repeatable:
+                job.fallback = answer
+                job.excluded.add(target.member.address)
+                return None
+            return answer
+        if not isinstance(error, RefusalError):
+            raise error
+        self._note_refusal(job, attempt, error)
+        return None
+
+    def _note_refusal(
+        self,
+        job: Job,
+        attempt: _Attempt,
+        error: RefusalError,
+    ) -> None:
+        target = attempt.target
+        job.last = error
+        job.excluded.add(target.member.address)
+        if error.code in _LINK_CODES and not error.relayed:
+            self._chooser.note_silent(target)
+            self._relay.close_idle(target.member.address)
+        if attempt.exchange.avoid > 0:
+            self._chooser.avoid(target, attempt.exchange.avoid)
+        self._log.write(
+            'attempt ended',
+            request=job.attempt_id,
+            peer=target.member.node,
+            server=target.member.server_id,
+            code=str(error.code),
+            outcome=str(error.outcome),
+            seconds=round(self._clock.now() - attempt.started, 4),
+        )
+        if error.outcome is Outcome.NOT_RUN:
+            job.refusals += 1
+            if error.code is Code.SERVER_SHED:
+                return
+            # It has not reached a server.
+            job.sends -= 1
+            return
+        job.may_have_run = True
+        if not job.repeatable:
+            raise error
+
+    def _may_repeat(self, job: Job) -> bool:
+        return job.sends < job.route.attempts
+
+    def _start(self, job: Job, attempts: list[_Attempt]) -> None:
+        """Start an attempt.
+
+        :raises RefusalError: if there is no server left to try.
+        """
+        self._check_deadline(job, attempts)
+        target, max_wait = self._choose(job)
+        repeat = job.sends > 0
+        if repeat and not self._spend(job):
+            raise _conclude(job)
+        self._send(job, target, max_wait, attempts)
+
+    def _choose(self, job: Job) -> tuple[Target, float]:
+        """Give a server, and how long the request may wait there.
+
+        :raises RefusalError: if none is left.
+        """
+        if job.refusals < _MOST_REFUSALS:
+            target = self._chooser.choose(
+                job.service, job.excluded, avoided=False
+            )
+            if target is not None:
+                return target, 0
+        # All servers that were asked are busy or ejected.
+        target = self._chooser.choose(
+            job.service, job.queued_at, avoided=True
+        )
+        waited = self._clock.now() - job.arrived
+        max_wait = _QUEUE_SHARE * job.route.objective - waited
+        if target is None or max_wait <= 0 or len(job.queued_at) > 1:
+            raise _conclude(job)
+        job.queued_at.add(target.member.address)
+        return target, max_wait
+
+    def _send(
+        self,
+        job: Job,
+        target: Target,
+        max_wait: float,
+        attempts: list[_Attempt],
+    ) -> None:
+        job.sends += 1
+        left = job.deadline - self._clock.now()
+        offer = self._make_offer(job, target, left, max_wait)
+        exchange = Exchange(offer)
+        if target.local:
+            work = self._run_here(exchange)
+        else:
+            work = self._relay.run(
+                target.member.address, target.round_trip, exchange
+            )
+        self._chooser.note_sent(target)
+        self._log.write_good(
+            'attempt started',
+            request=job.attempt_id,
+            route=job.route.name,
+            peer=target.member.node,
+            server=target.member.server_id,
+            send=job.sends,
+            max_wait=round(max_wait, 3),
+            left=round(left, 3),
+        )
+        attempts.append(
+            _Attempt(
+                target,
+                exchange,
+                asyncio.ensure_future(work),
+                self._clock.now(),
+            )
+        )
+
+    def _make_offer(
+        self,
+        job: Job,
+        target: Target,
+        left: float,
+        max_wait: float,
+    ) -> Offer:
+        message = job.message
+        return Offer(
+            attempt_id=job.attempt_id,
+            method=message.method,
+            target=message.target,
+            fields=message.fields,
+            body=message.body,
+            service=job.service,
+            server_id=target.member.server_id,
+            repeatable=job.repeatable,
+            priority=job.route.priority,
+            seconds_left=left - target.round_trip - _ANSWER_SECONDS,
+            max_wait=max_wait,
+            caller_service=self._placement.service,
+            caller_zone=self._placement.zone,
+            fingerprint=job.fingerprint,
+        )
+
+    async def _run_here(self, exchange: Exchange) -> Answer:
+        gate = self._sidecar.gate
+        try:
+            ticket = await gate.admit(exchange.offer)
+            exchange.granted.set()
+            exchange.committed = True
+            return await self._sidecar.run(ticket)
+        except RefusalError as error:
+            refused = gate.describe(error, exchange.offer)
+            exchange.avoid = refused.avoid
+            raise
+
+    def _next_hedge(self, job: Job, attempts: list[_Attempt]) -> float:
+        """Give the time of the next second send."""
+        if not job.repeatable or not self._may_repeat(job):
+            return job.deadline
+        waiting = [each for each in attempts if not each.hedged]
+        if not waiting:
+            return job.deadline
+        share = _HEDGE_SHARE * job.route.objective
+        patience = max(_LEAST_HEDGE_SECONDS, share)
+        return min(each.started for each in waiting) + patience
+
+    def _hedge(self, job: Job, attempts: list[_Attempt]) -> None:
+        now = self._clock.now()
+        if now < self._next_hedge(job, attempts):
+            return
+        for attempt in attempts:
+            attempt.hedged = True
+        used = {each.target.member.address for each in attempts}
+        target = self._chooser.choose(
+            job.service, job.excluded | used, avoided=False
+        )
+        if target is None or now >= job.deadline or not self._spend(job):
+            return
+        self._telemetry.count('hedged_requests')
+        self._send(job, target, 0, attempts)
+
+    def _spend(self, job: Job) -> bool:
+        if job.sends >= job.route.attempts:
+            return False
+        nodes = len(self._directory.members)
+        return self._budget.try_spend(job.service, nodes)
+
+    def _check_deadline(self, job: Job, attempts: list[_Attempt]) -> None:
+        if self._clock.now() < job.deadline:
+            return
+        for attempt in attempts:
+            if attempt.exchange.committed or job.repeatable:
+                job.may_have_run = True
+        if job.may_have_run:
+            raise RefusalError(Code.DEADLINE_PASSED, Outcome.MAY_HAVE_RUN)
+        raise RefusalError(Code.QUEUE_FULL, retry_after=_NO_SERVER_SECONDS)
+
+
+def _conclude(job: Job) -> RefusalError:
+    """Give the refusal for the caller, after all attempts."""
+    last = job.last
+    if last is None:
+        return RefusalError(Code.NO_SERVER, retry_after=_NO_SERVER_SECONDS)
+    if job.may_have_run:
+        return RefusalError(Code.BAD_ANSWER, Outcome.MAY_HAVE_RUN)
+    return RefusalError(last.code, Outcome.NOT_RUN, last.retry_after)
--- /dev/null
+++ b/godwitknot/mesh/entry.py
@@ -0,0 +1,301 @@
+"""The way in: connections of callers on this instance."""
+
+import asyncio
+import random
+
+import attrs
+
+from godwitknot.clock import Clock
+from godwitknot.crashes import CrashLedger, compute_fingerprint
+from godwitknot.errors import (
+    ConnectionCutError,
+    PlatformFormatError,
+    ProtocolError,
+)
+from godwitknot.mesh.channels import Channel
+from godwitknot.mesh.dispatch import Dispatcher, Job
+from godwitknot.mesh.events import EventLog
+from godwitknot.mesh.httpwire import (
+    ServerSide,
+    TooLargeError,
+    strip_connection,
+)
+from godwitknot.mesh.knowledge import ConfigurationHolder
+from godwitknot.mesh.model import (
+    Answer,
+    CallerLimits,
+    FleetConfiguration,
+    Message,
+    Route,
+)
+from godwitknot.mesh.ports import Dialect
+from godwitknot.mesh.telemetry import Telemetry
+from godwitknot.outcomes import Code, RefusalError
+
+_BAD_REQUEST = 400
+_REQUEST_TIMEOUT = 408
+_SERVER_ERROR = 500
+_SUCCESS = range(200, 300)
+# Callers honour a third of the time they have left; the spread keeps those
+# that were refused together from coming back together.
+_RETRY_SPREAD = 0.5
+_NOT_READY_SECONDS = 0.5
+
+
+@attrs.define
+class _Split:
+    """Deals the requests of a route to its services by weight.
+
+    Smooth weighted round robin keeps the shares exact over any span.
+    """
+
+    credits: dict[str, float]
+
+    def take(self, route: Route) -> str:
+        total = sum(share.weight for share in route.shares)
+        for share in route.shares:
+            credit = self.credits.get(share.service, 0) + share.weight
+            self.credits[share.service] = credit
+        eligible = [share for share in route.shares if share.weight > 0]
+        best = max(eligible, key=lambda each: self.credits[each.service])
+        self.credits[best.service] -= total
+        return best.service
+
+
+class Entry:
+    """Serves the connections of callers."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        configuration: ConfigurationHolder,
+        dialect: Dialect,
+        crashes: CrashLedger,
+        clock: Clock,
+        log: EventLog,
+        telemetry: Telemetry,
+        rng: random.Random,
+    ) -> None:
+        """Take the collaborators."""
+        self._dispatcher = dispatcher
+        self._configuration = configuration
+        self._dialect = dialect
+        self._crashes = crashes
+        self._clock = clock
+        self._log = log
+        self._telemetry = telemetry
+        self._rng = rng
+        self._splits: dict[tuple, _Split] = {}
+        # Set once the node ends: answers ask callers to reconnect.
+        self.closing = False
+        self.active = 0
+        self.last_request = float(0)
+
+    async def serve(self, channel: Channel) -> None:
+        """Serve one connection until its end."""
+        limits = self._limits()
+        side = ServerSide(channel, limits.header_bytes)
+        try:
+            while await self._serve_next(side):
+                pass
+        except ConnectionCutError as error:
+            self._log.write_good('caller cut connection', detail=str(error))
+        finally:
+            channel.close()
+
+    async def _serve_next(self, side: ServerSide) -> bool:
+        """Serve one request; tell whether another may follow."""
+        limits = self._limits()
+        try:
+            async with asyncio.timeout(limits.idle_seconds):
+                await side.channel.wait_for_input()
+        except TimeoutError:
+            return False
+        try:
+            message = await side.read(
+                limits.body_bytes, limits.header_seconds
+            )
+        except TooLargeError as error:
+            await self._reject(side, error.status, str(error))
+            return False
+        except ProtocolError as error:
+            await self._reject(side, _BAD_REQUEST, str(error))
+            return False
+        except TimeoutError:
+            await self._reject(side, _REQUEST_TIMEOUT, 'head takes too long')
+            return False
+        if message is None:
+            return False
+        self.active += 1
+        self.last_request = self._clock.now()
+        try:
+            return await self._answer(side, message)
+        finally:
+            self.active -= 1
+
+    async def _answer(self, side: ServerSide, message: Message) -> bool:
+        work = asyncio.ensure_future(self._handle(message))
+        leaving = asyncio.ensure_future(side.channel.wait_for_end())
+        try:
+            await asyncio.wait(
+                (work, leaving), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not work.done():
+                self._telemetry.count('callers_left')
+                return False
+            answer = work.result()
+        finally:
+            work.cancel()
+            leaving.cancel()
+        close = self.closing or side.channel.ended
+        await side.respond(answer, message.method, close=close)
+        return not (close or side.must_close)
+
+    async def _handle(self, message: Message) -> Answer:
+        started = self._clock.now()
+        attempt_id = ''
+        try:
+            facts = self._dialect.read_request(message.fields)
+            attempt_id = facts.attempt_id
+            if not attempt_id:
+                raise PlatformFormatError('request without an id')
+            job = self._make_job(message, attempt_id, facts.seconds_left)
+            answer = await self._dispatcher.dispatch(job)
+        except PlatformFormatError as error:
+            refusal = RefusalError(Code.BAD_REQUEST, detail=str(error))
+            return self._refuse(attempt_id, refusal, started)
+        except RefusalError as refusal:
+            return self._refuse(attempt_id, refusal, started)
+        self._note_answer(job, answer)
+        return answer
+
+    def _make_job(
+        self,
+        message: Message,
+        attempt_id: str,
+        seconds_left: float | None,
+    ) -> Job:
+        """Choose route and service.
+
+        :raises RefusalError: if there is no route, or no configuration.
+        """
+        now = self._clock.now()
+        configuration = self._configuration.current
+        if configuration is None:
+            raise RefusalError(
+                Code.NOT_READY, retry_after=_NOT_READY_SECONDS
+            )
+        route = _find_route(configuration, message)
+        if route is None:
+            raise RefusalError(Code.NO_CLASS)
+        service = self._choose_service(route)
+        self._telemetry.count('requests')
+        path = message.target
+        fingerprint = compute_fingerprint(
+            service, message.method, path, message.body
+        )
+        if self._crashes.is_blocked(service, fingerprint):
+            raise RefusalError(Code.QUERY_OF_DEATH, retry_after=1)
+        allowed = route.timeout
+        if seconds_left is not None:
+            allowed = min(allowed, seconds_left)
+        passed = attrs.evolve(
+            message, fields=strip_connection(message.fields)
+        )
+        return Job(
+            attempt_id=attempt_id,
+            message=passed,
+            route=route,
+            service=service,
+            arrived=now,
+            deadline=now + allowed,
+            fingerprint=fingerprint,
+        )
+
+    def _choose_service(self, route: Route) -> str:
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        key = (route.name, route.shares)
+        split = self._splits.get(key)
+        if split is None:
+            # A random start keeps the nodes from dealing in step.
+            total = sum(share.weight for share in route.shares)
+            split = _Split(
+                {
+                    share.service: self._rng.random() * total
+                    for share in route.shares
+                }
+            )
+            self._splits[key] = split
+        return split.take(route)
+
+    def _note_answer(self, job: Job, answer: Answer) -> None:
+        seconds = self._clock.now() - job.arrived
+        self._telemetry.observe('request_seconds', seconds)
+        good = answer.status < _SERVER_ERROR
+        if answer.status in _SUCCESS:
+            self._crashes.note_success(job.service, job.fingerprint)
+        write = self._log.write_good if good else self._log.write
+        write(
+            'request answered',
+            request=job.attempt_id,
+            route=job.route.name,
+            status=answer.status,
+            sends=job.sends,
+            refusals=job.refusals,
+            seconds=round(seconds, 4),
+        )
+        self._telemetry.count('answers_good' if good else 'answers_failed')
+
+    def _refuse(
+        self,
+        attempt_id: str,
+        refusal: RefusalError,
+        started: float,
+    ) -> Answer:
+        code = str(refusal.code)
+        retry_after = refusal.retry_after
+        fields = [('Content-Type', 'text/plain')]
+        if retry_after is not None:
+            retry_after *= 1 + _RETRY_SPREAD * self._rng.random()
+            fields.append(('Retry-After', f'{retry_after:.3f}'))
+        self._log.write(
+            'request refused',
+            request=attempt_id,
+            code=code,
+            outcome=str(refusal.outcome),
+            status=refusal.status,
+            retry_after=retry_after,
+            detail=refusal.detail,
+            version=self._configuration.version,
+            seconds=round(self._clock.now() - started, 4),
+        )
+        self._telemetry.count(f'refused_{code.replace("-", "_")}')
+        return Answer(refusal.status, fields, f'{code}\n'.encode())
+
+    async def _reject(
+        self,
+        side: ServerSide,
+        status: int,
+        detail: str,
+    ) -> None:
+        self._log.write('request rejected', status=status, detail=detail)
+        fields = [('Content-Type', 'text/plain')]
+        answer = Answer(status, fields, f'{detail}\n'.encode())
+        await side.respond(answer, 'GET', close=True)
+
+    def _limits(self) -> CallerLimits:
+        configuration = self._configuration.current
+        return CallerLimits() if configuration is None else configuration.limits
+
+
+def _find_route(
+    configuration: FleetConfiguration,
+    message: Message,
+) -> Route | None:
+    host = ''
+    for name, text in message.fields:
+        if name.lower() == 'host':
+            host = text.partition(':')[0].strip().lower()
+    path = message.target.partition('?')[0]
+    return configuration.find_route(host, path)
--- /dev/null
+++ b/godwitknot/mesh/frames.py
@@ -0,0 +1,461 @@
+"""Frames between mesh nodes: length, then a Cap'n Proto message."""
+
+import enum
+import pathlib
+import struct
+import typing
+
+import attrs
+import capnp
+
+from godwitknot.errors import ConnectionCutError, ProtocolError
+from godwitknot.mesh.channels import Channel
+from godwitknot.mesh.membership import Crash, Member
+from godwitknot.mesh.model import Answer, Fields, ServerState
+from godwitknot.outcomes import Code, Outcome, RefusalError
+from godwitknot.units import Address
+
+_SCHEMA_FILE = 'mesh.capnp'
+_LENGTH = struct.Struct('>I')
+# The largest body that a caller may send, and room for the head.
+MAX_FRAME_BYTES = 68157440
+_WORD_BYTES = 8
+_TRAVERSAL_WORDS = 2 * MAX_FRAME_BYTES // _WORD_BYTES
+
+
+def _load_schema() -> typing.Any:
+    capnp.remove_import_hook()
+    path = pathlib.Path(__file__).with_name(_SCHEMA_FILE)
+    return capnp.load(str(path))
+
+
+_SCHEMA = _load_schema()
+
+
+class Kind(enum.StrEnum):
+    """Kinds of frames."""
+
+    OFFER = 'offer'
+    QUEUED = 'queued'
+    GRANTED = 'granted'
+    COMMIT = 'commit'
+    REFUSAL = 'refusal'
+    ANSWER = 'answer'
+    RUMOR = 'rumor'
+    DIGEST = 'digest'
+    KNOWLEDGE = 'knowledge'
+    SAME = 'same'
+
+
+@attrs.frozen
+class Load:
+    """Load of a server as its sidecar counts it.
+
+    :param running: requests on the server.
+    :param waiting: requests that wait for a slot.
+    """
+
+    running: int = 0
+    waiting: int = 0
+    slots: int = 1
+
+
+@attrs.frozen
+class Offer:
+    """A request offered to the sidecar of a server.
+
+    :param attempt_id: id of the caller's attempt.
+    :param repeatable: whether it may run more than once.
+    :param seconds_left: until the final answer.
+    :param max_wait: seconds that it may wait for a slot.
+    :param caller_service: service of the instance where it began.
+    :param caller_zone: failure domain where it began.
+    """
+
+    attempt_id: str
+    method: str
+    target: str
+    fields: Fields
+    body: bytes = attrs.field(repr=False)
+    service: str
+    server_id: str
+    repeatable: bool
+    priority: int
+    seconds_left: float
+    max_wait: float
+    caller_service: str
+    caller_zone: str
+    fingerprint: int
+
+
+@attrs.frozen
+class Refused:
+    """A sidecar did not take a request, or could not finish it.
+
+    :param avoid: seconds without requests to this server.
+    """
+
+    error: RefusalError
+    avoid: float
+    load: Load
+
+
+@attrs.frozen
+class Rumor:
+    """News that a node passes on."""
+
+    sender: Address
+    members: tuple[Member, ...]
+    crashes: tuple[Crash, ...]
+    version: int
+
+
+@attrs.frozen
+class Digest:
+    """A summary of what a node knows."""
+
+    sender: Address
+    members: int
+    version: int
+
+
+@attrs.frozen
+class Knowledge:
+    """Members, and the configuration if the receiver lacks it."""
+
+    members: tuple[Member, ...]
+    configuration: bytes = attrs.field(repr=False)
+
+
+class FrameChannel:
+    """Sends and receives frames on a connection."""
+
+    def __init__(self, channel: Channel) -> None:
+        """Take over a connection."""
+        self.channel = channel
+        self._buffer = bytearray()
+
+    def send(self, frame: bytes) -> None:
+        """Send an encoded frame.
+
+        :raises ConnectionCutError: if the connection has ended.
+        """
+        self.channel.write(_LENGTH.pack(len(frame)) + frame)
+
+    async def receive(self) -> tuple[Kind, typing.Any]:
+        """Give the next frame's kind and content.
+
+        :raises ConnectionCutError: if the connection has ended.
+        :raises ProtocolError: if the frame is malformed.
+        """
+        while True:
+            frame = self._split()
+            if frame is not None:
+                return decode(frame)
+            data = await self.channel.receive()
+            if not data:
+                raise ConnectionCutError('connection closed')
+            self._buffer += data
+
+    @property
+    def is_quiet(self) -> bool:
+        """Whether the connection is open and nothing is unread."""
+        return not self._buffer and self.channel.is_quiet
+
+    def _split(self) -> bytes | None:
+        if len(self._buffer) < _LENGTH.size:
+            return None
+        (size,) = _LENGTH.unpack_from(self._buffer)
+        if size > MAX_FRAME_BYTES:
+            raise ProtocolError(f'frame of {size} bytes')
+        end = _LENGTH.size + size
+        if len(self._buffer) < end:
+            return None
+        frame = bytes(self._buffer[_LENGTH.size : end])
+        del self._buffer[:end]
+        return frame
+
+
+def _pack_fields(fields: Fields) -> list[dict]:
+    return [{'name': name, 'value': text} for name, text in fields]
+
+
+def _pack_load(load: Load) -> dict:
+    return attrs.asdict(load)
+
+
+def _frame(kind: Kind, content: typing.Any) -> bytes:
+    return _SCHEMA.Frame.new_message(**{kind: content}).to_bytes()
+
+
+def encode_offer(offer: Offer) -> bytes:
+    """Encode a request."""
+    return _frame(
+        Kind.OFFER,
+        {
+            'attemptId': offer.attempt_id,
+            'method': offer.method,
+            'target': offer.target,
+            'fields': _pack_fields(offer.fields),
+            'body': offer.body,
+            'service': offer.service,
+            'serverId': offer.server_id,
+            'repeatable': offer.repeatable,
+            'priority': offer.priority,
+            'secondsLeft': offer.seconds_left,
+            'maxWait': offer.max_wait,
+            'callerService': offer.caller_service,
+            'callerZone': offer.caller_zone,
+            'fingerprint': offer.fingerprint,
+        },
+    )
+
+
+def encode_load(kind: Kind, load: Load) -> bytes:
+    """Encode a notice that a request waits or has got its slot."""
+    return _frame(kind, _pack_load(load))
+
+
+def encode_signal(kind: Kind) -> bytes:
+    """Encode a frame without content."""
+    return _frame(kind, None)
+
+
+def encode_refusal(refused: Refused) -> bytes:
+    """Encode a refusal."""
+    return _frame(
+        Kind.REFUSAL,
+        {
+            'code': str(refused.error.code),
+            'outcome': str(refused.error.outcome),
+            'retryAfter': refused.error.retry_after or 0,
+            'avoid': refused.avoid,
+            'load': _pack_load(refused.load),
+        },
+    )
+
+
+def encode_answer(answer: Answer, load: Load) -> bytes:
+    """Encode the response of a server."""
+    return _frame(
+        Kind.ANSWER,
+        {
+            'status': answer.status,
+            'fields': _pack_fields(answer.fields),
+            'body': answer.body,
+            'load': _pack_load(load),
+        },
+    )
+
+
+def encode_rumor(rumor: Rumor) -> bytes:
+    """Encode news."""
+    return _frame(
+        Kind.RUMOR,
+        {
+            'sender': str(rumor.sender),
+            'members': [pack_member(member) for member in rumor.members],
+            'crashes': [
+                {
+                    'service': crash.service,
+                    'node': crash.node,
+                    'serverId': crash.server_id,
+                    'fingerprints': list(crash.fingerprints),
+                }
+                for crash in rumor.crashes
+            ],
+            'version': rumor.version,
+        },
+    )
+
+
+def encode_digest(digest: Digest) -> bytes:
+    """Encode a summary."""
+    return _frame(
+        Kind.DIGEST,
+        {
+            'sender': str(digest.sender),
+            'members': digest.members,
+            'version': digest.version,
+        },
+    )
+
+
+def encode_knowledge(knowledge: Knowledge) -> bytes:
+    """Encode what a node knows."""
+    return _frame(
+        Kind.KNOWLEDGE,
+        {
+            'members': [pack_member(member) for member in knowledge.members],
+            'configuration': knowledge.configuration,
+        },
+    )
+
+
+def pack_member(member: Member) -> dict:
+    """Give the schema's form of a member."""
+    return {
+        'node': member.node,
+        'host': member.address.host,
+        'port': member.address.port,
+        'zone': member.zone,
+        'region': member.region,
+        'service': member.service,
+        'serverId': member.server_id,
+        'born': member.born,
+        'state': member.state.value,
+        'slots': member.slots,
+        'incarnation': member.incarnation,
+        'revision': member.revision,
+        'serving': member.serving,
+    }
+
+
+def encode_member(member: Member) -> bytes:
+    """Encode a member for its row in the store."""
+    return _SCHEMA.Member.new_message(**pack_member(member)).to_bytes()
+
+
+def decode_member(content: bytes) -> Member:
+    """Decode a row of the store.
+
+    :raises ProtocolError: if it is no member.
+    """
+    try:
+        with _SCHEMA.Member.from_bytes(content) as entry:
+            return _unpack_member(entry)
+    except (capnp.KjException, ValueError, TypeError) as error:
+        raise ProtocolError(f'member: {error!r}') from error
+
+
+def decode(frame: bytes) -> tuple[Kind, typing.Any]:
+    """Decode a frame.
+
+    :raises ProtocolError: if it is malformed.
+    """
+    try:
+        with _SCHEMA.Frame.from_bytes(
+            frame, traversal_limit_in_words=_TRAVERSAL_WORDS
+        ) as message:
+            kind = Kind(str(message.which()))
+            return kind, _UNPACK[kind](getattr(message, kind))
+    except (capnp.KjException, ValueError, TypeError) as error:
+        raise ProtocolError(f'frame: {error!r}') from error
+
+
+def _unpack_fields(entries: typing.Any) -> Fields:
+    return [(entry.name, entry.value) for entry in entries]
+
+
+def _unpack_load(entry: typing.Any) -> Load:
+    return Load(entry.running, entry.waiting, max(1, entry.slots))
+
+
+def _unpack_offer(entry: typing.Any) -> Offer:
+    return Offer(
+        attempt_id=entry.attemptId,
+        method=entry.method,
+        target=entry.target,
+        fields=_unpack_fields(entry.fields),
+        body=bytes(entry.body),
+        service=entry.service,
+        server_id=entry.serverId,
+        repeatable=entry.repeatable,
+        priority=entry.priority,
+        seconds_left=entry.secondsLeft,
+        max_wait=entry.maxWait,
+        caller_service=entry.callerService,
+        caller_zone=entry.callerZone,
+        fingerprint=entry.fingerprint,
+    )
+
+
+def _unpack_refusal(entry: typing.Any) -> Refused:
+    error = RefusalError(
+        Code(entry.code),
+        Outcome(entry.outcome),
+        entry.retryAfter or None,
+        relayed=True,
+    )
+    return Refused(error, entry.avoid, _unpack_load(entry.load))
+
+
+def _unpack_answer(entry: typing.Any) -> tuple[Answer, Load]:
+    answer = Answer(
+        entry.status, _unpack_fields(entry.fields), bytes(entry.body)
+    )
+    return answer, _unpack_load(entry.load)
+
+
+def _unpack_member(entry: typing.Any) -> Member:
+    return Member(
+        node=entry.node,
+        address=Address(entry.host, entry.port),
+        zone=entry.zone,
+        region=entry.region,
+        service=entry.service,
+        server_id=entry.serverId,
+        born=entry.born,
+        state=ServerState(entry.state),
+        slots=max(1, entry.slots),
+        incarnation=entry.incarnation,
+        revision=entry.revision,
+        serving=entry.serving,
+    )
+
+
+def _unpack_members(entries: typing.Any) -> tuple[Member, ...]:
+    return tuple(_unpack_member(entry) for entry in entries)
+
+
+def _unpack_address(text: str) -> Address:
+    host, _, port = text.rpartition(':')
+    return Address(host, int(port))
+
+
+def _unpack_rumor(entry: typing.Any) -> Rumor:
+    crashes = tuple(
+        Crash(
+            crash.service,
+            crash.node,
+            crash.serverId,
+            tuple(crash.fingerprints),
+        )
+        for crash in entry.crashes
+    )
+    return Rumor(
+        _unpack_address(entry.sender),
+        _unpack_members(entry.members),
+        crashes,
+        entry.version,
+    )
+
+
+def _unpack_digest(entry: typing.Any) -> Digest:
+    return Digest(
+        _unpack_address(entry.sender), entry.members, entry.version
+    )
+
+
+def _unpack_knowledge(entry: typing.Any) -> Knowledge:
+    return Knowledge(
+        _unpack_members(entry.members), bytes(entry.configuration)
+    )
+
+
+def _unpack_nothing(entry: typing.Any) -> None:
+    """Ignore the empty content of a signal."""
+
+
+_UNPACK = {
+    Kind.OFFER: _unpack_offer,
+    Kind.QUEUED: _unpack_load,
+    Kind.GRANTED: _unpack_load,
+    Kind.COMMIT: _unpack_nothing,
+    Kind.REFUSAL: _unpack_refusal,
+    Kind.ANSWER: _unpack_answer,
+    Kind.RUMOR: _unpack_rumor,
+    Kind.DIGEST: _unpack_digest,
+    Kind.KNOWLEDGE: _unpack_knowledge,
+    Kind.SAME: _unpack_nothing,
+}
--- /dev/null
+++ b/godwitknot/mesh/httpclient.py
@@ -0,0 +1,96 @@
+"""HTTP calls over connections that are kept open."""
+
+import asyncio
+import collections
+import time
+
+from godwitknot.errors import ConnectionCutError, ProtocolError
+from godwitknot.mesh.channels import open_channel
+from godwitknot.mesh.httpwire import ClientSide
+from godwitknot.mesh.model import Answer, Message
+from godwitknot.units import Address
+
+# Idle connections kept to one address.
+_MOST_IDLE = 8
+# A node that cannot be reached within this time answers nothing either.
+_CONNECT_SECONDS = 1.0
+
+
+class HttpClient:
+    """Sends requests, reusing connections that are idle."""
+
+    def __init__(self, idle_seconds: float) -> None:
+        """Start without connections.
+
+        :param idle_seconds: longest time that a connection is kept idle.
+        """
+        self._idle_seconds = idle_seconds
+        self._idle: dict[Address, collections.deque] = {}
+
+    async def call(
+        self,
+        address: Address,
+        message: Message,
+        timeout: float,
+    ) -> Answer:
+        """Send a request and read the response whole.
+
+        A request on a reused connection is never repeated here, since it
+        may have been carried out.
+
+        :param timeout: seconds, for the whole call.
+        :raises ConnectionFailedError: if nothing was sent.
+        :raises ConnectionCutError: if the connection ended early.
+        :raises ProtocolError: if the response is malformed.
+        :raises TimeoutError: if the call takes too long.
+        """
+        async with asyncio.timeout(timeout):
+            side = await self.take(address)
+            try:
+                side.send(_with_host(message, address))
+                answer = await side.read()
+            except (ConnectionCutError, ProtocolError):
+                side.channel.abort()
+                raise
+            except asyncio.CancelledError:
+                side.channel.abort()
+                raise
+        self.give_back(address, side)
+        return answer
+
+    async def take(
+        self,
+        address: Address,
+        newest_idle: float | None = None,
+    ) -> ClientSide:
+        """Give an idle connection, or a new one.
+
+        :param newest_idle: longest idle time, if shorter than usual.
+        :raises ConnectionFailedError: if none could be opened.
+        """
+        most = self._idle_seconds if newest_idle is None else newest_idle
+        kept = self._idle.get(address)
+        while kept:
+            side, since = kept.pop()
+            if side.channel.is_quiet and time.monotonic() - since <= most:
+                return side
+            side.channel.close()
+        return ClientSide(await open_channel(address, _CONNECT_SECONDS))
+
+    def give_back(self, address: Address, side: ClientSide) -> None:
+        """Keep a connection for the next request, if it can take one."""
+        kept = self._idle.setdefault(address, collections.deque())
+        if not side.recycle() or len(kept) >= _MOST_IDLE:
+            side.channel.close()
+            return
+        kept.append((side, time.monotonic()))
+
+    def close_idle(self, address: Address) -> None:
+        """Drop idle connections, for example after a restart of the peer."""
+        for side, _ in self._idle.pop(address, ()):
+            side.channel.close()
+
+
+def _with_host(message: Message, address: Address) -> Message:
+    fields = [('Host', str(address)), *message.fields]
+    return Message(message.method, message.target, fields, message.body)
--- /dev/null
+++ b/godwitknot/mesh/httpwire.py
@@ -0,0 +1,294 @@
+"""HTTP/1.1 messages on a channel, parsed by h11."""
+
+import asyncio
+import typing
+
+import h11
+
+from godwitknot.errors import ConnectionCutError, ProtocolError
+from godwitknot.mesh.channels import Channel
+from godwitknot.mesh.model import Answer, Fields, Message
+
+# Bounds what one response takes of the memory of a node.
+MAX_ANSWER_BYTES = 33554432
+_HEAD_BYTES = 65536
+_NO_BODY_STATUSES = frozenset((204, 304))
+_CONNECTION_FIELDS = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-connection',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'expect',
+        'content-length',
+    ),
+)
+
+
+def strip_connection(fields: Fields) -> Fields:
+    """Drop the fields that concern one connection only."""
+    named = {
+        token.strip().lower()
+        for name, text in fields
+        if name.lower() == 'connection'
+        for token in text.split(',')
+    }
+    dropped = _CONNECTION_FIELDS | named
+    return [pair for pair in fields if pair[0].lower() not in dropped]
+
+
+def _decode(raw: typing.Any) -> Fields:
+    return [
+        (name.decode('latin-1'), text.decode('latin-1'))
+        for name, text in raw.raw_items()
+    ]
+
+
+def _encode(fields: Fields) -> list[tuple[bytes, bytes]]:
+    return [
+        (name.encode('latin-1'), text.encode('latin-1'))
+        for name, text in fields
+    ]
+
+
+class TooLargeError(ProtocolError):
+    """A message is larger than allowed; ``status`` says which part."""
+
+    def __init__(self, status: int) -> None:
+        """Keep the HTTP status that tells the sender."""
+        super().__init__(f'message too large: {status}')
+        self.status = status
+
+
+class ServerSide:
+    """The server's side of a connection: requests in, responses out."""
+
+    def __init__(self, channel: Channel, head_bytes: int) -> None:
+        """Start.
+
+        :param head_bytes: longest head accepted.
+        """
+        self.channel = channel
+        self._parser = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=head_bytes
+        )
+
+    @property
+    def must_close(self) -> bool:
+        """Whether the connection cannot take another request."""
+        return self._parser.our_state is not h11.IDLE
+
+    async def read(
+        self,
+        body_bytes: int,
+        head_seconds: float,
+    ) -> Message | None:
+        """Read one request whole; ``None`` if the caller closed before.
+
+        :param body_bytes: most bytes of a body.
+        :param head_seconds: longest time for the head once it has begun.
+        :raises ProtocolError: if it is malformed or too large.
+        :raises ConnectionCutError: if the connection ended within it.
+        :raises TimeoutError: if the head takes too long.
+        """
+        async with asyncio.timeout(None) as limit:
+            request = await self._read_head(limit, head_seconds)
+        if request is None:
+            return None
+        body = await self._read_body(body_bytes)
+        return Message(
+            request.method.decode('latin-1'),
+            request.target.decode('latin-1'),
+            _decode(request.headers),
+            body,
+        )
+
+    async def _read_head(
+        self,
+        limit: asyncio.Timeout,
+        head_seconds: float,
+    ) -> h11.Request | None:
+        event = self._next()
+        while event is h11.NEED_DATA:
+            data = await self.channel.receive()
+            if not data:
+                if self._parser.trailing_data[0]:
+                    raise ConnectionCutError('request head ended early')
+                return None
+            if limit.when() is None:
+                now = asyncio.get_running_loop().time()
+                limit.reschedule(now + head_seconds)
+            self._receive(data)
+            event = self._next()
+        if isinstance(event, h11.ConnectionClosed):
+            return None
+        return event
+
+    async def _read_body(self, most: int) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        if self._parser.they_are_waiting_for_100_continue:
+            proceed = h11.InformationalResponse(status_code=100, headers=[])
+            self.channel.write(self._parser.send(proceed))
+        while True:
+            event = self._next()
+            if event is h11.NEED_DATA:
+                data = await self.channel.receive()
+                if not data:
+                    raise ConnectionCutError('request body ended early')
+                self._receive(data)
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > most:
+                    raise TooLargeError(413)
+                parts.append(bytes(event.data))
+            else:
+                return b''.join(parts)
+
+    def _receive(self, data: bytes) -> None:
+        try:
+            self._parser.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            raise ProtocolError(str(error)) from error
+
+    def _next(self) -> object:
+        try:
+            return self._parser.next_event()
+        except h11.RemoteProtocolError as error:
+            if error.error_status_hint == 431:
+                raise TooLargeError(431) from error
+            raise ProtocolError(str(error)) from error
+
+    async def respond(
+        self,
+        answer: Answer,
+        method: str,
+        *,
+        close: bool,
+    ) -> None:
+        """Send one response.
+
+        :raises ConnectionCutError: if the connection has ended.
+        """
+        fields = strip_connection(answer.fields)
+        if answer.status not in _NO_BODY_STATUSES:
+            fields.append(('Content-Length', str(len(answer.body))))
+        if close:
+            fields.append(('Connection', 'close'))
+        head = h11.Response(status_code=answer.status, headers=_encode(fields))
+        try:
+            data = self._parser.send(head)
+            if answer.body and method != 'HEAD':
+                data += self._parser.send(h11.Data(data=answer.body))
+            data += self._parser.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as error:
+            raise ConnectionCutError(str(error)) from error
+        self.channel.write(data)
+        await self.channel.drain()
+        if close or self._parser.our_state is h11.MUST_CLOSE:
+            return
+        if self._parser.their_state is h11.DONE:
+            self._parser.start_next_cycle()
+
+
+class ClientSide:
+    """The client's side of a connection: one request at a time."""
+
+    def __init__(self, channel: Channel) -> None:
+        """Start on a new connection."""
+        self.channel = channel
+        self.started = False
+        self._parser = _client_parser()
+
+    def send(self, message: Message) -> None:
+        """Send a request.
+
+        :raises ConnectionCutError: if the connection has ended.
+        :raises ProtocolError: if the request cannot be expressed.
+        """
+        self.channel.write(self._pack(message))
+        self.started = True
+
+    def _pack(self, message: Message) -> bytes:
+        fields = strip_connection(message.fields)
+        if message.body or message.method not in {'GET', 'HEAD', 'DELETE'}:
+            fields.append(('Content-Length', str(len(message.body))))
+        head = h11.Request(
+            method=message.method.encode('latin-1'),
+            target=message.target.encode('latin-1'),
+            headers=_encode(fields),
+        )
+        try:
+            data = self._parser.send(head)
+            if message.body:
+                data += self._parser.send(h11.Data(data=message.body))
+            return data + self._parser.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as error:
+            raise ProtocolError(str(error)) from error
+
+    async def read(self) -> Answer:
+        """Read one response whole.
+
+        :raises ProtocolError: if it is no HTTP response, or encoded.
+        :raises ConnectionCutError: if it ended early.
+        """
+        head = await self._next()
+        while isinstance(head, h11.InformationalResponse):
+            head = await self._next()
+        if not isinstance(head, h11.Response):
+            raise ConnectionCutError('no response')
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = await self._next()
+            if not isinstance(event, h11.Data):
+                break
+            size += len(event.data)
+            if size > MAX_ANSWER_BYTES:
+                raise ProtocolError('response too large')
+            parts.append(bytes(event.data))
+        return Answer(head.status_code, _decode(head.headers), b''.join(parts))
+
+    def skip_answer(self, message: Message) -> None:
+        """Read the next response as the answer of the same request.
+
+        Used after a response that belongs to another request.
+        """
+        rest, _ = self._parser.trailing_data
+        self._parser = _client_parser()
+        self._pack(message)
+        if rest:
+            self._parser.receive_data(rest)
+
+    def recycle(self) -> bool:
+        """Prepare for another request; ``False`` if it must be closed."""
+        done = self._parser.our_state is h11.DONE
+        if not done or self._parser.their_state is not h11.DONE:
+            return False
+        if self._parser.trailing_data[0]:
+            return False
+        self._parser.start_next_cycle()
+        return self.channel.is_quiet
+
+    async def _next(self) -> object:
+        while True:
+            try:
+                event = self._parser.next_event()
+            except h11.RemoteProtocolError as error:
+                raise ProtocolError(str(error)) from error
+            if event is not h11.NEED_DATA:
+                return event
+            data = await self.channel.receive()
+            try:
+                self._parser.receive_data(data)
+            except h11.RemoteProtocolError as error:
+                raise ConnectionCutError(str(error)) from error
+
+
+def _client_parser() -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=_HEAD_BYTES)
--- /dev/null
+++ b/godwitknot/mesh/membership.py
@@ -0,0 +1,153 @@
+"""What the fleet knows of its nodes and their servers."""
+
+from collections.abc import Callable, Iterable
+
+import attrs
+import xxhash
+
+from godwitknot.mesh.model import ServerState
+from godwitknot.units import Address
+
+
+@attrs.frozen
+class Member:
+    """One node and the server beside it.
+
+    :param address: where the node takes requests and news of other nodes.
+    :param server_id: id of the server, empty before it is known.
+    :param born: Unix milliseconds of the server's start.
+    :param incarnation: of the node; a restarted node has a higher one.
+    :param revision: counts the changes of one incarnation.
+    :param serving: whether the node takes requests of other nodes.
+    """
+
+    node: str
+    address: Address
+    zone: str
+    region: str
+    service: str
+    server_id: str
+    born: int
+    state: ServerState
+    slots: int
+    incarnation: int
+    revision: int
+    serving: bool
+
+    @property
+    def age(self) -> tuple[int, int]:
+        """Order of records about one node."""
+        return (self.incarnation, self.revision)
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether requests may be sent to its server."""
+        return self.serving and self.state is ServerState.READY
+
+
+@attrs.frozen
+class Crash:
+    """Fingerprints of the requests in flight when a server crashed."""
+
+    service: str
+    node: str
+    server_id: str
+    fingerprints: tuple[int, ...]
+
+
+class Directory:
+    """The newest record of each node, by its address.
+
+    A record replaces another of the same address only if it is newer, so
+    that late and repeated news change nothing.
+    """
+
+    def __init__(self, own: Member) -> None:
+        """Start with the own record."""
+        self._members: dict[Address, Member] = {own.address: own}
+        self._own_address = own.address
+        self._digest: int | None = None
+        self._by_service: dict[str, list[Member]] = {}
+        self.listeners: list[Callable[[Member], None]] = []
+
+    @property
+    def own(self) -> Member:
+        """The own record."""
+        return self._members[self._own_address]
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """All records, those of nodes that are gone included."""
+        return tuple(self._members.values())
+
+    def others(self) -> list[Member]:
+        """Give the records of all nodes but the own."""
+        return [
+            member
+            for member in self._members.values()
+            if member.address != self._own_address
+        ]
+
+    def find_servers(self, service: str) -> list[Member]:
+        """Give the members whose server takes work for a service."""
+        return self._by_service.get(service, [])
+
+    def find(self, address: Address) -> Member | None:
+        """Give the record of an address."""
+        return self._members.get(address)
+
+    def digest(self) -> int:
+        """Give a hash over the ages of all records."""
+        if self._digest is None:
+            text = ';'.join(
+                f'{address}:{member.age}'
+                for address, member in sorted(self._members.items())
+            )
+            self._digest = xxhash.xxh3_64_intdigest(text.encode())
+        return self._digest
+
+    def change_own(self, **changes: object) -> bool:
+        """Change the own record.
+
+        :returns: whether anything differs from before.
+        """
+        own = self.own
+        changed = attrs.evolve(own, **changes)
+        if changed == own:
+            return False
+        self._store(attrs.evolve(changed, revision=own.revision + 1))
+        return True
+
+    def merge(self, members: Iterable[Member]) -> list[Member]:
+        """Take in records of others.
+
+        A record of an earlier run of this node raises the own incarnation
+        above it, since the wall clock may have stepped back in between.
+
+        :returns: the records that were new, the own one if it was raised.
+        """
+        fresh: list[Member] = []
+        for member in members:
+            known = self._members.get(member.address)
+            if known is not None and member.age <= known.age:
+                continue
+            if member.address == self._own_address:
+                raised = attrs.evolve(
+                    known, incarnation=member.incarnation + 1, revision=0
+                )
+                self._store(raised)
+                fresh.append(raised)
+                continue
+            self._store(member)
+            fresh.append(member)
+        return fresh
+
+    def _store(self, member: Member) -> None:
+        self._members[member.address] = member
+        self._digest = None
+        self._by_service = {}
+        for each in self._members.values():
+            if each.takes_work:
+                self._by_service.setdefault(each.service, []).append(each)
+        for listener in self.listeners:
+            listener(member)
--- /dev/null
+++ b/godwitknot/mesh/node.py
@@ -0,0 +1,381 @@
+"""One mesh node: builds its parts, serves, and stops gracefully."""
+
+import asyncio
+import random
+import signal
+import traceback
+from collections.abc import Awaitable, Callable
+
+from godwitknot.clock import SystemClock
+from godwitknot.crashes import CrashLedger
+from godwitknot.errors import (
+    ConnectionCutError,
+    ConnectionFailedError,
+    PlatformFormatError,
+    ProtocolError,
+)
+from godwitknot.mesh.announcements import (
+    AnnouncementDesk,
+    MetricsDesk,
+    ReadinessDesk,
+    SmallServer,
+)
+from godwitknot.mesh.budget import RepeatBudget
+from godwitknot.mesh.channels import Channel, listen, open_channel
+from godwitknot.mesh.choice import Chooser
+from godwitknot.mesh.dispatch import Dispatcher
+from godwitknot.mesh.entry import Entry
+from godwitknot.mesh.events import EventLog
+from godwitknot.mesh.gate import Gate
+from godwitknot.mesh.httpclient import HttpClient
+from godwitknot.mesh.knowledge import ConfigurationHolder, StoreSync
+from godwitknot.mesh.localserver import LocalServer
+from godwitknot.mesh.membership import Directory, Member
+from godwitknot.mesh.model import Message, Placement, ServerState
+from godwitknot.mesh.ports import Dialect, MetadataStore
+from godwitknot.mesh.relay import RelayClient, RelayServer
+from godwitknot.mesh.sidecar import Sidecar
+from godwitknot.mesh.spreading import Spreader
+from godwitknot.mesh.telemetry import Telemetry
+from godwitknot.mesh.vitals import Vitals
+from godwitknot.units import Address
+
+_MILLISECONDS = 1000
+_OK = 200
+# Servers close idle connections after 10 s.
+_SERVER_IDLE_SECONDS = 8.0
+_HEALTH_SECONDS = 1.0
+_CRASH_CHECK_SECONDS = 0.3
+# Callers are sent elsewhere after two misses of a question each second.
+_LEAST_STOP_SECONDS = 2.6
+# The end of the grace that is kept free for the exit itself.
+_EXIT_SECONDS = 0.6
+_STOP_POLL_SECONDS = 0.1
+_SETTINGS_POLL_SECONDS = 2.0
+
+Serve = Callable[[Channel], Awaitable[None]]
+
+
+class MeshNode:
+    """A running node beside one server."""
+
+    def __init__(
+        self,
+        placement: Placement,
+        dialect: Dialect,
+        store: MetadataStore,
+        metrics_port: int,
+        read_placement: Callable[[], Placement],
+    ) -> None:
+        """Build all parts; nothing listens before :meth:`run`.
+
+        :param metrics_port: where counters are served.
+        :param read_placement: reads the settings anew.
+        """
+        self._placement = placement
+        self._dialect = dialect
+        self._metrics_port = metrics_port
+        self._read_placement = read_placement
+        self._clock = SystemClock()
+        self._rng = random.Random()
+        self._log = EventLog(placement.node, self._clock)
+        self._telemetry = Telemetry()
+        self._stopping = asyncio.Event()
+        self._tasks: set[asyncio.Task] = set()
+        self._server = LocalServer(placement, self._log)
+        self._vitals = Vitals(self._clock, self._log)
+        self._gate = Gate(self._server, self._vitals, self._clock)
+        self._client = HttpClient(_SERVER_IDLE_SECONDS)
+        self._sidecar = Sidecar(
+            placement.server,
+            self._server,
+            self._gate,
+            self._vitals,
+            dialect,
+            self._client,
+            self._clock,
+            self._log,
+            self._telemetry,
+        )
+        self._directory = Directory(self._first_record())
+        self._holder = ConfigurationHolder(dialect, self._log)
+        self._crashes = CrashLedger(self._clock)
+        self._relay = RelayClient()
+        self._chooser = Chooser(
+            placement,
+            self._directory,
+            self._gate,
+            self._clock,
+            self._log,
+            self._rng,
+        )
+        self._spreader = Spreader(
+            self._directory,
+            self._holder,
+            self._server,
+            self._chooser,
+            self._crashes,
+            self._relay,
+            self._clock,
+            self._log,
+            self._telemetry,
+            self._rng,
+        )
+        self._sync = StoreSync(
+            store,
+            self._holder,
+            self._directory,
+            self._spreader.take_members,
+            self._log,
+            self._telemetry,
+            self._rng,
+        )
+        self._sidecar.crash_listeners.append(self._check_crash)
+        self._directory.listeners.append(self._note_own_record)
+        self._dispatcher = Dispatcher(
+            placement,
+            self._directory,
+            self._chooser,
+            self._sidecar,
+            self._relay,
+            RepeatBudget(placement.bounds, self._clock),
+            self._clock,
+            self._log,
+            self._telemetry,
+        )
+        self._entry = Entry(
+            self._dispatcher,
+            self._holder,
+            dialect,
+            self._crashes,
+            self._clock,
+            self._log,
+            self._telemetry,
+            self._rng,
+        )
+        self._relay_server = RelayServer(
+            self._sidecar, self._spreader.handle, self._log
+        )
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then stop gracefully."""
+        self._log.prepare()
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._note_loop_error)
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self._listen()
+        self._log.write(
+            'node started',
+            service=self._placement.service,
+            zone=self._placement.zone,
+        )
+        tasks = [*self._sync.start(), *self._spreader.start()]
+        tasks.append(asyncio.ensure_future(self._poll_settings()))
+        for task in tasks:
+            self._keep(task)
+        await self._stopping.wait()
+        await self._stop()
+
+    async def _listen(self) -> None:
+        placement = self._placement
+        announcements = AnnouncementDesk(
+            self._server,
+            self._dialect,
+            self._note_server,
+            self._log,
+            self._telemetry,
+        )
+        readiness = ReadinessDesk(self._dialect, self._is_ready)
+        metrics = Address(placement.host, self._metrics_port)
+        services: list[tuple[Address, Serve]] = [
+            (
+                placement.announcements,
+                SmallServer(announcements.handle).serve,
+            ),
+            (placement.relay, self._relay_server.serve),
+            (placement.ingress, self._entry.serve),
+            (placement.readiness, SmallServer(readiness.handle).serve),
+            (metrics, SmallServer(MetricsDesk(self._telemetry).handle).serve),
+        ]
+        for address, serve in services:
+            await listen(address, self._guard(serve))
+
+    def _guard(self, serve: Serve) -> Serve:
+        """Let an unexpected error end one connection alone."""
+
+        async def guarded(channel: Channel) -> None:
+            try:
+                await serve(channel)
+            except (ConnectionCutError, asyncio.CancelledError):
+                channel.abort()
+            except Exception:
+                self._telemetry.count('unexpected_errors')
+                self._log.write(
+                    'unexpected error', detail=traceback.format_exc()
+                )
+                channel.abort()
+
+        return guarded
+
+    async def _stop(self) -> None:
+        """Finish what runs, within the grace."""
+        begun = self._clock.now()
+        grace = self._placement.bounds.stop_grace_seconds
+        self._log.write('node stopping', active=self._entry.active)
+        self._entry.closing = True
+        self._directory.change_own(serving=False)
+        last = begun + grace - _EXIT_SECONDS
+        while self._clock.now() < last:
+            await asyncio.sleep(_STOP_POLL_SECONDS)
+            lasted = self._clock.now() - begun
+            if lasted > _LEAST_STOP_SECONDS and not self._busy():
+                break
+        self._gate.closing = True
+        self._log.write('node stopped', active=self._entry.active)
+        self._log.flush()
+
+    def _busy(self) -> bool:
+        return bool(self._entry.active or self._relay_server.active)
+
+    def _is_ready(self) -> bool:
+        if self._stopping.is_set() or self._holder.current is None:
+            return False
+        return self._sync.members_read or self._spreader.heard_knowledge
+
+    def _first_record(self) -> Member:
+        placement = self._placement
+        return Member(
+            node=placement.node,
+            address=placement.relay,
+            zone=placement.zone,
+            region=placement.region,
+            service=placement.service,
+            server_id='',
+            born=0,
+            state=ServerState.UNKNOWN,
+            slots=1,
+            incarnation=int(self._clock.wall() * _MILLISECONDS),
+            revision=0,
+            serving=True,
+        )
+
+    def _note_server(self) -> None:
+        """Take in a change of the local server."""
+        server = self._server
+        own = self._directory.own
+        if (server.server_id, server.born) != (own.server_id, own.born):
+            self._vitals.reset()
+            self._client.close_idle(self._placement.server)
+        if not server.open_for_work:
+            self._gate.refuse_all()
+        if server.wants_proof:
+            self._spawn(self._prove())
+        state = server.state
+        if server.wants_proof:
+            state = ServerState.UNKNOWN
+        self._directory.change_own(
+            service=server.service,
+            server_id=server.server_id,
+            born=server.born,
+            state=state,
+            slots=server.slots,
+        )
+
+    def _note_own_record(self, member: Member) -> None:
+        if member.address == self._placement.relay:
+            self._sync.note_own_changed()
+
+    async def _prove(self) -> None:
+        """Ask the local server whether it is there and stays."""
+        configuration = self._holder.current
+        path = '/health'
+        if configuration is not None:
+            path = configuration.health_paths.get(self._server.service, path)
+        message = Message('GET', path, [], b'')
+        self._telemetry.count('health_checks')
+        try:
+            answer = await self._client.call(
+                self._placement.server, message, _HEALTH_SECONDS
+            )
+        except (
+            ConnectionCutError,
+            ConnectionFailedError,
+            ProtocolError,
+            TimeoutError,
+        ) as error:
+            self._log.write('health check failed', detail=repr(error))
+            return
+        facts = self._dialect.read_answer(answer.fields)
+        if answer.status != _OK:
+            self._log.write('health check failed', status=answer.status)
+        elif self._server.note_healthy(facts.server_id):
+            self._note_server()
+
+    def _check_crash(self, fingerprints: tuple[int, ...]) -> None:
+        self._spawn(self._confirm_crash(fingerprints))
+
+    async def _confirm_crash(self, fingerprints: tuple[int, ...]) -> None:
+        """Report a crash if the server no longer takes connections."""
+        try:
+            channel = await open_channel(
+                self._placement.server, _CRASH_CHECK_SECONDS
+            )
+        except ConnectionFailedError:
+            self._spreader.report_crash(fingerprints)
+            return
+        channel.close()
+
+    def _reload(self) -> None:
+        try:
+            fresh = self._read_placement()
+        except (PlatformFormatError, OSError) as error:
+            self._log.write('settings unreadable', detail=str(error))
+            return
+        if fresh == self._placement:
+            self._log.write('settings reloaded', changed=False)
+            return
+        self._log.write('settings reloaded', changed=True)
+        self._placement.service = fresh.service
+        self._placement.bounds = fresh.bounds
+
+    async def _poll_settings(self) -> None:
+        """Take in settings that change without a signal."""
+        while True:
+            await asyncio.sleep(_SETTINGS_POLL_SECONDS)
+            try:
+                fresh = self._read_placement()
+            except (PlatformFormatError, OSError) as error:
+                self._log.write('settings unreadable', detail=str(error))
+                continue
+            if fresh.service != self._placement.service:
+                self._reload()
+
+    def _spawn(self, work: object) -> None:
+        self._keep(asyncio.ensure_future(work))
+
+    def _keep(self, task: asyncio.Task) -> None:
+        self._tasks.add(task)
+        task.add_done_callback(self._note_task)
+
+    def _note_task(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        self._telemetry.count('unexpected_errors')
+        self._log.write(
+            'task failed', detail=''.join(traceback.format_exception(error))
+        )
+
+    def _note_loop_error(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        context: dict,
+    ) -> None:
+        self._telemetry.count('unexpected_errors')
+        error = context.get('exception')
+        self._log.write(
+            'unexpected error', detail=f'{context["message"]}: {error!r}'
+        )
--- /dev/null
+++ b/godwitknot/mesh/program.py
@@ -0,0 +1,43 @@
+"""The program that the platform starts on each instance."""
+
+import asyncio
+import configparser
+import pathlib
+import sys
+
+from godwitknot.mesh.httpclient import HttpClient
+from godwitknot.mesh.model import Placement
+from godwitknot.mesh.node import MeshNode
+from godwitknot.platform.dialect import PlatformDialect
+from godwitknot.platform.settings import read_placement, settings_path
+from godwitknot.platform.store import PlatformStore
+
+# The store keeps idle connections at least this long.
+_STORE_IDLE_SECONDS = 20.0
+
+
+def _read_placement() -> Placement:
+    text = pathlib.Path(settings_path()).read_text(encoding='utf-8')
+    return read_placement(text)
+
+
+async def _run(metrics_port: int) -> None:
+    placement = _read_placement()
+    store = PlatformStore(
+        HttpClient(_STORE_IDLE_SECONDS), placement.store.address
+    )
+    node = MeshNode(
+        placement,
+        PlatformDialect(),
+        store,
+        metrics_port,
+        _read_placement,
+    )
+    await node.run()
+
+
+def main() -> None:
+    """Run a node until SIGTERM; the argument names its own settings."""
+    own = configparser.ConfigParser()
+    own.read_string(pathlib.Path(sys.argv[1]).read_text(encoding='utf-8'))
+    asyncio.run(_run(own.getint('metrics', 'port')))
--- /dev/null
+++ b/godwitknot/mesh/sidecar.py
@@ -0,0 +1,241 @@
+"""Runs requests on the local server; the only path to it."""
+
+import asyncio
+
+from godwitknot.clock import Clock
+from godwitknot.errors import (
+    ConnectionCutError,
+    ConnectionFailedError,
+    ProtocolError,
+)
+from godwitknot.mesh.events import EventLog
+from godwitknot.mesh.frames import Offer
+from godwitknot.mesh.gate import Gate, Ticket
+from godwitknot.mesh.httpclient import HttpClient
+from godwitknot.mesh.httpwire import ClientSide
+from godwitknot.mesh.localserver import LocalServer
+from godwitknot.mesh.model import Answer, AnswerFacts, Message
+from godwitknot.mesh.ports import Dialect
+from godwitknot.mesh.telemetry import Telemetry
+from godwitknot.mesh.vitals import Vitals
+from godwitknot.outcomes import Code, Outcome, RefusalError
+from godwitknot.units import Address
+
+_MISDIRECTED = 421
+_SERVER_ERROR = 500
+_SUCCESS = range(200, 300)
+# A server may drop an idle connection just as a request is sent, and then
+# nobody knows whether it ran. Servers keep connections for seconds.
+_FRESH_SECONDS = 1.0
+# Responses to other requests that may precede the expected one.
+_MOST_SKIPPED = 2
+_RETRY_SECONDS = 0.5
+
+
+class Sidecar:
+    """Sends admitted requests to the local server."""
+
+    def __init__(
+        self,
+        address: Address,
+        server: LocalServer,
+        gate: Gate,
+        vitals: Vitals,
+        dialect: Dialect,
+        client: HttpClient,
+        clock: Clock,
+        log: EventLog,
+        telemetry: Telemetry,
+    ) -> None:
+        """Take the collaborators.
+
+        :param address: of the local server.
+        """
+        self._address = address
+        self._server = server
+        self.gate = gate
+        self._vitals = vitals
+        self._dialect = dialect
+        self._client = client
+        self._clock = clock
+        self._log = log
+        self._telemetry = telemetry
+        self._detached: set[asyncio.Task] = set()
+        self.crash_listeners: list = []
+
+    async def run(self, ticket: Ticket) -> Answer:
+        """Run an admitted request and release its slot.
+
+        Cancelling takes a repeatable request off the server at once. One
+        that must not be repeated runs on without its caller.
+
+        :raises RefusalError: with what is known about the execution.
+        """
+        offer = ticket.offer
+        task = asyncio.ensure_future(self._run(ticket))
+        task.add_done_callback(lambda _: self.gate.release(ticket))
+        if offer.repeatable:
+            return await _await_or_cancel(task)
+        self._detached.add(task)
+        task.add_done_callback(self._forget)
+        return await asyncio.shield(task)
+
+    def _forget(self, task: asyncio.Task) -> None:
+        self._detached.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            # The waiting side has logged it, if there is one left.
+            self._telemetry.count('runs_ended_badly')
+
+    async def _run(self, ticket: Ticket) -> Answer:
+        offer = ticket.offer
+        deadline = ticket.deadline
+        self.gate.check_open(offer)
+        side = await self._connect(offer)
+        sent = self._clock.now()
+        message = self._address_server(offer, deadline - sent)
+        try:
+            async with asyncio.timeout(max(0, deadline - sent)):
+                side.send(message)
+                answer, facts = await self._read(side, message, offer)
+        except ConnectionCutError as error:
+            side.channel.abort()
+            self._note_cut(offer, error)
+            raise RefusalError(
+                Code.CONNECTION_LOST, Outcome.MAY_HAVE_RUN
+            ) from error
+        except ProtocolError as error:
+            side.channel.abort()
+            self._note_bad(offer, 'bad answer', str(error))
+            raise RefusalError(
+                Code.BAD_ANSWER, Outcome.MAY_HAVE_RUN
+            ) from error
+        except TimeoutError as error:
+            side.channel.abort()
+            if not ticket.counted_hung:
+                self._note_bad(offer, 'deadline passed', '')
+            raise RefusalError(
+                Code.DEADLINE_PASSED, Outcome.MAY_HAVE_RUN
+            ) from error
+        except asyncio.CancelledError:
+            side.channel.abort()
+            raise
+        self._client.give_back(self._address, side)
+        seconds = self._clock.now() - sent
+        return self._judge(ticket, answer, facts, seconds)
+
+    async def _connect(self, offer: Offer) -> ClientSide:
+        newest = None if offer.repeatable else _FRESH_SECONDS
+        try:
+            return await self._client.take(self._address, newest)
+        except ConnectionFailedError as error:
+            self._note_bad(offer, 'unreachable', str(error))
+            raise RefusalError(
+                Code.UNREACHABLE, retry_after=_RETRY_SECONDS
+            ) from error
+
+    def _address_server(self, offer: Offer, left: float) -> Message:
+        fields = self._dialect.address_server(
+            offer.fields,
+            seconds_left=left,
+            server_id=self._server.server_id,
+            caller_service=offer.caller_service,
+        )
+        return Message(offer.method, offer.target, fields, offer.body)
+
+    async def _read(
+        self,
+        side: ClientSide,
+        message: Message,
+        offer: Offer,
+    ) -> tuple[Answer, AnswerFacts]:
+        """Read the response to this request.
+
+        :raises ProtocolError: if it cannot be used.
+        """
+        for _ in range(_MOST_SKIPPED):
+            answer = await side.read()
+            facts = self._dialect.read_answer(answer.fields)
+            if facts.attempt_id in {'', offer.attempt_id}:
+                _check_encoding(answer)
+                return answer, facts
+            self._log.write(
+                'response to another request skipped',
+                request=offer.attempt_id,
+                other=facts.attempt_id,
+            )
+            side.skip_answer(message)
+        raise ProtocolError('responses to other requests')
+
+    def _judge(
+        self,
+        ticket: Ticket,
+        answer: Answer,
+        facts: AnswerFacts,
+        seconds: float,
+    ) -> Answer:
+        offer = ticket.offer
+        zone = offer.caller_zone
+        if answer.status == _MISDIRECTED or facts.not_executed:
+            return self._refuse(offer, answer, facts)
+        if answer.status in _SUCCESS and not facts.sealed:
+            self._note_bad(offer, 'no signature', '')
+            raise RefusalError(Code.BAD_ANSWER, Outcome.MAY_HAVE_RUN)
+        if answer.status >= _SERVER_ERROR:
+            self._note_bad(offer, f'status {answer.status}', '')
+        elif not ticket.counted_hung:
+            self._vitals.note_good(seconds, zone)
+        self._telemetry.observe('server_seconds', seconds)
+        return answer
+
+    def _refuse(
+        self,
+        offer: Offer,
+        answer: Answer,
+        facts: AnswerFacts,
+    ) -> Answer:
+        if answer.status == _MISDIRECTED:
+            self._log.write(
+                'another server has the address',
+                request=offer.attempt_id,
+                expected=self._server.server_id,
+                found=facts.server_id,
+            )
+            raise RefusalError(Code.WRONG_INCARNATION, relayed=True)
+        self._note_bad(offer, 'shed', '')
+        raise RefusalError(
+            Code.SERVER_SHED, retry_after=_RETRY_SECONDS, relayed=True
+        )
+
+    def _note_bad(self, offer: Offer, reason: str, detail: str) -> None:
+        self._vitals.note_bad(reason, offer.caller_zone)
+        self._telemetry.count('server_failures')
+        self._log.write(
+            'run failed',
+            request=offer.attempt_id,
+            server=self._server.server_id,
+            reason=reason,
+            detail=detail,
+        )
+
+    def _note_cut(self, offer: Offer, error: ConnectionCutError) -> None:
+        self._note_bad(offer, 'connection lost', str(error))
+        prints = tuple(
+            each.offer.fingerprint for each in self.gate.running
+        )
+        self._client.close_idle(self._address)
+        for listener in self.crash_listeners:
+            listener(prints)
+
+
+def _check_encoding(answer: Answer) -> None:
+    for name, _ in answer.fields:
+        if name.lower() == 'content-encoding':
+            raise ProtocolError('encoded response')
+
+
+async def _await_or_cancel(task: asyncio.Task) -> Answer:
+    try:
+        return await asyncio.shield(task)
+    except asyncio.CancelledError:
+        task.cancel()
+        raise
--- /dev/null
+++ b/godwitknot/mesh/spreading.py
@@ -0,0 +1,246 @@
+"""News among nodes: pushed when something changes, compared each second."""
+
+import asyncio
+import random
+
+from godwitknot.clock import Clock
+from godwitknot.crashes import CrashLedger
+from godwitknot.errors import ProtocolError
+from godwitknot.mesh import frames
+from godwitknot.mesh.choice import Chooser
+from godwitknot.mesh.events import EventLog
+from godwitknot.mesh.frames import Digest, Kind, Knowledge, Rumor
+from godwitknot.mesh.knowledge import ConfigurationHolder
+from godwitknot.mesh.localserver import LocalServer
+from godwitknot.mesh.membership import Crash, Directory, Member
+from godwitknot.mesh.relay import RelayClient
+from godwitknot.mesh.telemetry import Telemetry
+from godwitknot.messages import CrashReport
+from godwitknot.units import Address
+
+# News reaches all of n nodes in about log(n)/log(4) steps.
+_FAN_OUT = 4
+# Changes of the same moment travel together.
+_GATHER_SECONDS = 0.02
+_DIGEST_SECONDS = 1.0
+_TELL_SECONDS = 1.0
+# The store tells each node of a new version; a peer is asked only if that
+# takes longer than this.
+_PULL_AFTER_SECONDS = 0.5
+_MOST_PROBED = 3
+
+
+class Spreader:
+    """Keeps directory and configuration in step with other nodes."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        holder: ConfigurationHolder,
+        server: LocalServer,
+        chooser: Chooser,
+        crashes: CrashLedger,
+        relay: RelayClient,
+        clock: Clock,
+        log: EventLog,
+        telemetry: Telemetry,
+        rng: random.Random,
+    ) -> None:
+        """Take the collaborators."""
+        self._directory = directory
+        self._holder = holder
+        self._server = server
+        self._chooser = chooser
+        self._crashes = crashes
+        self._relay = relay
+        self._clock = clock
+        self._log = log
+        self._telemetry = telemetry
+        self._rng = rng
+        self._news: dict[Address, Member] = {}
+        self._crash_news: dict[tuple, Crash] = {}
+        self._seen_crashes: set[tuple] = set()
+        self._waking = asyncio.Event()
+        self._tasks: set[asyncio.Task] = set()
+        self.heard_knowledge = False
+        holder.listeners.append(self._waking.set)
+        directory.listeners.append(self._note_change)
+
+    def start(self) -> list[asyncio.Task]:
+        """Start the tasks."""
+        return [
+            asyncio.ensure_future(self._push()),
+            asyncio.ensure_future(self._compare()),
+        ]
+
+    def take_members(self, members: list[Member], origin: str) -> None:
+        """Take in records, from the store or from other nodes."""
+        own_address = self._directory.own.address
+        for member in members:
+            own = self._directory.own
+            if member.address == own_address and member.age > own.age:
+                self._server.recall(member)
+        for member in self._directory.merge(members):
+            if member.address == own_address:
+                continue
+            self._log.write(
+                'member changed',
+                peer=member.node,
+                server=member.server_id,
+                state=member.state.value,
+                serving=member.serving,
+                incarnation=member.incarnation,
+                revision=member.revision,
+                origin=origin,
+            )
+
+    def report_crash(self, fingerprints: tuple[int, ...]) -> None:
+        """Tell the fleet which requests ran when the server crashed."""
+        own = self._directory.own
+        crash = Crash(own.service, own.node, own.server_id, fingerprints)
+        self._take_crash(crash)
+
+    def handle(self, kind: Kind, content: object) -> bytes | None:
+        """Answer a frame of another node.
+
+        :raises ProtocolError: if it is no news.
+        """
+        if kind is Kind.RUMOR:
+            self._take_rumor(content)
+            return frames.encode_signal(Kind.SAME)
+        if kind is Kind.DIGEST:
+            return self._answer_digest(content)
+        raise ProtocolError(f'unexpected {kind}')
+
+    def _note_change(self, member: Member) -> None:
+        self._news[member.address] = member
+        self._waking.set()
+
+    def _take_rumor(self, rumor: Rumor) -> None:
+        self._chooser.note_heard(rumor.sender)
+        self.take_members(list(rumor.members), 'rumor')
+        for crash in rumor.crashes:
+            self._take_crash(crash)
+        if rumor.version > self._holder.version:
+            self._spawn(self._pull(rumor.sender, rumor.version))
+
+    def _take_crash(self, crash: Crash) -> None:
+        key = (crash.node, crash.server_id, crash.fingerprints)
+        if key in self._seen_crashes:
+            return
+        self._seen_crashes.add(key)
+        self._crash_news[key] = crash
+        self._waking.set()
+        self._log.write(
+            'server crashed',
+            server=crash.server_id,
+            peer=crash.node,
+            in_flight=len(crash.fingerprints),
+        )
+        self._crashes.note_crash(
+            CrashReport(
+                crash.service,
+                crash.node,
+                crash.server_id,
+                0,
+                crash.fingerprints,
+            )
+        )
+
+    def _answer_digest(self, digest: Digest) -> bytes:
+        self._chooser.note_heard(digest.sender)
+        same = digest.members == self._directory.digest()
+        newer = self._holder.version > digest.version
+        if digest.version > self._holder.version:
+            self._spawn(self._pull(digest.sender, digest.version))
+        if same and not newer:
+            return frames.encode_signal(Kind.SAME)
+        members = () if same else self._directory.members
+        source = self._holder.current.source if newer else b''
+        return frames.encode_knowledge(Knowledge(members, source))
+
+    async def _push(self) -> None:
+        version = 0
+        while True:
+            await self._waking.wait()
+            await asyncio.sleep(_GATHER_SECONDS)
+            self._waking.clear()
+            members = tuple(self._news.values())
+            crashes = tuple(self._crash_news.values())
+            self._news.clear()
+            self._crash_news.clear()
+            if not (members or crashes or self._holder.version > version):
+                continue
+            version = self._holder.version
+            rumor = Rumor(
+                self._directory.own.address, members, crashes, version
+            )
+            frame = frames.encode_rumor(rumor)
+            for peer in self._sample(_FAN_OUT):
+                self._spawn(self._tell(peer.address, frame))
+
+    async def _compare(self) -> None:
+        while True:
+            await asyncio.sleep(
+                _DIGEST_SECONDS * (0.75 + self._rng.random() / 2)
+            )
+            probed = list(self._chooser.silent)[:_MOST_PROBED]
+            for address in probed:
+                self._spawn(self._exchange(address))
+            for peer in self._sample(1):
+                await self._exchange(peer.address)
+
+    async def _exchange(self, address: Address) -> None:
+        """Compare with another node and even out the differences."""
+        digest = Digest(
+            self._directory.own.address,
+            self._directory.digest(),
+            self._holder.version,
+        )
+        frame = frames.encode_digest(digest)
+        reply = await self._tell(address, frame)
+        if reply is None:
+            return
+        kind, content = reply
+        if kind is not Kind.KNOWLEDGE:
+            return
+        self.heard_knowledge = True
+        theirs = {each.address: each.age for each in content.members}
+        self.take_members(list(content.members), 'digest')
+        if content.configuration:
+            self._holder.adopt(content.configuration, 'peer')
+        lacking = tuple(
+            each
+            for each in self._directory.members
+            if theirs and theirs.get(each.address, (0, 0)) < each.age
+        )
+        if lacking:
+            own = self._directory.own.address
+            rumor = Rumor(own, lacking, (), self._holder.version)
+            await self._tell(address, frames.encode_rumor(rumor))
+
+    async def _pull(self, address: Address, version: int) -> None:
+        await asyncio.sleep(_PULL_AFTER_SECONDS)
+        if self._holder.version < version:
+            await self._exchange(address)
+
+    async def _tell(
+        self,
+        address: Address,
+        frame: bytes,
+    ) -> tuple[Kind, object] | None:
+        reply = await self._relay.tell(address, frame, _TELL_SECONDS)
+        if reply is None:
+            self._telemetry.count('news_undelivered')
+            return None
+        self._chooser.note_heard(address)
+        return reply
+
+    def _sample(self, count: int) -> list[Member]:
+        others = self._directory.others()
+        return self._rng.sample(others, min(count, len(others)))
+
+    def _spawn(self, work: object) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/godwitknot/mesh/vitals.py
@@ -0,0 +1,151 @@
+"""Evidence on the health of the local server, and its ejection."""
+
+import collections
+
+import attrs
+
+from godwitknot.clock import Clock
+from godwitknot.mesh.events import EventLog
+
+# Failures among the last outcomes that eject a server. Sound servers fail
+# about 1% of their requests, gray ones 40% and more.
+_SAMPLE = 5
+_FAILURES = 2
+# Outcomes older than this say nothing on the present, in seconds.
+_MEMORY_SECONDS = 4.0
+_FIRST_EJECTION_SECONDS = 0.8
+_MOST_EJECTION_SECONDS = 3.0
+_GROWTH = 1.6
+# Good answers in a row that end a trial.
+_TRIAL_SUCCESSES = 1
+# A run this many times longer than usual counts as hung.
+_HUNG_FACTOR = 4.0
+_LEAST_HUNG_SECONDS = 0.5
+_USUAL_SECONDS = 0.3
+_SMOOTHING = 0.1
+
+
+@attrs.frozen
+class _Outcome:
+    at: float
+    bad: bool
+    zone: str
+
+
+@attrs.define
+class Verdict:
+    """An ejection.
+
+    :param until: end of the ejection, on the node's clock.
+    :param seconds: its length, which grows with each in a row.
+    """
+
+    until: float
+    seconds: float
+    successes: int = 0
+
+
+class Vitals:
+    """Outcomes of requests on the local server, by callers' domain.
+
+    The sidecar is the only path to the server, so that its outcomes are
+    all there are. Some servers fail only for the callers of one domain,
+    which are then ejected from it alone.
+    """
+
+    def __init__(self, clock: Clock, log: EventLog) -> None:
+        """Start without evidence."""
+        self._clock = clock
+        self._log = log
+        self._outcomes: collections.deque[_Outcome] = collections.deque(
+            maxlen=4 * _SAMPLE
+        )
+        self._ejected: dict[str, Verdict] = {}
+        self._usual = _USUAL_SECONDS
+
+    @property
+    def usual_seconds(self) -> float:
+        """Smoothed time of a good run."""
+        return self._usual
+
+    @property
+    def hung_seconds(self) -> float:
+        """Age from which a run counts as hung."""
+        return max(_LEAST_HUNG_SECONDS, _HUNG_FACTOR * self._usual)
+
+    def reset(self) -> None:
+        """Forget everything, since another server is there."""
+        self._outcomes.clear()
+        self._ejected.clear()
+        self._usual = _USUAL_SECONDS
+
+    def note_good(self, seconds: float, zone: str) -> None:
+        """Take in a good run.
+
+        :param seconds: that it took.
+        """
+        self._usual += _SMOOTHING * (seconds - self._usual)
+        self._outcomes.append(_Outcome(self._clock.now(), False, zone))
+        verdict = self._ejected.get(zone)
+        if verdict is None:
+            return
+        verdict.successes += 1
+        if verdict.successes >= _TRIAL_SUCCESSES:
+            self._ejected.pop(zone)
+            self._outcomes.clear()
+            self._log.write('server reinstated', zone=zone)
+
+    def note_bad(self, reason: str, zone: str) -> None:
+        """Take in a failed, hung or lost run."""
+        now = self._clock.now()
+        self._outcomes.append(_Outcome(now, True, zone))
+        recent = [
+            outcome
+            for outcome in self._outcomes
+            if outcome.at > now - _MEMORY_SECONDS
+        ]
+        verdict = self._ejected.get(zone)
+        if verdict is not None:
+            if verdict.until <= now:
+                self._extend(verdict, reason, zone)
+            return
+        own = [each for each in recent if each.zone == zone][-_SAMPLE:]
+        if sum(each.bad for each in own) >= _FAILURES:
+            self._eject(zone, reason, own)
+
+    def blocks(self, zone: str) -> float:
+        """Give the seconds that a domain's callers must stay away, or 0."""
+        verdict = self._ejected.get(zone)
+        if verdict is None:
+            return 0
+        return max(0, verdict.until - self._clock.now())
+
+    def on_trial(self, zone: str) -> bool:
+        """Tell whether an ejection has ended and is not yet revoked."""
+        verdict = self._ejected.get(zone)
+        return verdict is not None and verdict.until <= self._clock.now()
+
+    def _eject(self, zone: str, reason: str, seen: list[_Outcome]) -> None:
+        verdict = Verdict(
+            self._clock.now() + _FIRST_EJECTION_SECONDS,
+            _FIRST_EJECTION_SECONDS,
+        )
+        self._ejected[zone] = verdict
+        self._log.write(
+            'server ejected',
+            zone=zone,
+            reason=reason,
+            failures=sum(each.bad for each in seen),
+            outcomes=len(seen),
+            seconds=verdict.seconds,
+        )
+
+    def _extend(self, verdict: Verdict, reason: str, zone: str) -> None:
+        verdict.seconds = min(
+            _MOST_EJECTION_SECONDS, verdict.seconds * _GROWTH
+        )
+        verdict.until = self._clock.now() + verdict.seconds
+        verdict.successes = 0
+        self._log.write(
+            'trial failed', zone=zone, reason=reason, seconds=verdict.seconds
+        )
--- a/godwitknot/outcomes.py
+++ b/godwitknot/outcomes.py
@@ -91,7 +91,7 @@
 
     code: Code
     outcome: Outcome = Outcome.NOT_RUN
-    retry_after: int | None = None
+    retry_after: float | None = None
     detail: str = ''
     relayed: bool = False
     moved_key: str = attrs.field(default='', repr=False)
