--- /dev/null
+++ b/tests/godwitknot/mesh/conftest.py
@@ -0,0 +1,56 @@
+"""Fixtures of the mesh tests."""
+
+import os
+
+import pytest
+
+from godwitknot.clock import ManualClock
+from godwitknot.mesh.events import EventLog
+from godwitknot.mesh.model import Bounds, Placement, StoreLimits
+from godwitknot.units import Address
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def log(clock):
+    reader, writer = os.pipe()
+    yield EventLog('node-1', clock, writer)
+    os.close(reader)
+    os.close(writer)
+
+
+@pytest.fixture
+def bounds():
+    return Bounds(
+        stop_grace_seconds=6,
+        drain_seconds=2.5,
+        retry_ratio=0.2,
+        retry_window_seconds=10,
+        retry_slack=64,
+    )
+
+
+@pytest.fixture
+def placement(bounds):
+    return Placement(
+        node='node-1',
+        host='127.0.0.1',
+        zone='z1',
+        region='r1',
+        regions={'z1': 'r1', 'z2': 'r1', 'z3': 'r2'},
+        ingress=Address('127.0.0.1', 1),
+        relay=Address('127.0.0.1', 2),
+        readiness=Address('127.0.0.1', 3),
+        announcements=Address('127.0.0.1', 4),
+        internal_ports=(5, 6),
+        server=Address('127.0.0.1', 7),
+        service='booking',
+        heartbeat_seconds=1.5,
+        memory_bytes=300_000_000,
+        store=StoreLimits(Address('127.0.0.1', 8), 20),
+        bounds=bounds,
+    )
--- /dev/null
+++ b/tests/godwitknot/mesh/test_gate.py
@@ -0,0 +1,167 @@
+"""The gate admits only what the local server may and can run."""
+
+import asyncio
+
+import pytest
+
+from godwitknot.mesh.frames import Offer
+from godwitknot.mesh.gate import Gate
+from godwitknot.mesh.localserver import LocalServer
+from godwitknot.mesh.model import Heartbeat, ServerState
+from godwitknot.mesh.vitals import Vitals
+from godwitknot.outcomes import Code, Outcome, RefusalError
+from godwitknot.units import Address
+
+SLOTS = 2
+
+
+def make_offer(*, max_wait=0.0, priority=1, repeatable=True, **changes):
+    values = {
+        'attempt_id': 'a1',
+        'method': 'GET',
+        'target': '/x/',
+        'fields': [],
+        'body': b'',
+        'service': 'booking',
+        'server_id': 's1',
+        'repeatable': repeatable,
+        'priority': priority,
+        'seconds_left': 5.0,
+        'max_wait': max_wait,
+        'caller_service': 'booking',
+        'caller_zone': 'z1',
+        'fingerprint': 1,
+    }
+    return Offer(**{**values, **changes})
+
+
+@pytest.fixture
+def server(placement, log):
+    server = LocalServer(placement, log)
+    server.hear(_beat(1, ServerState.READY))
+    return server
+
+
+def _beat(sequence, state):
+    return Heartbeat(
+        's1',
+        'booking',
+        Address('127.0.0.1', 7),
+        SLOTS,
+        state,
+        1,
+        sequence,
+        0,
+    )
+
+
+@pytest.fixture
+def vitals(clock, log):
+    return Vitals(clock, log)
+
+
+@pytest.fixture
+def gate(server, vitals, clock):
+    return Gate(server, vitals, clock)
+
+
+def refuse(gate, offer):
+    with pytest.raises(RefusalError) as caught:
+        asyncio.run(gate.admit(offer))
+    assert caught.value.outcome is Outcome.NOT_RUN
+    return caught.value
+
+
+def test_draining_server_gets_nothing_from_its_announcement_on(gate, server):
+    server.hear(_beat(2, ServerState.DRAINING))
+    assert refuse(gate, make_offer()).code is Code.DRAINING
+
+
+def test_request_for_a_former_server_is_not_run(gate):
+    refusal = refuse(gate, make_offer(server_id='s0'))
+    assert refusal.code is Code.WRONG_INCARNATION
+
+
+def test_request_of_another_service_is_not_run(gate):
+    refusal = refuse(gate, make_offer(service='documents'))
+    assert refusal.code is Code.WRONG_INCARNATION
+
+
+def test_full_server_refuses_what_may_not_wait(gate):
+    async def scenario():
+        for _ in range(SLOTS):
+            await gate.admit(make_offer())
+        await gate.admit(make_offer())
+
+    with pytest.raises(RefusalError) as caught:
+        asyncio.run(scenario())
+    assert caught.value.code is Code.QUEUE_FULL
+    assert caught.value.retry_after > 0
+
+
+def test_urgent_request_passes_others_in_the_queue(gate):
+    async def scenario():
+        running = [await gate.admit(make_offer()) for _ in range(SLOTS)]
+        order = []
+
+        async def wait(priority):
+            await gate.admit(make_offer(max_wait=2, priority=priority))
+            order.append(priority)
+
+        tasks = [asyncio.ensure_future(wait(each)) for each in (2, 1)]
+        await asyncio.sleep(0)
+        gate.release(running[0])
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        gate.release(running[1])
+        await asyncio.gather(*tasks)
+        return order
+
+    assert asyncio.run(scenario()) == [1, 2]
+
+
+def test_cancelled_request_leaves_the_queue(gate):
+    """A caller that left must not get a slot half a second later."""
+
+    async def scenario():
+        running = [await gate.admit(make_offer()) for _ in range(SLOTS)]
+        waiting = asyncio.ensure_future(gate.admit(make_offer(max_wait=2)))
+        await asyncio.sleep(0)
+        waiting.cancel()
+        await asyncio.sleep(0)
+        gate.release(running[0])
+        return gate.load()
+
+    load = asyncio.run(scenario())
+    assert (load.running, load.waiting) == (SLOTS - 1, 0)
+
+
+def test_queue_is_refused_when_the_server_closes(gate, server):
+    async def scenario():
+        for _ in range(SLOTS):
+            await gate.admit(make_offer())
+        waiting = asyncio.ensure_future(gate.admit(make_offer(max_wait=2)))
+        await asyncio.sleep(0)
+        server.hear(_beat(2, ServerState.DRAINING))
+        gate.refuse_all()
+        await waiting
+
+    with pytest.raises(RefusalError) as caught:
+        asyncio.run(scenario())
+    assert caught.value.code is Code.DRAINING
+
+
+def test_ejected_server_refuses_unless_no_other_has_room(gate, vitals):
+    vitals.note_bad('hung', 'z1')
+    vitals.note_bad('hung', 'z1')
+    assert refuse(gate, make_offer()).code is Code.EJECTED
+    asyncio.run(gate.admit(make_offer(max_wait=1)))
+
+
+def test_trial_is_never_made_with_what_may_run_once(gate, vitals, clock):
+    vitals.note_bad('hung', 'z1')
+    vitals.note_bad('hung', 'z1')
+    clock.advance(vitals.blocks('z1'))
+    refusal = refuse(gate, make_offer(repeatable=False))
+    assert refusal.code is Code.EJECTED
+    asyncio.run(gate.admit(make_offer()))
--- /dev/null
+++ b/tests/godwitknot/mesh/test_localserver.py
@@ -0,0 +1,142 @@
+"""Late announcements must not bring a leaving or ended server back."""
+
+import attrs
+import pytest
+
+from godwitknot.mesh.localserver import LocalServer
+from godwitknot.mesh.membership import Member
+from godwitknot.mesh.model import Departure, Heartbeat, ServerState
+from godwitknot.units import Address
+
+BORN = 1000
+
+
+@pytest.fixture
+def server(placement, log):
+    return LocalServer(placement, log)
+
+
+def beat(sequence, state=ServerState.READY, server_id='s1', born=BORN):
+    return Heartbeat(
+        server_id=server_id,
+        service='booking',
+        address=Address('127.0.0.1', 7),
+        slots=4,
+        state=state,
+        born=born,
+        sequence=sequence,
+        cold_seconds=0,
+    )
+
+
+def test_server_that_starts_under_our_eyes_is_open(server):
+    server.hear(beat(1))
+    assert server.open_for_work
+
+
+def test_server_known_late_needs_a_proof(server):
+    """A node that restarts must not trust one heartbeat.
+
+    It may be a late one of a server that has said to another process that
+    it leaves.
+    """
+    server.hear(beat(7))
+    assert not server.open_for_work
+    assert server.note_healthy('s1')
+    assert server.open_for_work
+
+
+def test_health_answer_of_another_server_proves_nothing(server):
+    server.hear(beat(7))
+    assert not server.note_healthy('s2')
+    assert not server.open_for_work
+
+
+def test_heartbeats_in_order_prove_a_server_with_a_false_health(server):
+    for sequence in (7, 8, 9):
+        server.hear(beat(sequence))
+    assert server.open_for_work
+
+
+def test_late_heartbeat_does_not_reopen_a_draining_server(server):
+    server.hear(beat(1))
+    server.hear(beat(3, ServerState.DRAINING))
+    server.hear(beat(2))
+    server.hear(beat(4))
+    assert server.state is ServerState.DRAINING
+
+
+def test_late_heartbeat_does_not_reopen_a_server_that_left(server):
+    server.hear(beat(1))
+    server.depart(Departure('s1', 0))
+    server.hear(beat(5))
+    assert server.state is ServerState.GONE
+
+
+def test_same_id_started_again_is_a_new_server(server):
+    server.hear(beat(5))
+    server.depart(Departure('s1', BORN))
+    server.hear(beat(1, born=BORN + 1))
+    assert server.open_for_work
+
+
+def test_heartbeat_of_the_former_server_is_ignored(server):
+    """A partition may deliver it after the successor has registered."""
+    server.hear(beat(1, server_id='s2', born=BORN + 5))
+    server.hear(beat(9, server_id='s1'))
+    assert server.server_id == 's2'
+
+
+def test_late_departure_of_the_former_server_changes_nothing(server):
+    server.hear(beat(1, server_id='s2', born=BORN + 5))
+    assert not server.depart(Departure('s1', BORN))
+    assert server.open_for_work
+
+
+def test_record_of_an_earlier_run_keeps_a_leaving_server_closed(server):
+    """After a power loss the store still knows that the server leaves."""
+    record = Member(
+        node='node-1',
+        address=Address('127.0.0.1', 2),
+        zone='z1',
+        region='r1',
+        service='booking',
+        server_id='s1',
+        born=BORN,
+        state=ServerState.DRAINING,
+        slots=4,
+        incarnation=1,
+        revision=2,
+        serving=True,
+    )
+    server.recall(record)
+    server.hear(beat(6))
+    assert not server.open_for_work
+    server.hear(beat(1, born=BORN + 1))
+    assert server.open_for_work
+
+
+def test_record_that_arrives_after_the_heartbeat_closes_too(server):
+    server.hear(beat(1))
+    record = Member(
+        'node-1',
+        Address('127.0.0.1', 2),
+        'z1',
+        'r1',
+        'booking',
+        's1',
+        BORN,
+        ServerState.GONE,
+        4,
+        1,
+        2,
+        serving=True,
+    )
+    server.recall(attrs.evolve(record))
+    assert not server.open_for_work
+
+
+def test_heartbeat_for_another_address_names_no_server(server):
+    other = attrs.evolve(beat(1), address=Address('127.0.0.1', 99))
+    server.hear(other)
+    assert not server.open_for_work
--- /dev/null
+++ b/tests/godwitknot/mesh/test_membership.py
@@ -0,0 +1,78 @@
+"""Records about nodes only ever move forward."""
+
+import attrs
+from hypothesis import given
+from hypothesis import strategies as st
+
+from godwitknot.mesh.membership import Directory, Member
+from godwitknot.mesh.model import ServerState
+from godwitknot.units import Address
+
+OWN = Member(
+    'node-1',
+    Address('10.0.0.1', 1),
+    'z1',
+    'r1',
+    'booking',
+    's1',
+    5,
+    ServerState.READY,
+    4,
+    incarnation=100,
+    revision=0,
+    serving=True,
+)
+OTHER = attrs.evolve(OWN, node='node-2', address=Address('10.0.0.2', 1))
+
+
+def test_older_record_changes_nothing():
+    directory = Directory(OWN)
+    directory.merge([attrs.evolve(OTHER, revision=2)])
+    stale = attrs.evolve(OTHER, revision=1, state=ServerState.GONE)
+    assert not directory.merge([stale])
+    assert directory.find_servers('booking') == [
+        OWN,
+        attrs.evolve(OTHER, revision=2),
+    ]
+
+
+def test_record_of_an_earlier_run_raises_the_own_incarnation():
+    """The wall clock may step back between two runs of a node."""
+    directory = Directory(OWN)
+    directory.merge([attrs.evolve(OWN, incarnation=500, revision=9)])
+    assert directory.own.incarnation == 501
+    assert directory.own.server_id == 's1'
+
+
+def test_draining_server_takes_no_work():
+    directory = Directory(OWN)
+    directory.change_own(state=ServerState.DRAINING)
+    assert directory.find_servers('booking') == []
+
+
+def test_stopping_node_takes_no_work():
+    directory = Directory(OWN)
+    directory.change_own(serving=False)
+    assert directory.find_servers('booking') == []
+
+
+def test_unchanged_record_keeps_its_revision():
+    directory = Directory(OWN)
+    assert not directory.change_own(slots=4)
+    assert directory.own.revision == 0
+
+
+@given(st.permutations(range(6)), st.permutations(range(6)))
+def test_order_of_news_does_not_matter(first, second):
+    """Nodes agree once they have heard the same news in any order."""
+    news = [
+        attrs.evolve(OTHER, incarnation=each // 3, revision=each % 3)
+        for each in range(6)
+    ]
+    one, two = Directory(OWN), Directory(OWN)
+    for index in first:
+        one.merge([news[index]])
+    for index in second:
+        two.merge([news[index]])
+    assert one.digest() == two.digest()
+    assert set(one.members) == set(two.members)
--- /dev/null
+++ b/tests/godwitknot/mesh/test_vitals.py
@@ -0,0 +1,57 @@
+"""Gray servers are ejected soon; sound ones come back soon."""
+
+import pytest
+
+from godwitknot.mesh.vitals import Vitals
+
+
+@pytest.fixture
+def vitals(clock, log):
+    return Vitals(clock, log)
+
+
+def test_single_failure_ejects_nobody(vitals):
+    """Sound servers fail about one request in a hundred."""
+    vitals.note_bad('status 500', 'z1')
+    for _ in range(5):
+        vitals.note_good(0.3, 'z1')
+    assert vitals.blocks('z1') == 0
+
+
+def test_two_failures_in_a_row_eject(vitals):
+    vitals.note_bad('status 500', 'z1')
+    vitals.note_bad('status 500', 'z1')
+    assert vitals.blocks('z1') > 0
+
+
+def test_server_that_fails_for_one_domain_serves_the_others(vitals):
+    vitals.note_bad('status 500', 'z1')
+    vitals.note_bad('status 500', 'z1')
+    vitals.note_good(0.3, 'z2')
+    assert vitals.blocks('z2') == 0
+
+
+def test_good_trial_reinstates(vitals, clock):
+    vitals.note_bad('hung', 'z1')
+    vitals.note_bad('hung', 'z1')
+    clock.advance(vitals.blocks('z1'))
+    assert vitals.on_trial('z1')
+    vitals.note_good(0.3, 'z1')
+    assert not vitals.on_trial('z1')
+    assert vitals.blocks('z1') == 0
+
+
+def test_failed_trials_last_longer_each_time(vitals, clock):
+    vitals.note_bad('hung', 'z1')
+    vitals.note_bad('hung', 'z1')
+    first = vitals.blocks('z1')
+    clock.advance(first)
+    vitals.note_bad('hung', 'z1')
+    assert vitals.blocks('z1') > first
+
+
+def test_old_failures_do_not_add_up(vitals, clock):
+    vitals.note_bad('status 500', 'z1')
+    clock.advance(60)
+    vitals.note_bad('status 500', 'z1')
+    assert vitals.blocks('z1') == 0
