Trust an early heartbeat only of a server that started after the node

Cause: a node that was killed right after a departure took the next late heartbeat, with a low sequence, for a new server and sent it requests (found by test_restarted_node_does_not_trust_a_late_heartbeat).

Change: the server must also have been born after the node started; any other is asked for its health first. Stand-ins of the store and of a server that speak the platform's protocol, and the whole path as processes.

Ruled out: a record of the departure, since the process died before it could be written or told.

Conclusion: DRAIN holds over a power loss without a record.

--- a/godwitknot/mesh/localserver.py
+++ b/godwitknot/mesh/localserver.py
@@ -14,7 +14,8 @@
 # Heartbeats of one start, in order, that prove a server lives and stays,
 # for a node that started after it and cannot get a good health answer.
 _PROVING_HEARTBEATS = 3
-# A server whose first heartbeats reach this process started under its eyes.
+# A server that started after this process, and whose first heartbeats reach
+# it, cannot have told another process that it leaves.
 _FIRST_SEQUENCE = 2
 _LEAVING = frozenset((ServerState.DRAINING, ServerState.GONE))
 
@@ -26,12 +27,14 @@
     One start of a server is told by its ``born``. Within it, the state only
     goes from ready to draining to gone.
 
+    :param started: Unix milliseconds of the start of this process.
     :ivar proved: whether work may be sent to it: the process knows that it
         is there and does not leave.
     """
 
     placement: Placement
     log: EventLog
+    started: int
     server_id: str = ''
     born: int = 0
     sequence: int = -1
@@ -140,7 +143,10 @@
         self.born = heartbeat.born
         self.state = ServerState.UNKNOWN
         self._heard = 0
-        self.proved = heartbeat.sequence <= _FIRST_SEQUENCE
+        self.proved = (
+            heartbeat.sequence <= _FIRST_SEQUENCE
+            and heartbeat.born >= self.started
+        )
 
     def _is_late(self, heartbeat: Heartbeat) -> bool:
         left_born = self._left.get(heartbeat.server_id)
--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -82,7 +82,8 @@
         self._telemetry = Telemetry()
         self._stopping = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
-        self._server = LocalServer(placement, self._log)
+        self._started = int(self._clock.wall() * _MILLISECONDS)
+        self._server = LocalServer(placement, self._log, self._started)
         self._vitals = Vitals(self._clock, self._log)
         self._gate = Gate(self._server, self._vitals, self._clock)
         self._client = HttpClient(_SERVER_IDLE_SECONDS)
@@ -256,7 +257,7 @@
             born=0,
             state=ServerState.UNKNOWN,
             slots=1,
-            incarnation=int(self._clock.wall() * _MILLISECONDS),
+            incarnation=self._started,
             revision=0,
             serving=True,
         )
--- /dev/null
+++ b/standins/meshserver.py
@@ -0,0 +1,169 @@
+"""Stand-in of a backend server that speaks the platform's protocol."""
+
+import json
+import threading
+import time
+from http.client import HTTPConnection
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+import attrs
+
+_MILLISECONDS = 1000
+
+
+@attrs.define
+class ServerFaults:
+    """What the server does wrong.
+
+    :param hang: do not answer.
+    :param cut: close after part of the answer.
+    :param fail: answer 500.
+    :param stale: answer with another request's id first.
+    """
+
+    hang: bool = False
+    cut: bool = False
+    fail: bool = False
+    stale: bool = False
+
+
+@attrs.frozen
+class Run:
+    """A request that the server has begun to run."""
+
+    attempt_id: str
+    method: str
+    target: str
+    body: bytes
+    caller: str
+    time_left: int
+
+
+class MeshServer:
+    """One backend server with its heartbeats."""
+
+    def __init__(self, server_id: str, service: str, work: float = 0) -> None:
+        """Start listening on a free port.
+
+        :param work: seconds for each request.
+        """
+        self.server_id = server_id
+        self.service = service
+        self.work = work
+        self.faults = ServerFaults()
+        self.runs: list[Run] = []
+        self.cancelled = 0
+        self.draining = False
+        self.born = int(time.time() * _MILLISECONDS)
+        self._sequence = 0
+        handler = type('Handler', (_Handler,), {'owner': self})
+        self._http = ThreadingHTTPServer(('127.0.0.1', 0), handler)
+        self._http.daemon_threads = True
+        threading.Thread(
+            target=self._http.serve_forever, daemon=True
+        ).start()
+
+    @property
+    def address(self) -> str:
+        """Host and port."""
+        return '127.0.0.1:{0}'.format(self._http.server_address[1])
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self._http.shutdown()
+        self._http.server_close()
+
+    def announce(self, control: str, **changes: object) -> int:
+        """Send a heartbeat; give the status."""
+        self._sequence += 1
+        beat = {
+            'service': self.service,
+            'address': self.address,
+            'zone': 'z1',
+            'version': 'v1',
+            'slots': 4,
+            'state': 'draining' if self.draining else 'ready',
+            'cold_left_ms': 0,
+            'seq': self._sequence,
+            'born': self.born,
+            **changes,
+        }
+        return self._call(control, 'instances.heartbeat', beat)
+
+    def leave(self, control: str) -> int:
+        """Say that the server leaves; give the status."""
+        return self._call(control, 'instances.deregister', {})
+
+    def _call(self, control: str, call: str, fields: dict) -> int:
+        connection = HTTPConnection(control, timeout=2)
+        path = f'/api/rpc?call={call}&of={self.server_id}'
+        connection.request('POST', path, json.dumps(fields))
+        status = connection.getresponse().status
+        connection.close()
+        return status
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = 'HTTP/1.1'
+    owner: MeshServer
+
+    def do_GET(self) -> None:
+        """Serve a request without a body."""
+        self._serve(b'')
+
+    def do_POST(self) -> None:
+        """Serve a request with a body."""
+        length = int(self.headers.get('Content-Length', 0))
+        self._serve(self.rfile.read(length))
+
+    def log_message(self, *args: object) -> None:
+        """Print nothing."""
+
+    def _serve(self, body: bytes) -> None:
+        owner = self.owner
+        if self.path == '/health':
+            status = 503 if owner.draining else 200
+            self._reply(status, b'', {})
+            return
+        if self.headers['Godwitknot-Expect-Instance'] != owner.server_id:
+            self._reply(421, b'', {})
+            return
+        attempt_id = self.headers['Godwitknot-Attempt-Id']
+        owner.runs.append(
+            Run(
+                attempt_id,
+                self.command,
+                self.path,
+                body,
+                self.headers['Godwitknot-Caller-Service'],
+                int(self.headers['Godwitknot-Deadline-Ms']),
+            )
+        )
+        if owner.faults.hang:
+            self.rfile.read(1)
+            owner.cancelled += 1
+            self.close_connection = True
+            return
+        time.sleep(owner.work)
+        seal = {'Godwitknot-Server-Seal': 'seal'}
+        answer = f'{owner.server_id} ran {self.path}'.encode()
+        if owner.faults.stale:
+            self._reply(
+                200, b'stale', {**seal, 'Godwitknot-Attempt-Id': 'other'}
+            )
+        status = 500 if owner.faults.fail else 200
+        self._reply(
+            status, answer, {**seal, 'Godwitknot-Attempt-Id': attempt_id}
+        )
+
+    def _reply(self, status: int, body: bytes, fields: dict) -> None:
+        self.send_response(status)
+        for name, text in fields.items():
+            self.send_header(name, text)
+        self.send_header('Godwitknot-Instance-Id', self.owner.server_id)
+        self.send_header('Content-Length', str(len(body)))
+        self.end_headers()
+        cut = self.owner.faults.cut and body
+        self.wfile.write(body[: len(body) // 2] if cut else body)
+        if cut:
+            self.close_connection = True
--- /dev/null
+++ b/tests/godwitknot/mesh/fleet.py
@@ -0,0 +1,213 @@
+"""Mesh nodes as real processes, before stand-ins of the platform."""
+
+import contextlib
+import itertools
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import time
+from http.client import HTTPConnection, HTTPException
+
+import yaml
+
+from standins.meshserver import MeshServer
+from standins.metadata import MetadataStore, start_store
+
+ROOT = pathlib.Path(__file__).parents[3]
+HOST = 'shop.example'
+
+
+_CANDIDATES = itertools.count(20000 + (os.getpid() * 37) % 10000)
+
+
+def take_ports(count):
+    """Give free ports below the range of outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        candidate = next(_CANDIDATES)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(('127.0.0.1', candidate))
+            ports.append(candidate)
+    return ports
+
+
+def wait_until(check, seconds=15):
+    """Wait for something to become true."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        with contextlib.suppress(OSError, HTTPException):
+            if check():
+                return True
+        time.sleep(0.05)
+    raise AssertionError('not true in time')
+
+
+class Machine:
+    """One node process and the server beside it."""
+
+    def __init__(self, fleet, number, service):
+        self.fleet = fleet
+        self.name = f'side-{number}'
+        self.server = MeshServer(f'i-{number}', service)
+        self.ports = take_ports(5)
+        self.process = None
+
+    def address(self, index):
+        return f'127.0.0.1:{self.ports[index]}'
+
+    @property
+    def control(self):
+        return self.address(3)
+
+    def start(self, env=None):
+        folder = self.fleet.folder
+        settings = folder / f'{self.name}.yaml'
+        settings.write_text(yaml.safe_dump(self._settings()))
+        own = folder / f'{self.name}.ini'
+        own.write_text(f'[metrics]\nport = {self.ports[4]}\n')
+        log = (folder / f'{self.name}.log').open('ab')
+        self.process = subprocess.Popen(
+            [sys.executable, '-m', 'godwitknot.mesh', str(own)],
+            cwd=ROOT,
+            env={**os.environ, 'GODWITKNOT_NODE_FILE': str(settings)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    def events(self):
+        text = (self.fleet.folder / f'{self.name}.log').read_text()
+        return [json.loads(line) for line in text.splitlines() if line]
+
+    def stop(self):
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+        self.server.stop()
+
+    def is_ready(self):
+        return self.get(2, '/api/ready')[0] == 200
+
+    def get(self, index, path):
+        connection = HTTPConnection(self.address(index), timeout=5)
+        connection.request('GET', path)
+        response = connection.getresponse()
+        body = response.read()
+        connection.close()
+        return response.status, body
+
+    def send(self, path, attempt_id, method='GET', body=None, left=3000):
+        """Send a caller's request; give the response and its body."""
+        connection = HTTPConnection(self.address(0), timeout=10)
+        connection.request(
+            method,
+            path,
+            body,
+            {
+                'Host': HOST,
+                'Godwitknot-Attempt-Id': attempt_id,
+                'Godwitknot-Deadline-Ms': str(left),
+            },
+        )
+        response = connection.getresponse()
+        content = response.read()
+        connection.close()
+        return response, content
+
+    def _settings(self):
+        return {
+            'node_id': self.name,
+            'ip': '127.0.0.1',
+            'zone': 'z1',
+            'region': 'r1',
+            'zones': {'z1': 'r1'},
+            'listen': {
+                'outbound': self.address(0),
+                'inbound': self.address(1),
+                'ready': self.address(2),
+                'control': self.address(3),
+            },
+            'internal_ports': [7660, 7675],
+            'limits': {'memory_mb': 300},
+            'heartbeat_ms': 1500,
+            'bounds': [
+                'grace_s=6',
+                'drain_ms=2500',
+                'retry_budget_ratio=0.2',
+                'budget_window_s=10',
+                'budget_slack=64',
+            ],
+            'app_addr': self.server.address,
+            'service': self.server.service,
+            'platform': {'address': self.fleet.store_address},
+            'a field of a later version': True,
+        }
+
+
+class Fleet:
+    """Machines and the store."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.store = MetadataStore()
+        self._http = start_store(self.store)
+        port = self._http.server_address[1]
+        self.store_address = f'127.0.0.1:{port}'
+        self.machines = []
+        self.configure(4)
+
+    def add(self, service):
+        machine = Machine(self, len(self.machines) + 1, service)
+        self.machines.append(machine)
+        return machine
+
+    def start(self):
+        for machine in self.machines:
+            machine.start()
+        for machine in self.machines:
+            wait_until(machine.is_ready)
+            machine.server.announce(machine.control)
+
+    def configure(self, version, **routes):
+        document = {
+            'version': f'r{version}',
+            'routes': {
+                'browse': _route('/browse/', 'idempotent', 'booking'),
+                'book': _route('/book/', 'non_idempotent', 'booking'),
+                'docs': _route('/docs/', 'download', 'documents'),
+                **routes,
+            },
+            'services': {
+                'booking': {'health_check': '/health'},
+                'documents': {'health_check': '/health'},
+            },
+            'limits': {
+                'max_header_bytes': 16384,
+                'max_body_bytes': 1000000,
+                'header_timeout_ms': 3000,
+                'idle_timeout_ms': 15000,
+            },
+        }
+        self.store.put('op', 'config', json.dumps(document).encode())
+
+    def stop(self):
+        for machine in self.machines:
+            machine.stop()
+        self._http.shutdown()
+        self._http.server_close()
+
+
+def _route(prefix, kind, service):
+    return {
+        'host': HOST,
+        'prefix': prefix,
+        'route_type': kind,
+        'timeout_ms': 3000,
+        'target_latency_ms': 1000,
+        'priority': 1,
+        'service': service,
+        'attempts': 2,
+    }
--- /dev/null
+++ b/tests/godwitknot/mesh/test_fleet.py
@@ -0,0 +1,233 @@
+"""The whole path as processes, before stand-ins of the platform."""
+
+import contextlib
+import signal
+import socket
+import time
+
+import pytest
+from fleet import HOST, Fleet, _route, wait_until
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    fleet = Fleet(tmp_path)
+    with contextlib.ExitStack() as stack:
+        stack.callback(fleet.stop)
+        for service in ('booking', 'booking', 'documents'):
+            fleet.add(service)
+        fleet.start()
+        wait_until(lambda: _is_served(fleet))
+        yield fleet
+
+
+def _is_served(fleet):
+    statuses = [
+        machine.send(path, f'probe-{time.monotonic()}')[0].status
+        for machine in fleet.machines
+        for path in ('/browse/x', '/docs/x')
+    ]
+    return set(statuses) == {200}
+
+
+def runs_of(fleet, attempt_id):
+    return [
+        run
+        for machine in fleet.machines
+        for run in machine.server.runs
+        if run.attempt_id == attempt_id
+    ]
+
+
+def test_each_kind_of_request_is_served(fleet):
+    entry = fleet.machines[2]
+    for number, (method, path, body) in enumerate(
+        [
+            ('GET', '/browse/1?q=2', None),
+            ('POST', '/book/1', b'two crates'),
+            ('GET', '/docs/1', None),
+        ]
+    ):
+        attempt_id = f'a-{number}'
+        response, content = entry.send(path, attempt_id, method, body)
+        assert response.status == 200
+        assert response.headers['Godwitknot-Server-Seal'] == 'seal'
+        assert content.endswith(path.encode())
+        (run,) = runs_of(fleet, attempt_id)
+        assert (run.method, run.target) == (method, path)
+        assert run.body == (body or b'')
+        # The service of the machine where the request began.
+        assert run.caller == 'documents'
+        assert 0 < run.time_left <= 3000
+
+
+def test_unknown_route_is_404(fleet):
+    response, _ = fleet.machines[0].send('/nothing/', 'a-1')
+    assert response.status == 404
+
+
+def test_draining_server_gets_nothing_more(fleet):
+    first = fleet.machines[0]
+    first.server.draining = True
+    assert first.server.announce(first.control) == 200
+    before = len(first.server.runs)
+    for number in range(10):
+        entry = fleet.machines[number % 3]
+        response, _ = entry.send('/browse/1', f'a-{number}')
+        assert response.status == 200
+    assert len(first.server.runs) == before
+
+
+def test_restarted_node_does_not_trust_a_late_heartbeat(fleet):
+    """The server leaves, the node loses power, a late heartbeat comes."""
+    first = fleet.machines[0]
+    first.server.draining = True
+    assert first.server.leave(first.control) == 200
+    first.process.kill()
+    first.process.wait()
+    first.start()
+    wait_until(first.is_ready)
+    assert first.server.announce(first.control, state='ready') == 200
+    before = len(first.server.runs)
+    for number in range(6):
+        first.send('/browse/1', f'a-{number}')
+    assert len(first.server.runs) == before
+
+
+def test_booking_with_a_lost_answer_runs_once(fleet):
+    for machine in fleet.machines:
+        machine.server.faults.cut = True
+    response, _ = fleet.machines[0].send('/book/1', 'a-1', 'POST', b'x')
+    assert response.status == 502
+    assert len(runs_of(fleet, 'a-1')) == 1
+
+
+def test_browsing_with_a_cut_answer_is_sent_again(fleet):
+    fleet.machines[0].server.faults.cut = True
+    for number in range(4):
+        response, content = fleet.machines[0].send(
+            '/browse/1', f'a-{number}'
+        )
+        assert response.status == 200
+        assert content.endswith(b'/browse/1')
+
+
+def test_answer_to_another_request_is_never_delivered(fleet):
+    for machine in fleet.machines:
+        machine.server.faults.stale = True
+    response, content = fleet.machines[0].send('/book/1', 'a-1', 'POST', b'')
+    assert response.status == 200
+    assert content != b'stale'
+    assert len(runs_of(fleet, 'a-1')) == 1
+
+
+def test_hung_server_ends_at_the_deadline_of_the_caller(fleet):
+    for machine in fleet.machines:
+        machine.server.faults.hang = True
+    began = time.monotonic()
+    response, _ = fleet.machines[0].send('/book/1', 'a-1', 'POST', left=800)
+    assert response.status == 504
+    assert 0.7 < time.monotonic() - began < 1.3
+
+
+def test_leaving_caller_cancels_what_may_be_repeated(fleet):
+    for machine in fleet.machines:
+        machine.server.faults.hang = True
+    with socket.create_connection(
+        ('127.0.0.1', fleet.machines[2].ports[0])
+    ) as caller:
+        caller.sendall(
+            f'GET /browse/1 HTTP/1.1\r\nHost: {HOST}\r\n'
+            'Godwitknot-Attempt-Id: a-1\r\n'
+            'Godwitknot-Deadline-Ms: 3000\r\n\r\n'.encode()
+        )
+        wait_until(lambda: runs_of(fleet, 'a-1'))
+    wait_until(
+        lambda: sum(each.server.cancelled for each in fleet.machines), 0.5
+    )
+
+
+def test_configuration_is_in_force_on_all_nodes(fleet):
+    fleet.configure(9, new=_route('/new/', 'idempotent', 'booking'))
+
+    def is_new():
+        return all(
+            machine.send('/new/1', f'a-{time.monotonic()}')[0].status == 200
+            for machine in fleet.machines
+        )
+
+    wait_until(is_new, 2.5)
+    # A late write of an older version changes nothing.
+    fleet.configure(7)
+    time.sleep(0.5)
+    assert is_new()
+
+
+def test_history_that_is_gone_is_read_anew(fleet):
+    fleet.store.forget()
+    fleet.configure(9, new=_route('/new/', 'idempotent', 'booking'))
+    wait_until(
+        lambda: fleet.machines[0].send('/new/1', 'a-1')[0].status == 200, 4
+    )
+
+
+def test_heartbeats_are_acknowledged_while_the_store_is_down(fleet):
+    fleet.store.faults.down = True
+    first = fleet.machines[0]
+    began = time.monotonic()
+    assert first.server.announce(first.control) == 200
+    assert time.monotonic() - began < 1
+    assert first.send('/docs/1', 'a-1')[0].status == 200
+
+
+def test_node_restarted_without_the_store_learns_from_others(fleet):
+    """The others still tell it, so that it serves before the store does."""
+    first = fleet.machines[0]
+    fleet.store.faults.down = True
+    first.process.kill()
+    first.process.wait()
+    first.start()
+    wait_until(first.is_ready, 6)
+    wait_until(lambda: first.send('/docs/1', 'a-1')[0].status == 200, 4)
+
+
+def test_write_with_a_lost_answer_is_settled(fleet):
+    fleet.store.faults.lose_answers = 0.7
+    first = fleet.machines[0]
+    first.server.draining = True
+    first.server.announce(first.control)
+    key = first.address(1)
+    wait_until(
+        lambda: b'draining' in (fleet.store.content('members', key) or b'')
+    )
+
+
+def test_stop_finishes_what_runs(fleet):
+    """A planned stop cuts no request."""
+    second = fleet.machines[1]
+    for machine in fleet.machines:
+        machine.server.work = 1.0
+    second.process.send_signal(signal.SIGTERM)
+    time.sleep(0.1)
+    assert second.get(2, '/api/ready')[0] == 503
+    response, _ = second.send('/book/1', 'a-1', 'POST', b'x')
+    assert response.status == 200
+    assert response.headers['Connection'] == 'close'
+    assert second.process.wait(6) == 0
+
+
+def test_metrics_are_served_as_text(fleet):
+    fleet.machines[0].send('/browse/1', 'a-1')
+    _, text = fleet.machines[0].get(4, '/metrics')
+    assert b'godwitknot_requests_total' in text
+    assert b'godwitknot_request_seconds_bucket' in text
+
+
+def test_failed_request_is_in_the_log(fleet):
+    fleet.machines[0].send('/nothing/', 'a-404')
+    wait_until(
+        lambda: any(
+            event.get('request') == 'a-404'
+            for event in fleet.machines[0].events()
+        )
+    )
--- a/tests/godwitknot/mesh/test_gate.py
+++ b/tests/godwitknot/mesh/test_gate.py
@@ -37,7 +37,7 @@
 
 @pytest.fixture
 def server(placement, log):
-    server = LocalServer(placement, log)
+    server = LocalServer(placement, log, started=1)
     server.hear(_beat(1, ServerState.READY))
     return server
 
--- a/tests/godwitknot/mesh/test_localserver.py
+++ b/tests/godwitknot/mesh/test_localserver.py
@@ -13,7 +13,7 @@
 
 @pytest.fixture
 def server(placement, log):
-    return LocalServer(placement, log)
+    return LocalServer(placement, log, started=1)
 
 
 def beat(sequence, state=ServerState.READY, server_id='s1', born=BORN):
@@ -46,6 +46,13 @@
     assert server.open_for_work
 
 
+def test_early_heartbeat_of_an_older_server_is_no_proof(placement, log):
+    """It may have been sent before the server told that it leaves."""
+    server = LocalServer(placement, log, started=BORN + 1)
+    server.hear(beat(1))
+    assert not server.open_for_work
+
+
 def test_health_answer_of_another_server_proves_nothing(server):
     server.hear(beat(7))
     assert not server.note_healthy('s2')
