Limit repeats at the sidecars, avoid late servers, prefer the own domain

Cause: each node's part of the retry budget is too small for its own bad luck, so that a quarter of the fleet's budget was used while hung requests were not sent again; bookings went on to servers that had just hung; one byte in two crossed failure domains.

Change: a sidecar, the only path to its server, spends the budget of its arrivals, and a refused repeat may be offered to another; a late run keeps at-most-once requests away until the server has answered again; the cost of another failure domain is above that of a busy server; a second send needs time left for it. A request beside repeats is never counted as one.

Ruled out: counting through news, since an estimate that is seconds old breaks the bound when many nodes repeat at once.

--- a/godwitknot/mesh/budget.py
+++ b/godwitknot/mesh/budget.py
@@ -1,70 +1,77 @@
-"""The fleet's budget of repeats, shared without a shared counter."""
+"""The fleet's budget of repeats, kept at the sidecars that admit them."""
 
 import collections
 
 from godwitknot.clock import Clock
 from godwitknot.mesh.model import Bounds
 
-# The bound holds for the whole fleet and counts also the calls that a
-# repeated run makes, so that nodes spend a part of it themselves.
-_SPENT_SHARE = 0.6
+# Kept free for what sidecars cannot count: arrivals at servers that ended,
+# and differences in how requests fall on the servers of a service.
+_SPENT_SHARE = 0.85
 _BUCKETS = 10
 
 
 class _Window:
-    """Counts events of the last seconds in buckets."""
+    """Adds amounts of the last seconds in buckets."""
 
     def __init__(self, seconds: float) -> None:
         self._width = seconds / _BUCKETS
-        self._counts: collections.Counter[int] = collections.Counter()
+        self._amounts: collections.Counter[int] = collections.Counter()
 
-    def add(self, now: float) -> None:
-        self._counts[int(now / self._width)] += 1
+    def add(self, now: float, amount: float) -> None:
+        self._amounts[int(now / self._width)] += amount
 
-    def total(self, now: float) -> int:
+    def total(self, now: float) -> float:
         oldest = int(now / self._width) - _BUCKETS
-        for bucket in [each for each in self._counts if each <= oldest]:
-            self._counts.pop(bucket)
-        return self._counts.total()
+        for bucket in [each for each in self._amounts if each < oldest]:
+            self._amounts.pop(bucket)
+        return self._amounts.total()
 
 
 class RepeatBudget:
-    """Limits how often this node sends requests of a service again.
+    """Limits the repeats that this sidecar lets through to its server.
 
-    Each node spends a share of the ratio on its own requests and an equal
-    part of the fleet's slack, so that the sum keeps the fleet's bound.
+    A sidecar is the only path to its server and sees all that arrives
+    there. Each spends the ratio on what has arrived first here and an equal
+    part of the slack, so that the sum over the servers of a service keeps
+    the fleet's bound without a shared counter. A repeat that is refused
+    here has not arrived, and may be offered to another sidecar.
     """
 
     def __init__(self, bounds: Bounds, clock: Clock) -> None:
-        """Start with an unused budget."""
+        """Start without slack.
+
+        What this node spent before a restart is not known, so that it
+        spends only the ratio within the first window.
+        """
         self._bounds = bounds
         self._clock = clock
-        self._requests: dict[str, _Window] = {}
-        self._repeats: dict[str, _Window] = {}
+        self._slack_from = clock.now() + bounds.retry_window_seconds
+        self._firsts = _Window(bounds.retry_window_seconds)
+        self._repeats = _Window(bounds.retry_window_seconds)
+
+    def note_first(self, hidden: float) -> None:
+        """Count a request that arrives for the first time.
 
-    def note_request(self, service: str) -> None:
-        """Count a caller's request for a service."""
-        self._window(self._requests, service).add(self._clock.now())
+        :param hidden: likelihood that it counts as a repeat all the same,
+            since a run that called it was one.
+        """
+        now = self._clock.now()
+        self._firsts.add(now, 1)
+        if hidden > 0:
+            self._repeats.add(now, hidden)
 
-    def try_spend(self, service: str, nodes: int) -> bool:
+    def try_spend(self, servers: int) -> bool:
         """Charge one repeat.
 
-        :param nodes: number of nodes that share the slack.
+        :param servers: number of servers that share the slack.
         :returns: whether the budget covers it.
         """
         now = self._clock.now()
-        requests = self._window(self._requests, service).total(now)
-        earned = self._bounds.retry_ratio * requests
-        slack = self._bounds.retry_slack / max(1, nodes)
-        repeats = self._window(self._repeats, service)
-        if repeats.total(now) + 1 > _SPENT_SHARE * (earned + slack):
+        budget = self._bounds.retry_ratio * self._firsts.total(now)
+        if now >= self._slack_from:
+            budget += self._bounds.retry_slack / max(1, servers)
+        if self._repeats.total(now) + 1 > _SPENT_SHARE * budget:
             return False
-        repeats.add(now)
+        self._repeats.add(now, 1)
         return True
-
-    def _window(self, windows: dict[str, _Window], service: str) -> _Window:
-        window = windows.get(service)
-        if window is None:
-            window = _Window(self._bounds.retry_window_seconds)
-            windows[service] = window
-        return window
--- a/godwitknot/mesh/choice.py
+++ b/godwitknot/mesh/choice.py
@@ -12,11 +12,11 @@
 from godwitknot.mesh.model import Placement
 from godwitknot.units import Address
 
-# Cost of a server by distance, in seconds of a caller's time: twice the
-# delay, and for another region the price of its bytes besides.
-_ZONE_COST = 0.005
-_REGION_COST = 0.012
-_FAR_COST = 0.5
+# Cost of a server by distance, in seconds of a caller's time: its delay,
+# and the price of bytes between failure domains and regions.
+_ZONE_COST = 0.01
+_REGION_COST = 0.12
+_FAR_COST = 0.6
 # A request that has to wait for a slot waits about as long as one runs.
 _RUN_SECONDS = 0.3
 # Told loads lose half of their weight in this time, about one run.
--- a/godwitknot/mesh/dispatch.py
+++ b/godwitknot/mesh/dispatch.py
@@ -5,7 +5,6 @@
 import attrs
 
 from godwitknot.clock import Clock
-from godwitknot.mesh.budget import RepeatBudget
 from godwitknot.mesh.choice import Chooser, Target
 from godwitknot.mesh.events import EventLog
 from godwitknot.mesh.frames import Offer
@@ -31,6 +30,8 @@
 _NO_SERVER_SECONDS = 0.5
 # The server's own answer at its deadline comes back this much earlier.
 _ANSWER_SECONDS = 0.03
+# Part of the objective that must be left for a second send.
+_LEAST_LEFT_SHARE = 0.15
 _LINK_CODES = frozenset((Code.LINK_DOWN, Code.LINK_LOST))
 
 
@@ -85,7 +86,6 @@
         chooser: Chooser,
         sidecar: Sidecar,
         relay: RelayClient,
-        budget: RepeatBudget,
         clock: Clock,
         log: EventLog,
         telemetry: Telemetry,
@@ -96,7 +96,6 @@
         self._chooser = chooser
         self._sidecar = sidecar
         self._relay = relay
-        self._budget = budget
         self._clock = clock
         self._log = log
         self._telemetry = telemetry
@@ -108,7 +107,6 @@
 
         :raises RefusalError: if there is none, with what is known.
         """
-        self._budget.note_request(job.service)
         attempts: list[_Attempt] = []
         try:
             return await self._run(job, attempts)
@@ -140,6 +138,7 @@
                     return answer
             if attempts:
                 self._check_deadline(job, attempts)
+                self._reopen_hedge(job, attempts, len(done))
                 self._hedge(job, attempts)
 
     def _take(self, job: Job, attempt: _Attempt) -> Answer | None:
@@ -203,10 +202,9 @@
         :raises RefusalError: if there is no server left to try.
         """
         self._check_deadline(job, attempts)
-        target, max_wait = self._choose(job)
-        repeat = job.sends > 0
-        if repeat and not self._spend(job):
+        if job.sends and not self._is_worth_sending(job):
             raise _conclude(job)
+        target, max_wait = self._choose(job)
         self._send(job, target, max_wait, attempts)
 
     def _choose(self, job: Job) -> tuple[Target, float]:
@@ -291,8 +289,13 @@
             caller_service=self._placement.service,
             caller_zone=self._placement.zone,
             fingerprint=job.fingerprint,
+            repeat=1 if job.sends > 1 else self._hidden_repeat(),
         )
 
+    def _hidden_repeat(self) -> float:
+        """Give the likelihood that a repeated run made this request."""
+        return self._sidecar.gate.repeats_running()
+
     async def _run_here(self, exchange: Exchange) -> Answer:
         gate = self._sidecar.gate
         try:
@@ -316,6 +319,17 @@
         patience = max(_LEAST_HEDGE_SECONDS, share)
         return min(each.started for each in waiting) + patience
 
+    def _reopen_hedge(
+        self,
+        job: Job,
+        attempts: list[_Attempt],
+        ended: int,
+    ) -> None:
+        """Let a second send go elsewhere after a sidecar refused it."""
+        if ended and job.refusals < _MOST_REFUSALS:
+            for attempt in attempts:
+                attempt.hedged = False
+
     def _hedge(self, job: Job, attempts: list[_Attempt]) -> None:
         now = self._clock.now()
         if now < self._next_hedge(job, attempts):
@@ -326,16 +340,17 @@
         target = self._chooser.choose(
             job.service, job.excluded | used, avoided=False
         )
-        if target is None or now >= job.deadline or not self._spend(job):
+        if target is None or not self._is_worth_sending(job):
             return
         self._telemetry.count('hedged_requests')
         self._send(job, target, 0, attempts)
 
-    def _spend(self, job: Job) -> bool:
-        if job.sends >= job.route.attempts:
+    def _is_worth_sending(self, job: Job) -> bool:
+        """Tell whether another send is allowed and may be answered."""
+        if not self._may_repeat(job):
             return False
-        nodes = len(self._directory.members)
-        return self._budget.try_spend(job.service, nodes)
+        left = job.deadline - self._clock.now()
+        return left > _LEAST_LEFT_SHARE * job.route.objective
 
     def _check_deadline(self, job: Job, attempts: list[_Attempt]) -> None:
         if self._clock.now() < job.deadline:
@@ -354,5 +369,8 @@
     if last is None:
         return RefusalError(Code.NO_SERVER, retry_after=_NO_SERVER_SECONDS)
     if job.may_have_run:
-        return RefusalError(Code.BAD_ANSWER, Outcome.MAY_HAVE_RUN)
+        code = last.code
+        if last.outcome is Outcome.NOT_RUN:
+            code = Code.CONNECTION_LOST
+        return RefusalError(code, Outcome.MAY_HAVE_RUN)
     return RefusalError(last.code, Outcome.NOT_RUN, last.retry_after)
--- a/godwitknot/mesh/frames.py
+++ b/godwitknot/mesh/frames.py
@@ -70,6 +70,8 @@
     :param max_wait: seconds that it may wait for a slot.
     :param caller_service: service of the instance where it began.
     :param caller_zone: failure domain where it began.
+    :param repeat: 1 if it was sent before; otherwise the likelihood that
+        it counts as a repeat, since a repeated run called it.
     """
 
     attempt_id: str
@@ -86,6 +88,7 @@
     caller_service: str
     caller_zone: str
     fingerprint: int
+    repeat: float = 0
 
 
 @attrs.frozen
@@ -207,6 +210,7 @@
             'callerService': offer.caller_service,
             'callerZone': offer.caller_zone,
             'fingerprint': offer.fingerprint,
+            'repeat': offer.repeat,
         },
     )
 
@@ -367,6 +371,7 @@
         caller_service=entry.callerService,
         caller_zone=entry.callerZone,
         fingerprint=entry.fingerprint,
+        repeat=entry.repeat,
     )
 
 
--- a/godwitknot/mesh/gate.py
+++ b/godwitknot/mesh/gate.py
@@ -9,6 +9,7 @@
 import attrs
 
 from godwitknot.clock import Clock
+from godwitknot.mesh.budget import RepeatBudget
 from godwitknot.mesh.frames import Load, Offer, Refused
 from godwitknot.mesh.localserver import LocalServer
 from godwitknot.mesh.vitals import Vitals
@@ -18,6 +19,8 @@
 _LEAST_RETRY_SECONDS = 0.2
 # Requests on trial at a server that was ejected.
 _TRIAL_SLOTS = 1
+# A request that is no repeat itself is never refused as one.
+_MOST_HIDDEN = 0.9
 # Callers are told to stay away this long from a server that is not open.
 _CLOSED_SECONDS = 1.0
 
@@ -45,14 +48,19 @@
         self,
         server: LocalServer,
         vitals: Vitals,
+        budget: RepeatBudget,
         clock: Clock,
     ) -> None:
         """Take the server.
 
         :param vitals: evidence on the server's health.
+        :param budget: of repeats that may reach the server.
         """
         self._server = server
         self._vitals = vitals
+        self._budget = budget
+        # Servers that share the repeats of the service.
+        self.sharing = 1
         self._clock = clock
         self._running: set[Ticket] = set()
         self._queue: list[tuple[int, float, int, Ticket]] = []
@@ -96,13 +104,15 @@
         """
         self.check_open(offer)
         self._check_vitals(offer)
+        self._check_room(offer)
+        if offer.repeat >= 1 and not self._budget.try_spend(self.sharing):
+            raise RefusalError(Code.RETRY_BUDGET)
         deadline = self._clock.now() + offer.seconds_left
         granted = asyncio.get_running_loop().create_future()
         ticket = Ticket(offer, granted, deadline)
-        if self._free_slots(offer) > 0 and not self._waiting():
+        if self._has_room(offer):
             self._grant(ticket)
             return ticket
-        self._check_queue(offer)
         if note_queued is not None:
             note_queued()
         entry = (offer.priority, deadline, next(self._order), ticket)
@@ -144,6 +154,16 @@
                     RefusalError(Code.DRAINING, retry_after=_CLOSED_SECONDS)
                 )
 
+    def repeats_running(self) -> float:
+        """Give the share of repeats among the requests on the server.
+
+        The calls of a repeated run count as repeats where they arrive.
+        """
+        if not self._running:
+            return 0
+        repeats = sum(ticket.offer.repeat for ticket in self._running)
+        return min(_MOST_HIDDEN, repeats / len(self._running))
+
     def note_hung(self) -> None:
         """Count runs that take far longer than usual, once each."""
         now = self._clock.now()
@@ -169,18 +189,37 @@
             return
         if self._vitals.blocks(zone) > 0:
             raise RefusalError(Code.EJECTED)
-        if self._vitals.on_trial(zone) and not offer.repeatable:
+        if offer.repeatable:
+            return
+        if self._vitals.on_trial(zone) or self._is_suspect():
             raise RefusalError(Code.EJECTED)
 
-    def _check_queue(self, offer: Offer) -> None:
+    def _is_suspect(self) -> bool:
+        """Tell whether a run is late and none that began later was good."""
+        now = self._clock.now()
+        late = self._vitals.late_seconds
+        answered = self._vitals.last_good_began
+        return any(
+            now - ticket.began > late and ticket.began > answered
+            for ticket in self._running
+        )
+
+    def _has_room(self, offer: Offer) -> bool:
+        return self._free_slots(offer) > 0 and not self._waiting()
+
+    def _check_room(self, offer: Offer) -> None:
+        if self._has_room(offer):
+            return
         wait = self.expected_wait()
         if offer.max_wait <= 0 or wait > offer.max_wait:
             raise RefusalError(Code.QUEUE_FULL, retry_after=wait)
 
     def _free_slots(self, offer: Offer) -> int:
         slots = self._server.slots
-        if self._vitals.on_trial(offer.caller_zone) and offer.max_wait <= 0:
-            slots = _TRIAL_SLOTS
+        if offer.max_wait > 0:
+            return slots - len(self._running)
+        if self._vitals.on_trial(offer.caller_zone):
+            return _TRIAL_SLOTS - len(self._running)
         return slots - len(self._running)
 
     def _waiting(self) -> int:
@@ -191,6 +230,8 @@
     def _grant(self, ticket: Ticket) -> None:
         self._running.add(ticket)
         ticket.began = self._clock.now()
+        if ticket.offer.repeat < 1:
+            self._budget.note_first(ticket.offer.repeat)
         if not ticket.granted.done():
             ticket.granted.set_result(None)
 
--- a/godwitknot/mesh/mesh.capnp
+++ b/godwitknot/mesh/mesh.capnp
@@ -23,6 +23,7 @@
   callerService @11 :Text;
   callerZone @12 :Text;
   fingerprint @13 :UInt64; # recognizes the request in crash reports
+  repeat @14 :Float64;     # 1 for a repeat, less if it may count as one
 }
 
 struct Load {
--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -85,7 +85,8 @@
         self._started = int(self._clock.wall() * _MILLISECONDS)
         self._server = LocalServer(placement, self._log, self._started)
         self._vitals = Vitals(self._clock, self._log)
-        self._gate = Gate(self._server, self._vitals, self._clock)
+        budget = RepeatBudget(placement.bounds, self._clock)
+        self._gate = Gate(self._server, self._vitals, budget, self._clock)
         self._client = HttpClient(_SERVER_IDLE_SECONDS)
         self._sidecar = Sidecar(
             placement.server,
@@ -139,7 +140,6 @@
             self._chooser,
             self._sidecar,
             self._relay,
-            RepeatBudget(placement.bounds, self._clock),
             self._clock,
             self._log,
             self._telemetry,
@@ -287,6 +287,8 @@
     def _note_own_record(self, member: Member) -> None:
         if member.address == self._placement.relay:
             self._sync.note_own_changed()
+        servers = self._directory.find_servers(self._directory.own.service)
+        self._gate.sharing = len(servers)
 
     async def _prove(self) -> None:
         """Ask the local server whether it is there and stays."""
--- a/godwitknot/mesh/vitals.py
+++ b/godwitknot/mesh/vitals.py
@@ -19,8 +19,11 @@
 # Good answers in a row that end a trial.
 _TRIAL_SUCCESSES = 1
 # A run this many times longer than usual counts as hung.
-_HUNG_FACTOR = 4.0
+_HUNG_FACTOR = 3.5
 _LEAST_HUNG_SECONDS = 0.5
+# A run this many times longer than usual makes its server suspect.
+_LATE_FACTOR = 2.0
+_LEAST_LATE_SECONDS = 0.3
 _USUAL_SECONDS = 0.3
 _SMOOTHING = 0.1
 
@@ -62,6 +65,8 @@
         )
         self._ejected: dict[str, Verdict] = {}
         self._usual = _USUAL_SECONDS
+        # When the run began that was good last, on the node's clock.
+        self.last_good_began = float(0)
 
     @property
     def usual_seconds(self) -> float:
@@ -73,6 +78,11 @@
         """Age from which a run counts as hung."""
         return max(_LEAST_HUNG_SECONDS, _HUNG_FACTOR * self._usual)
 
+    @property
+    def late_seconds(self) -> float:
+        """Age from which a run makes its server suspect."""
+        return max(_LEAST_LATE_SECONDS, _LATE_FACTOR * self._usual)
+
     def reset(self) -> None:
         """Forget everything, since another server is there."""
         self._outcomes.clear()
@@ -85,7 +95,9 @@
         :param seconds: that it took.
         """
         self._usual += _SMOOTHING * (seconds - self._usual)
-        self._outcomes.append(_Outcome(self._clock.now(), False, zone))
+        now = self._clock.now()
+        self.last_good_began = max(self.last_good_began, now - seconds)
+        self._outcomes.append(_Outcome(now, False, zone))
         verdict = self._ejected.get(zone)
         if verdict is None:
             return
--- a/tests/godwitknot/mesh/test_fleet.py
+++ b/tests/godwitknot/mesh/test_fleet.py
@@ -112,6 +112,16 @@
         assert content.endswith(b'/browse/1')
 
 
+def test_browsing_on_a_hung_server_is_answered_by_another(fleet):
+    """The second send must come in time for the objective of 1 s."""
+    fleet.machines[0].server.faults.hang = True
+    began = time.monotonic()
+    response, content = fleet.machines[0].send('/browse/1', 'a-1')
+    assert response.status == 200
+    assert content.startswith(b'i-2')
+    assert time.monotonic() - began < 1
+
+
 def test_answer_to_another_request_is_never_delivered(fleet):
     for machine in fleet.machines:
         machine.server.faults.stale = True
