Send bodies with the commit, and do not eject servers that shed

Change: an offer that must not be repeated, or has a body, sends it with the commit; shedding is no evidence against a server, which is left alone for 0.25 s; only requests for another service may be calls of a repeated run.

--- a/godwitknot/access.py
+++ b/godwitknot/access.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from godwitknot.errors import InvalidFileError, Problem, UserError
+from godwitknot.errors import InvalidFileError, UserError
 from godwitknot.inifile import ini_field, load_text, read_section, read_text
 from godwitknot.units import Address, parse_addresses
 
--- a/godwitknot/controlplane.py
+++ b/godwitknot/controlplane.py
@@ -4,8 +4,6 @@
 import time
 from collections.abc import Callable
 
-import attrs
-
 from godwitknot.clock import Clock
 from godwitknot.crashboard import FleetCrashBoard
 from godwitknot.crashes import CrashLedger
--- a/godwitknot/declaration.py
+++ b/godwitknot/declaration.py
@@ -2,8 +2,8 @@
 
 import enum
 import hashlib
-import pathlib
 import math
+import pathlib
 import re
 import types
 from collections.abc import Mapping
--- a/godwitknot/fleetview.py
+++ b/godwitknot/fleetview.py
@@ -19,8 +19,8 @@
 from godwitknot.explainer import Explainer
 from godwitknot.members import Directory
 from godwitknot.operations import (
-    Confirmation,
     ConfigurationView,
+    Confirmation,
     Explanation,
     FleetStatus,
     FleetView,
--- a/godwitknot/headstore.py
+++ b/godwitknot/headstore.py
@@ -10,7 +10,6 @@
     ConflictError,
     CorruptObjectError,
     LostAnswerError,
-    MissingObjectError,
     OperationRefusedError,
     StoreDownError,
     StoreError,
--- a/godwitknot/heartbeats.py
+++ b/godwitknot/heartbeats.py
@@ -1,6 +1,5 @@
 """Heartbeats of a node: sending, answering, and reports of silence."""
 
-import functools
 from collections.abc import Callable
 
 import attrs
@@ -16,7 +15,7 @@
     RecordsRequest,
     Unreachable,
 )
-from godwitknot.records import NodeRecord, NodeState
+from godwitknot.records import NodeState
 from godwitknot.transport import Endpoint
 from godwitknot.units import Address
 from godwitknot.watch import WatchSet
--- a/godwitknot/mesh/choice.py
+++ b/godwitknot/mesh/choice.py
@@ -24,6 +24,8 @@
 _UNTRIED_BONUS = 0.04
 # Where all servers are to be avoided, silent nodes come last.
 _SILENT_COST = 5.0
+# Servers that asked to be left alone come after those that are busy.
+_AVOIDED_COST = 0.5
 # A silent node gets no requests until it answers a digest, or this long.
 _SILENCE_SECONDS = 20.0
 _ROUND_TRIPS = (0.002, 0.01, 0.08)
@@ -166,10 +168,13 @@
         if self._is_local(member):
             load = self._gate.load()
             busy = load.running + load.waiting
-            return _load_cost(busy, load.slots)
+            avoided = _AVOIDED_COST if peer.avoid_until > now else 0
+            return avoided + _load_cost(busy, load.slots)
         cost = (_ZONE_COST, _REGION_COST, _FAR_COST)[self._distance(member)]
         if member.address in self.silent:
             cost += _SILENT_COST
+        if peer.avoid_until > now:
+            cost += _AVOIDED_COST
         age = now - peer.told_at
         faded = 0.5 ** (age / _LOAD_HALF_SECONDS)
         told = (peer.told.running + peer.told.waiting) * faded
--- a/godwitknot/mesh/dispatch.py
+++ b/godwitknot/mesh/dispatch.py
@@ -34,6 +34,8 @@
 _ANSWER_SECONDS = 0.03
 # Part of the objective that must be left for a second send.
 _LEAST_LEFT_SHARE = 0.15
+# A server that sheds is left alone for about the time of one run.
+_SHED_SECONDS = 0.25
 _LINK_CODES = frozenset((Code.LINK_DOWN, Code.LINK_LOST))
 
 
@@ -183,6 +185,7 @@
         if error.outcome is Outcome.NOT_RUN:
             job.refusals += 1
             if error.code is Code.SERVER_SHED:
+                self._chooser.avoid(target, _SHED_SECONDS)
                 return
             # It has not reached a server.
             job.sends -= 1
@@ -285,11 +288,16 @@
             caller_service=self._placement.service,
             caller_zone=self._placement.zone,
             fingerprint=job.fingerprint,
-            repeat=1 if job.sends > 1 else self._hidden_repeat(),
+            repeat=1 if job.sends > 1 else self._hidden_repeat(job),
         )
 
-    def _hidden_repeat(self) -> float:
-        """Give the likelihood that a repeated run made this request."""
+    def _hidden_repeat(self, job: Job) -> float:
+        """Give the likelihood that a repeated run made this request.
+
+        Servers call other services than their own.
+        """
+        if job.service == self._placement.service:
+            return 0
         return self._sidecar.gate.repeats_running()
 
     async def _run_here(self, exchange: Exchange) -> Answer:
--- a/godwitknot/mesh/frames.py
+++ b/godwitknot/mesh/frames.py
@@ -72,6 +72,7 @@
     :param caller_zone: failure domain where it began.
     :param repeat: 1 if it was sent before; otherwise the likelihood that
         it counts as a repeat, since a repeated run called it.
+    :param two_phase: on the receiving side, whether a commit follows.
     """
 
     attempt_id: str
@@ -89,6 +90,16 @@
     caller_zone: str
     fingerprint: int
     repeat: float = 0
+    two_phase: bool = False
+
+    @property
+    def needs_commit(self) -> bool:
+        """Whether the request waits for a commit once its slot is granted.
+
+        What must not be repeated does, so that a lost grant proves that it
+        has not run; bodies do, since a refused offer has sent none.
+        """
+        return not self.repeatable or bool(self.body)
 
 
 @attrs.frozen
@@ -200,7 +211,8 @@
             'method': offer.method,
             'target': offer.target,
             'fields': _pack_fields(offer.fields),
-            'body': offer.body,
+            'body': b'' if offer.needs_commit else offer.body,
+            'twoPhase': offer.needs_commit,
             'service': offer.service,
             'serverId': offer.server_id,
             'repeatable': offer.repeatable,
@@ -220,9 +232,14 @@
     return _frame(kind, _pack_load(load))
 
 
-def encode_signal(kind: Kind) -> bytes:
-    """Encode a frame without content."""
-    return _frame(kind, None)
+def encode_commit(body: bytes) -> bytes:
+    """Encode the commit of an offer, with its body."""
+    return _frame(Kind.COMMIT, body)
+
+
+def encode_same() -> bytes:
+    """Encode that there is no difference."""
+    return _frame(Kind.SAME, None)
 
 
 def encode_refusal(refused: Refused) -> bytes:
@@ -372,6 +389,7 @@
         caller_zone=entry.callerZone,
         fingerprint=entry.fingerprint,
         repeat=entry.repeat,
+        two_phase=entry.twoPhase,
     )
 
 
@@ -452,7 +470,7 @@
     Kind.OFFER: _unpack_offer,
     Kind.QUEUED: _unpack_load,
     Kind.GRANTED: _unpack_load,
-    Kind.COMMIT: _unpack_nothing,
+    Kind.COMMIT: bytes,
     Kind.REFUSAL: _unpack_refusal,
     Kind.ANSWER: _unpack_answer,
     Kind.RUMOR: _unpack_rumor,
--- a/godwitknot/mesh/mesh.capnp
+++ b/godwitknot/mesh/mesh.capnp
@@ -16,7 +16,7 @@
   body @4 :Data;
   service @5 :Text;
   serverId @6 :Text;
-  repeatable @7 :Bool;     # without it, the receiver waits for a commit
+  repeatable @7 :Bool;
   priority @8 :Int32;
   secondsLeft @9 :Float64;
   maxWait @10 :Float64;    # seconds in the queue; 0 forbids to queue
@@ -24,6 +24,7 @@
   callerZone @12 :Text;
   fingerprint @13 :UInt64; # recognizes the request in crash reports
   repeat @14 :Float64;     # 1 for a repeat, less if it may count as one
+  twoPhase @15 :Bool;      # the receiver waits for a commit with the body
 }
 
 struct Load {
@@ -96,7 +97,7 @@
     offer @0 :Offer;
     queued @1 :Load;
     granted @2 :Load;
-    commit @3 :Void;
+    commit @3 :Data;       # the body
     refusal @4 :Refusal;
     answer @5 :Answer;
     rumor @6 :Rumor;
--- a/godwitknot/mesh/relay.py
+++ b/godwitknot/mesh/relay.py
@@ -118,8 +118,9 @@
         )
         try:
             link.send(frames.encode_load(Kind.GRANTED, gate.load()))
-            if not offer.repeatable:
-                await _await_commit(link)
+            if offer.two_phase:
+                body = await _await_commit(link)
+                ticket.offer = attrs.evolve(offer, body=body)
             # After a pause of this process, a sender may be long gone.
             if link.channel.ended:
                 raise RefusalError(Code.CANCELLED)
@@ -129,14 +130,19 @@
         return await self._sidecar.run(ticket)
 
 
-async def _await_commit(link: FrameChannel) -> None:
+async def _await_commit(link: FrameChannel) -> bytes:
+    """Give the body that comes with the commit.
+
+    :raises RefusalError: not run, if none comes.
+    """
     try:
         async with asyncio.timeout(_COMMIT_SECONDS):
-            kind, _ = await link.receive()
+            kind, body = await link.receive()
     except TimeoutError:
         raise RefusalError(Code.LINK_LOST) from None
     if kind is not Kind.COMMIT:
         raise ProtocolError(f'{kind} instead of a commit')
+    return body
 
 
 async def _watch(link: FrameChannel) -> None:
@@ -275,9 +281,9 @@
                     )
                 elif kind is Kind.GRANTED:
                     exchange.load = content
-                    if not offer.repeatable:
+                    if offer.needs_commit:
                         exchange.committed = True
-                        link.send(frames.encode_signal(Kind.COMMIT))
+                        link.send(frames.encode_commit(offer.body))
                     exchange.granted.set()
                     limit.reschedule(None)
                 else:
@@ -299,8 +305,8 @@
 def _explain(exchange: Exchange, code: Code) -> RefusalError:
     """Say what is known after the link failed.
 
-    Without a commit, the sidecar never runs what must not be repeated.
+    A sidecar never runs what waits for a commit without one.
     """
-    if exchange.offer.repeatable or exchange.committed:
+    if exchange.committed or not exchange.offer.needs_commit:
         return RefusalError(code, Outcome.MAY_HAVE_RUN)
     return RefusalError(code)
--- a/godwitknot/mesh/sidecar.py
+++ b/godwitknot/mesh/sidecar.py
@@ -194,7 +194,16 @@
                 found=facts.server_id,
             )
             raise RefusalError(Code.WRONG_INCARNATION, relayed=True)
-        self._note_bad(offer, 'shed', '')
+        # No evidence against the server: it says so at once, and where all
+        # servers shed, an ejection would only take capacity away.
+        self._telemetry.count('server_shed')
+        self._log.write(
+            'server shed',
+            request=offer.attempt_id,
+            server=self._server.server_id,
+            status=answer.status,
+            waiting=facts.waiting,
+        )
         raise RefusalError(
             Code.SERVER_SHED, retry_after=_RETRY_SECONDS, relayed=True
         )
--- a/godwitknot/mesh/spreading.py
+++ b/godwitknot/mesh/spreading.py
@@ -101,7 +101,7 @@
         """
         if kind is Kind.RUMOR:
             self._take_rumor(content)
-            return frames.encode_signal(Kind.SAME)
+            return frames.encode_same()
         if kind is Kind.DIGEST:
             return self._answer_digest(content)
         raise ProtocolError(f'unexpected {kind}')
@@ -148,7 +148,7 @@
         if digest.version > self._holder.version:
             self._spawn(self._pull(digest.sender, digest.version))
         if same and not newer:
-            return frames.encode_signal(Kind.SAME)
+            return frames.encode_same()
         members = () if same else self._directory.members
         source = self._holder.current.source if newer else b''
         return frames.encode_knowledge(Knowledge(members, source))
--- a/godwitknot/reconcile.py
+++ b/godwitknot/reconcile.py
@@ -20,7 +20,6 @@
     Message,
     Records,
     RecordsRequest,
-    Unreachable,
     VersionEntry,
     Versions,
 )
--- a/tests/dataplane.py
+++ b/tests/dataplane.py
@@ -12,8 +12,8 @@
 from godwitknot.declaration import parse_declaration
 from godwitknot.dispatch import Dispatcher
 from godwitknot.httpserver import NodeServer
-from godwitknot.ingress import Accounting, IngressApp, Serving
 from godwitknot.idempotency import IdempotencyBook
+from godwitknot.ingress import Accounting, IngressApp, Serving
 from godwitknot.keydispatch import KeyDispatcher, OwnerFinder
 from godwitknot.keys import FleetKeys
 from godwitknot.metrics import Metrics
--- /dev/null
+++ b/tests/godwitknot/mesh/test_frames.py
@@ -0,0 +1,50 @@
+"""Frames keep what they carry, and damaged ones end with their type."""
+
+import contextlib
+
+import attrs
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from test_gate import make_offer
+from test_membership import OWN
+
+from godwitknot.errors import ProtocolError
+from godwitknot.mesh import frames
+
+
+def test_refused_offer_has_not_sent_its_body():
+    """Bodies of refused offers were half of the bytes between domains."""
+    offer = make_offer(body=b'x' * 100000, repeatable=False)
+    frame = frames.encode_offer(offer)
+    assert len(frame) < 1000
+    kind, decoded = frames.decode(frame)
+    assert kind is frames.Kind.OFFER
+    assert decoded == attrs.evolve(offer, body=b'', two_phase=True)
+
+
+def test_commit_carries_the_body():
+    kind, body = frames.decode(frames.encode_commit(b'abc'))
+    assert (kind, body) == (frames.Kind.COMMIT, b'abc')
+
+
+def test_offer_without_body_needs_no_commit_if_repeatable():
+    _, decoded = frames.decode(frames.encode_offer(make_offer()))
+    assert decoded == make_offer()
+
+
+def test_member_survives_its_row():
+    assert frames.decode_member(frames.encode_member(OWN)) == OWN
+
+
+@given(st.binary(max_size=200))
+def test_damaged_frames_raise_a_type_of_their_own(content):
+    """Rows of other writers and damaged frames end no process."""
+    for read in (frames.decode, frames.decode_member):
+        with contextlib.suppress(ProtocolError):
+            read(content)
+
+
+def test_unreadable_row_names_no_server():
+    with pytest.raises(ProtocolError):
+        frames.decode_member(b'')
--- /dev/null
+++ b/tests/godwitknot/mesh/test_mesh_dispatch.py
@@ -0,0 +1,170 @@
+"""Requests go to servers with room, and are given up only untried ones."""
+
+import asyncio
+import random
+
+import attrs
+import pytest
+
+from godwitknot.mesh.choice import Chooser
+from godwitknot.mesh.dispatch import Dispatcher, Job
+from godwitknot.mesh.gate import Gate
+from godwitknot.mesh.localserver import LocalServer
+from godwitknot.mesh.membership import Directory, Member
+from godwitknot.mesh.model import (
+    Answer,
+    Message,
+    Route,
+    RouteKind,
+    ServerState,
+    Share,
+)
+from godwitknot.mesh.runtime import Runtime
+from godwitknot.mesh.telemetry import Telemetry
+from godwitknot.outcomes import Code, Outcome, RefusalError
+from godwitknot.units import Address
+
+OWN = Member(
+    'node-1',
+    Address('10.0.0.1', 1),
+    'z1',
+    'r1',
+    'documents',
+    'd1',
+    5,
+    ServerState.READY,
+    4,
+    incarnation=100,
+    revision=0,
+    serving=True,
+)
+
+
+class FakeSidecar:
+    """The sidecar of a node whose server is of another service."""
+
+    def __init__(self, gate):
+        self.gate = gate
+
+
+class FakeRelay:
+    """Answers offers by a script for each server."""
+
+    def __init__(self):
+        self.offers = []
+        self.replies = {}
+
+    async def run(self, address, round_trip, exchange):
+        self.offers.append(exchange.offer)
+        reply = self.replies.get(exchange.offer.server_id)
+        if isinstance(reply, RefusalError):
+            raise reply
+        if reply is None:
+            exchange.granted.set()
+            exchange.committed = True
+            return Answer(200, [], b'done')
+        return reply
+
+    def close_idle(self, address):
+        """Nothing is kept."""
+
+
+@pytest.fixture
+def relay():
+    return FakeRelay()
+
+
+@pytest.fixture
+def dispatcher(placement, clock, log, relay):
+    runtime = Runtime(clock, log, Telemetry(), random.Random(1))
+    directory = Directory(OWN)
+    directory.merge(
+        attrs.evolve(
+            OWN,
+            node=f'node-{number}',
+            address=Address(f'10.0.0.{number}', 1),
+            service='booking',
+            server_id=f's{number}',
+        )
+        for number in (2, 3, 4)
+    )
+    gate = Gate(LocalServer(placement, log, 1), None, None, clock)
+    chooser = Chooser(placement, directory, gate, runtime)
+    sidecar = FakeSidecar(gate)
+    return Dispatcher(placement, chooser, sidecar, relay, runtime)
+
+
+def make_job(clock, kind):
+    route = Route(
+        'r',
+        'h',
+        '/',
+        kind,
+        (Share('booking', 1),),
+        attempts=2,
+        timeout=3,
+        objective=1,
+        priority=1,
+    )
+    return Job(
+        'a1',
+        Message('POST', '/', [], b''),
+        route,
+        'booking',
+        clock.now(),
+        clock.now() + 3,
+        1,
+    )
+
+
+def dispatch(dispatcher, job):
+    return asyncio.run(dispatcher.dispatch(job))
+
+
+def test_refusal_as_not_run_is_offered_elsewhere(dispatcher, clock, relay):
+    for server in ('s2', 's3'):
+        relay.replies[server] = RefusalError(Code.QUEUE_FULL, relayed=True)
+    job = make_job(clock, RouteKind.AT_MOST_ONCE)
+    assert dispatch(dispatcher, job).status == 200
+    assert all(offer.repeat == 0 for offer in relay.offers)
+
+
+def test_at_most_once_ends_with_its_unknown_outcome(dispatcher, clock, relay):
+    """A second send might run a booking twice."""
+    lost = RefusalError(Code.LINK_LOST, Outcome.MAY_HAVE_RUN)
+    relay.replies = dict.fromkeys(('s2', 's3', 's4'), lost)
+    with pytest.raises(RefusalError) as caught:
+        dispatch(dispatcher, make_job(clock, RouteKind.AT_MOST_ONCE))
+    assert caught.value.outcome is Outcome.MAY_HAVE_RUN
+    assert len(relay.offers) == 1
+
+
+def test_idempotent_failure_is_sent_again_once(dispatcher, clock, relay):
+    """Attempts of the route bound the servers that a request reaches."""
+    failed = Answer(500, [], b'')
+    relay.replies = dict.fromkeys(('s2', 's3', 's4'), failed)
+    answer = dispatch(dispatcher, make_job(clock, RouteKind.IDEMPOTENT))
+    assert answer.status == 500
+    assert [offer.repeat for offer in relay.offers] == [0, 1]
+    assert len({offer.server_id for offer in relay.offers}) == 2
+
+
+def test_shed_request_is_a_repeat_where_it_goes_next(dispatcher, clock, relay):
+    """An arrival that a server sheds counts for the retry budget."""
+    shed = RefusalError(Code.SERVER_SHED, relayed=True)
+    relay.replies = dict.fromkeys(('s2', 's3', 's4'), shed)
+    with pytest.raises(RefusalError) as caught:
+        dispatch(dispatcher, make_job(clock, RouteKind.AT_MOST_ONCE))
+    assert caught.value.outcome is Outcome.NOT_RUN
+    assert [offer.repeat for offer in relay.offers] == [0, 1]
+
+
+def test_request_that_found_no_room_is_not_run(dispatcher, clock, relay):
+    full = RefusalError(Code.QUEUE_FULL, retry_after=0.3, relayed=True)
+    relay.replies = dict.fromkeys(('s2', 's3', 's4'), full)
+    with pytest.raises(RefusalError) as caught:
+        dispatch(dispatcher, make_job(clock, RouteKind.IDEMPOTENT))
+    assert caught.value.status == 503
+    assert caught.value.outcome is Outcome.NOT_RUN
+    assert caught.value.retry_after > 0
+    assert relay.offers[-1].max_wait > 0
--- a/tests/godwitknot/mesh/test_fleet.py
+++ b/tests/godwitknot/mesh/test_mesh_fleet.py
@@ -6,7 +6,7 @@
 import time
 
 import pytest
-from fleet import HOST, Fleet, _route, wait_until
+from meshfleet import HOST, Fleet, _route, wait_until
 
 
 @pytest.fixture
--- a/tests/godwitknot/test_controlcost.py
+++ b/tests/godwitknot/test_controlcost.py
@@ -4,8 +4,8 @@
 import random
 
 import pytest
-
 from fleet import KEYS, Node, make_record, make_server, wait_for
+
 from godwitknot import gossip
 from godwitknot.budgets import ByteBudget
 from godwitknot.clock import ManualClock
--- a/tests/godwitknot/test_gossip.py
+++ b/tests/godwitknot/test_gossip.py
@@ -4,8 +4,8 @@
 
 import attrs
 import pytest
-
 from fleet import Node, make_record, make_server, wait_for
+
 from godwitknot.budgets import ByteBudget
 from godwitknot.clock import ManualClock
 from godwitknot.errors import SupersededError
--- a/tests/godwitknot/test_idempotency.py
+++ b/tests/godwitknot/test_idempotency.py
@@ -2,8 +2,7 @@
 import threading
 
 import pytest
-from hypothesis import settings
-from hypothesis import stateful
+from hypothesis import settings, stateful
 from hypothesis import strategies as st
 
 from godwitknot.clock import ManualClock
--- a/tests/godwitknot/test_members.py
+++ b/tests/godwitknot/test_members.py
@@ -5,11 +5,11 @@
 
 import attrs
 import pytest
+from fleet import make_record, make_server
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from fleet import make_record, make_server
 from godwitknot.clock import ManualClock
 from godwitknot.entries import TOMBSTONE_SECONDS
 from godwitknot.errors import SupersededError
