--- a/godwitknot/mesh/knowledge.py
+++ b/godwitknot/mesh/knowledge.py
@@ -94,7 +94,7 @@
         self._log = runtime.log
         self._telemetry = runtime.telemetry
         self._rng = runtime.rng
-        self._row_versions: dict[str, int] = {}
+        self._stored_versions: dict[str, int] = {}
         self._changed = asyncio.Event()
         self._connected = True
         self.members_read = False
@@ -162,7 +162,7 @@
     def _take_page(self, page: Page) -> None:
         members: list[Member] = []
         for row in page.rows:
-            self._row_versions[row.key] = row.version
+            self._stored_versions[row.key] = row.version
             if row.content is None:
                 continue
             try:
@@ -188,10 +188,10 @@
                     _MEMBER_TABLE,
                     key,
                     frames.encode_member(own),
-                    self._row_versions.get(key, 0),
+                    self._stored_versions.get(key, 0),
                 )
             except RowChangedError as error:
-                self._row_versions[key] = error.version
+                self._stored_versions[key] = error.version
                 self._changed.set()
                 continue
             except StoreError as error:
@@ -199,7 +199,7 @@
                 pause = await self._wait_out(error, pause)
                 continue
             pause = self._note_connected()
-            self._row_versions[key] = version
+            self._stored_versions[key] = version
             written = own
 
     async def _wait_out(self, error: StoreError, pause: float) -> float:
--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -289,9 +289,11 @@
     async def _prove(self) -> None:
         """Ask the local server whether it is there and stays."""
         configuration = self._holder.current
-        path = '/health'
-        if configuration is not None:
-            path = configuration.health_paths.get(self._server.service, path)
+        if configuration is None:
+            return
+        path = configuration.health_paths.get(self._server.service)
+        if path is None:
+            return
         message = Message('GET', path, [], b'')
         self._telemetry.count('health_checks')
         try:
--- a/godwitknot/metrics.py
+++ b/godwitknot/metrics.py
@@ -1,6 +1,6 @@
 """Counters, gauges and timers, kept in memory and sent to statsd.
 
-Names and units are listed in docs/operations.md.
+Names and units are listed in docs/OPERATIONS.md.
 """
 
 import collections
--- a/godwitknot/operations.py
+++ b/godwitknot/operations.py
@@ -16,7 +16,7 @@
 
 
 class ApiCode(enum.StrEnum):
-    """Error codes of the operator's interface, see docs/operations.md."""
+    """Error codes of the operator's interface, see docs/OPERATIONS.md."""
 
     UNAUTHORIZED = 'unauthorized'
     OPERATOR_REQUIRED = 'operator-required'
--- a/godwitknot/outcomes.py
+++ b/godwitknot/outcomes.py
@@ -17,7 +17,7 @@
 
 
 class Code(enum.StrEnum):
-    """Stable reason codes, documented in docs/operations.md."""
+    """Stable reason codes, documented in docs/OPERATIONS.md."""
 
     NO_CLASS = 'no-class'
     NO_SERVER = 'no-server'
--- a/standins/meshserver.py
+++ b/standins/meshserver.py
@@ -4,10 +4,12 @@
 import threading
 import time
 from http.client import HTTPConnection
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from http.server import BaseHTTPRequestHandler
 
 import attrs
 
+from standins.metadata import QuietHTTPServer
+
 _MILLISECONDS = 1000
 
 
@@ -57,8 +59,7 @@
         self.born = int(time.time() * _MILLISECONDS)
         self._sequence = 0
         handler = type('Handler', (_Handler,), {'owner': self})
-        self._http = ThreadingHTTPServer(('127.0.0.1', 0), handler)
-        self._http.daemon_threads = True
+        self._http = QuietHTTPServer(('127.0.0.1', 0), handler)
         threading.Thread(target=self._http.serve_forever, daemon=True).start()
 
     @property
--- a/standins/metadata.py
+++ b/standins/metadata.py
@@ -151,6 +151,15 @@
     return (entry['table'], entry['part'], entry['key'])
 
 
+class QuietHTTPServer(ThreadingHTTPServer):
+    """Serves each connection in a thread; callers may leave at any time."""
+
+    daemon_threads = True
+
+    def handle_error(self, request: object, client_address: object) -> None:
+        """Print nothing: faults cut connections on purpose."""
+
+
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = 'HTTP/1.1'
     store: MetadataStore
@@ -200,10 +209,9 @@
         self.wfile.write(body)
 
 
-def start_store(store: MetadataStore) -> ThreadingHTTPServer:
+def start_store(store: MetadataStore) -> QuietHTTPServer:
     """Serve a store on a free port of the loopback address."""
     handler = type('Handler', (_Handler,), {'store': store})
-    server = ThreadingHTTPServer(('127.0.0.1', 0), handler)
-    server.daemon_threads = True
+    server = QuietHTTPServer(('127.0.0.1', 0), handler)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -80,7 +80,7 @@
 
 def test_operations_page_lists_codes_metrics_and_events():
     """Guards against codes and names that an operator cannot look up."""
-    page = read_page('operations.md')
+    page = read_page('OPERATIONS.md')
     named = {*Code, *ApiCode, *Outcome}
     named |= find_literals({'count', 'time', 'gauge'})
     named |= find_literals({'log_event'})
