Use the record of an earlier run after a restart

Cause: a restarted node never looked at the record that its earlier run had left, because it compared ages and a restart has the higher one. A server that was leaving was kept closed by the health check alone, and a sound one got no requests until its next heartbeat, up to 1.5 s.

Change: any record of the own address with another incarnation is recalled: a leaving server stays closed, any other is asked for its health at once. A server that looks older than its silent predecessor, after its clock was set back, is accepted after three heartbeats.

Ruled out: trusting the record without a health answer, since the server may have told that it leaves just before a power loss.

--- a/godwitknot/mesh/localserver.py
+++ b/godwitknot/mesh/localserver.py
@@ -44,6 +44,8 @@
     proved: bool = False
     _heard: int = 0
     _left: dict[str, int] = attrs.field(factory=dict)
+    # Heartbeats in a row of a server that seems older than the present one.
+    _rivals: int = 0
 
     @property
     def open_for_work(self) -> bool:
@@ -62,8 +64,9 @@
         """
         if heartbeat.address != self.placement.server:
             return self._ignore(heartbeat, 'other address')
-        if self._is_late(heartbeat):
+        if self._is_late(heartbeat) and not self._persists(heartbeat):
             return self._ignore(heartbeat, 'late')
+        self._rivals = 0
         fresh = (heartbeat.server_id, heartbeat.born) != (
             self.server_id,
             self.born,
@@ -111,9 +114,14 @@
         """Take in a record that an earlier run of this node left.
 
         A server that was leaving then must not get work on the word of a
-        late heartbeat.
+        late heartbeat. Any other needs only a good health answer, before
+        its next heartbeat.
         """
-        if member.state not in _LEAVING or not member.server_id:
+        if not member.server_id:
+            return
+        if member.state not in _LEAVING:
+            if not self.server_id:
+                self._adopt(member)
             return
         known = self._left.get(member.server_id, -1)
         self._left[member.server_id] = max(known, member.born)
@@ -138,6 +146,19 @@
         self.log.write('server proved by health check', server=server_id)
         return True
 
+    def _adopt(self, member: Member) -> None:
+        self.server_id = member.server_id
+        self.born = member.born
+        self.service = member.service
+        self.slots = member.slots
+        self.state = ServerState.READY
+        self.log.write(
+            'server state',
+            server=self.server_id,
+            state=self.state.value,
+            reason='record of an earlier run',
+        )
+
     def _begin(self, heartbeat: Heartbeat) -> None:
         self.server_id = heartbeat.server_id
         self.born = heartbeat.born
@@ -160,6 +181,19 @@
             return heartbeat.sequence <= self.sequence
         return False
 
+    def _persists(self, heartbeat: Heartbeat) -> bool:
+        """Tell whether a server that seems older is the present one.
+
+        A clock that was set back lets a new server look older than its
+        predecessor, which is then silent.
+        """
+        if heartbeat.server_id == self.server_id:
+            return False
+        if heartbeat.server_id in self._left:
+            return False
+        self._rivals += 1
+        return self._rivals >= _PROVING_HEARTBEATS
+
     def _ignore(self, heartbeat: Heartbeat, reason: str) -> bool:
         self.log.write(
             'heartbeat ignored',
--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -126,12 +126,13 @@
         self._spreader = Spreader(
             self._directory,
             self._holder,
-            self._server,
             self._chooser,
             self._crashes,
             self._relay,
             runtime,
         )
+        self._spreader.recall_listeners.append(self._recall)
+        self._holder.listeners.append(self._prove_if_needed)
         self._sync = StoreSync(
             store,
             self._holder,
@@ -267,8 +268,7 @@
             self._client.close_idle(self._placement.server)
         if not server.open_for_work:
             self._gate.refuse_all()
-        if server.wants_proof:
-            self._spawn(self._prove())
+        self._prove_if_needed()
         state = server.state
         if server.wants_proof:
             state = ServerState.UNKNOWN
@@ -280,6 +280,15 @@
             slots=server.slots,
         )
 
+    def _recall(self, member: Member) -> None:
+        self._server.recall(member)
+        if self._server.server_id:
+            self._note_server()
+
+    def _prove_if_needed(self) -> None:
+        if self._server.wants_proof:
+            self._spawn(self._prove())
+
     def _note_own_record(self, member: Member) -> None:
         if member.address == self._placement.relay:
             self._sync.note_own_changed()
--- a/godwitknot/mesh/spreading.py
+++ b/godwitknot/mesh/spreading.py
@@ -1,6 +1,7 @@
 """News among nodes: pushed when something changes, compared each second."""
 
 import asyncio
+from collections.abc import Callable
 
 from godwitknot.crashes import CrashLedger
 from godwitknot.errors import ProtocolError
@@ -8,7 +9,6 @@
 from godwitknot.mesh.choice import Chooser
 from godwitknot.mesh.frames import Digest, Kind, Knowledge, Rumor
 from godwitknot.mesh.knowledge import ConfigurationHolder
-from godwitknot.mesh.localserver import LocalServer
 from godwitknot.mesh.membership import Crash, Directory, Member
 from godwitknot.mesh.relay import RelayClient
 from godwitknot.mesh.runtime import Runtime
@@ -34,7 +34,6 @@
         self,
         directory: Directory,
         holder: ConfigurationHolder,
-        server: LocalServer,
         chooser: Chooser,
         crashes: CrashLedger,
         relay: RelayClient,
@@ -43,7 +42,6 @@
         """Take the collaborators."""
         self._directory = directory
         self._holder = holder
-        self._server = server
         self._chooser = chooser
         self._crashes = crashes
         self._relay = relay
@@ -54,6 +52,8 @@
         self._news: dict[Address, Member] = {}
         self._crash_news: dict[tuple, Crash] = {}
         self._seen_crashes: set[tuple] = set()
+        # Called with a record that an earlier run of this node left.
+        self.recall_listeners: list[Callable[[Member], None]] = []
         self._waking = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
         self.heard_knowledge = False
@@ -69,11 +69,14 @@
 
     def take_members(self, members: list[Member], origin: str) -> None:
         """Take in records, from the store or from other nodes."""
-        own_address = self._directory.own.address
-        for member in members:
-            own = self._directory.own
-            if member.address == own_address and member.age > own.age:
-                self._server.recall(member)
+        own = self._directory.own
+        own_address = own.address
+        recalled = [
+            member
+            for member in members
+            if member.address == own_address
+            and member.incarnation != own.incarnation
+        ]
         for member in self._directory.merge(members):
             if member.address == own_address:
                 continue
@@ -87,6 +90,8 @@
                 revision=member.revision,
                 origin=origin,
             )
+        for member in recalled:
+            self._recall(member)
 
     def report_crash(self, fingerprints: tuple[int, ...]) -> None:
         """Tell the fleet which requests ran when the server crashed."""
@@ -106,6 +111,10 @@
             return self._answer_digest(content)
         raise ProtocolError(f'unexpected {kind}')
 
+    def _recall(self, member: Member) -> None:
+        for listener in self.recall_listeners:
+            listener(member)
+
     def _note_change(self, member: Member) -> None:
         self._news[member.address] = member
         self._waking.set()
--- a/tests/godwitknot/mesh/test_localserver.py
+++ b/tests/godwitknot/mesh/test_localserver.py
@@ -100,22 +100,25 @@
     assert server.open_for_work
 
 
+RECORD = Member(
+    node='node-1',
+    address=Address('127.0.0.1', 2),
+    zone='z1',
+    region='r1',
+    service='booking',
+    server_id='s1',
+    born=BORN,
+    state=ServerState.READY,
+    slots=4,
+    incarnation=1,
+    revision=2,
+    serving=True,
+)
+
+
 def test_record_of_an_earlier_run_keeps_a_leaving_server_closed(server):
     """After a power loss the store still knows that the server leaves."""
-    record = Member(
-        node='node-1',
-        address=Address('127.0.0.1', 2),
-        zone='z1',
-        region='r1',
-        service='booking',
-        server_id='s1',
-        born=BORN,
-        state=ServerState.DRAINING,
-        slots=4,
-        incarnation=1,
-        revision=2,
-        serving=True,
-    )
+    record = attrs.evolve(RECORD, state=ServerState.DRAINING)
     server.recall(record)
     server.hear(beat(6))
     assert not server.open_for_work
@@ -125,21 +128,7 @@
 
 def test_record_that_arrives_after_the_heartbeat_closes_too(server):
     server.hear(beat(1))
-    record = Member(
-        'node-1',
-        Address('127.0.0.1', 2),
-        'z1',
-        'r1',
-        'booking',
-        's1',
-        BORN,
-        ServerState.GONE,
-        4,
-        1,
-        2,
-        serving=True,
-    )
-    server.recall(attrs.evolve(record))
+    server.recall(attrs.evolve(RECORD, state=ServerState.GONE))
     assert not server.open_for_work
 
 
@@ -147,3 +136,29 @@
     other = attrs.evolve(beat(1), address=Address('127.0.0.1', 99))
     server.hear(other)
     assert not server.open_for_work
+
+
+def test_record_of_a_ready_server_needs_only_a_health_answer(server):
+    """A restarted node need not wait for the next heartbeat."""
+    server.recall(RECORD)
+    assert not server.open_for_work
+    server.note_healthy('s1')
+    assert server.open_for_work
+    server.hear(beat(9, ServerState.DRAINING))
+    assert not server.open_for_work
+
+
+def test_server_started_after_a_clock_was_set_back_is_accepted(server):
+    """It looks older than its predecessor, which is silent."""
+    server.hear(beat(4, server_id='s2', born=BORN + 2000))
+    for sequence in range(1, 4):
+        server.hear(beat(sequence))
+    assert server.server_id == 's1'
+
+
+def test_late_heartbeats_between_present_ones_change_nothing(server):
+    server.hear(beat(4, server_id='s2', born=BORN + 2000))
+    for sequence in range(5, 10):
+        server.hear(beat(sequence))
+        server.hear(beat(sequence, server_id='s2', born=BORN + 2000))
+    assert server.server_id == 's2'
--- a/tests/godwitknot/mesh/test_mesh_fleet.py
+++ b/tests/godwitknot/mesh/test_mesh_fleet.py
@@ -99,6 +99,24 @@
     assert len(first.server.runs) == before
 
 
+def test_restarted_node_serves_before_the_next_heartbeat(fleet):
+    """The record in the store and a health answer are enough."""
+    first = fleet.machines[0]
+    key = first.address(1)
+    wait_until(lambda: fleet.store.content('members', key))
+    first.process.kill()
+    first.process.wait()
+    first.start()
+    wait_until(first.is_ready)
+    before = len(first.server.runs)
+
+    def is_used():
+        first.send('/browse/1', f'a-{time.monotonic()}')
+        return len(first.server.runs) > before
+
+    wait_until(is_used, 3)
+
+
 def test_booking_with_a_lost_answer_runs_once(fleet):
     for machine in fleet.machines:
         machine.server.faults.cut = True
