Lease ports of tests and benches to one process at a time

A stand-in whose port is taken ends with exactly that status (bound 23456 first, started the stand-in there: exit 70). Two allocators chose ports by process id and only looked whether a port was free at that moment, so that two runs could choose the same one before either bound it.

Change: standins/ports.py leases a port by a lock on a file for the life of the process; both allocators are replaced by it.

Ruled out: the stand-in itself; with a free port it ends with 0 (3 runs of the test beside the bench, load 6).

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,9 +1,7 @@
 """Starts a fleet on this machine as separate processes."""
 
 import contextlib
-import itertools
 import json
-import os
 import pathlib
 import secrets
 import socket
@@ -17,6 +15,7 @@
 import urllib3
 
 from godwitknot.units import Address
+from standins.ports import reserve_addresses
 
 TOKEN = 'operator-token-for-benches'
 _HOST = '127.0.0.1'
@@ -24,43 +23,6 @@
 _START_SECONDS = 30.0
 _STOP_SECONDS = 20.0
 _POLL_SECONDS = 0.1
-_FIRST_PORT = 10000
-_LAST_PORT = 32000
-_PORTS_PER_PROCESS = 64
-
-
-def reserve_addresses(count: int) -> list[Address]:
-    """Give addresses on the loopback interface, each time other ones."""
-    free = (Address(_HOST, port) for port in _PORTS if _is_free(port))
-    return list(itertools.islice(free, count))
-
-
-def _draw_ports() -> Iterator[int]:
-    """Give ports below the range that outgoing connections use.
-
-    A port from that range may be taken while its node is restarted.
-    Processes that start together have ids close to each other, and so
-    begin at different ports.
-    """
-    span = _LAST_PORT - _FIRST_PORT
-    for number in itertools.count(os.getpid() * _PORTS_PER_PROCESS):
-        yield _FIRST_PORT + number % span
-
-
-def _is_free(port: int) -> bool:
-    with (
-        socket.socket() as stream,
-        socket.socket(type=socket.SOCK_DGRAM) as datagrams,
-    ):
-        try:
-            stream.bind((_HOST, port))
-            datagrams.bind((_HOST, port))
-        except OSError:
-            return False
-    return True
-
-
-_PORTS = _draw_ports()
 
 
 @attrs.frozen
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -17,8 +17,8 @@
 from matplotlib.figure import Figure
 
 from bench import scaling
-from bench.fits import Fit, fit_line
 from bench.controlfleet import Fleet, run_fleet
+from bench.fits import Fit, fit_line
 
 _DOCS = pathlib.Path(__file__).parent.parent / 'docs'
 _DESIGN_NODES = 420
--- a/bench/soakfleet.py
+++ b/bench/soakfleet.py
@@ -16,7 +16,6 @@
     NodePlan,
     RunningNode,
     ServerPlan,
-    reserve_addresses,
 )
 from bench.histories import ClaimRecord, RunRecord
 from godwitknot.claimrows import ClaimState
@@ -25,6 +24,7 @@
 from standins.backend import FakeServer, FakeServerHost
 from standins.cutter import Cutter
 from standins.platform import PlatformApplication, build_server
+from standins.ports import reserve_addresses
 from standins.tables import MemoryTables
 
 SERVICE = 'booking'
--- a/tests/godwitknot/mesh/meshfleet.py
+++ b/tests/godwitknot/mesh/meshfleet.py
@@ -1,11 +1,9 @@
 """Mesh nodes as real processes, before stand-ins of the platform."""
 
 import contextlib
-import itertools
 import json
 import os
 import pathlib
-import socket
 import subprocess
 import sys
 import time
@@ -15,25 +13,12 @@
 
 from standins.meshserver import MeshServer
 from standins.metadata import MetadataStore, start_store
+from standins.ports import reserve_addresses
 
 ROOT = pathlib.Path(__file__).parents[3]
 HOST = 'shop.example'
 
 
-_CANDIDATES = itertools.count(20000 + (os.getpid() * 37) % 10000)
-
-
-def take_ports(count):
-    """Give free ports below the range of outgoing connections."""
-    ports = []
-    while len(ports) < count:
-        candidate = next(_CANDIDATES)
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(('127.0.0.1', candidate))
-            ports.append(candidate)
-    return ports
-
-
 def wait_until(check, seconds=15):
     """Wait for something to become true."""
     end = time.monotonic() + seconds
@@ -52,7 +37,7 @@
         self.fleet = fleet
         self.name = f'side-{number}'
         self.server = MeshServer(f'i-{number}', service)
-        self.ports = take_ports(5)
+        self.ports = [address.port for address in reserve_addresses(5)]
         self.process = None
 
     def address(self, index):
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -4,9 +4,9 @@
 
 import urllib3
 
-from bench.fleet import reserve_addresses
 from godwitknot.store import ABSENT, Write
 from godwitknot.storeclient import HttpTableService
+from standins.ports import reserve_addresses
 
 
 def test_the_platform_runs_as_a_process():
--- /dev/null
+++ b/tests/standins/test_ports.py
@@ -0,0 +1,44 @@
+import subprocess
+import sys
+
+from standins.ports import PortLeases
+
+SCRIPT = """
+import pathlib, sys
+from standins.ports import PortLeases
+leases = PortLeases(pathlib.Path(sys.argv[1]))
+print(*(address.port for address in leases.take(40)), flush=True)
+sys.stdin.read()
+"""
+
+
+def lease_elsewhere(folder):
+    return subprocess.Popen(
+        [sys.executable, '-c', SCRIPT, str(folder)],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+
+
+def test_two_processes_never_lease_the_same_port(tmp_path, monkeypatch):
+    """Guards against test runs side by side that take each other's ports."""
+    # Both search from the same port.
+    monkeypatch.setattr('os.getpid', lambda: 1)
+    first = PortLeases(tmp_path)
+    second = PortLeases(tmp_path)
+    ports = [*first.take(40), *second.take(40)]
+    assert len(set(ports)) == 80
+
+
+def test_ports_are_leased_until_the_process_ends(tmp_path, monkeypatch):
+    """Guards against a lock that ends before the process does."""
+    process = lease_elsewhere(tmp_path)
+    taken = process.stdout.readline().split()
+    monkeypatch.setattr('os.getpid', lambda: process.pid)
+    here = [str(address.port) for address in PortLeases(tmp_path).take(40)]
+    process.stdin.close()
+    process.wait(10)
+    after = [str(address.port) for address in PortLeases(tmp_path).take(40)]
+    assert set(taken).isdisjoint(here)
+    assert set(taken) & set(after)
