Soak nodes of the platform under faults from outside; survive an early SIGHUP

Cause: a node that got SIGHUP while Python still imported its program ended with the signal's default action (status -1), which is an end of its own.

Change: the program ignores SIGHUP before it imports anything else. New bench/faultsoak: real node processes behind loopback relays that cut one way, silence, reset and delay; kills, pauses, stops and restarts by signals; a store that is down, slow, forgetful or loses answers; server clocks that are off. It checks at most once, true "not run", own and whole answers, unasked or changed requests, drain, configuration never back and in force, recovery, and exits. An own setting [relay] listen lets a relay stand before a node.

Ruled out: two kinds of violation of the first runs were faults of the soak (a stand-in server that took its new name within a run; SIGTERM to a process that has not installed its handlers, which has no work to finish).

--- /dev/null
+++ b/bench/faultsoak/run.py
@@ -0,0 +1,122 @@
+"""One fault soak from a seed, and what came of it."""
+
+import contextlib
+import pathlib
+import time
+from http.client import HTTPException
+
+import attrs
+
+from bench.faultsoak.callers import Caller, Prober
+from bench.faultsoak.fleet import SoakFleet, SoakMachine
+from bench.faultsoak.promises import (
+    CONTACT_SECONDS,
+    History,
+    Violation,
+    check_history,
+)
+from bench.faultsoak.script import EventScript
+
+_CALLERS = 6
+_FAULT_SECONDS = 6.0
+_PLANNED_SECONDS = 5.0
+# Work that was begun before the end of the planned events ends.
+_SETTLE_SECONDS = 3.5
+# Bounds of the settings that the nodes get.
+_APPLY_SECONDS = 2.5
+_RECOVER_SECONDS = 15.0
+_POLL_SECONDS = 0.2
+
+
+@attrs.frozen
+class Report:
+    """What came of one soak."""
+
+    seed: int
+    calls: int
+    served: int
+    faults: int
+    violations: tuple[Violation, ...]
+
+
+def run_soak(seed: int, folder: pathlib.Path) -> Report:
+    """Run one soak and check it.
+
+    :param seed: decides faults and calls.
+    :param folder: keeps settings and logs of the nodes.
+    """
+    fleet = SoakFleet(folder)
+    with contextlib.ExitStack() as stack:
+        stack.callback(fleet.stop)
+        fleet.start()
+        script = EventScript(fleet, seed)
+        callers = [
+            Caller(fleet, f'{seed}-{number}', f'{seed}/{number}')
+            for number in range(_CALLERS)
+        ]
+        prober = Prober(fleet)
+        for thread in (*callers, prober):
+            thread.start()
+        script.cause_all(_FAULT_SECONDS)
+        found = list(_check_recovery(fleet))
+        time.sleep(CONTACT_SECONDS)
+        found.extend(_check_in_force(fleet))
+        began = time.monotonic()
+        script.cause_planned(_PLANNED_SECONDS)
+        time.sleep(_SETTLE_SECONDS)
+        ended = time.monotonic()
+        for worker in (*callers, prober):
+            worker.ended.set()
+            worker.join()
+        fleet.note_own_exits()
+    history = History(
+        calls=[call for caller in callers for call in caller.calls],
+        probes=prober.probes,
+        runs=[run for each in fleet.machines for run in each.server.runs],
+        spans=script.spans,
+        departures=fleet.departures,
+        exits=fleet.exits,
+        versions=fleet.versions,
+        planned=(began, ended),
+    )
+    found.extend(check_history(history))
+    return Report(
+        seed,
+        len(history.calls),
+        sum(call.status == 200 for call in history.calls),
+        script.count,
+        tuple(found),
+    )
+
+
+def _check_recovery(fleet: SoakFleet) -> list[Violation]:
+    end = time.monotonic() + _RECOVER_SECONDS
+    while time.monotonic() < end:
+        with contextlib.suppress(OSError, HTTPException):
+            if fleet.is_recovered():
+                return []
+        time.sleep(_POLL_SECONDS)
+    return [Violation('recovery', f'not served {_RECOVER_SECONDS} s later')]
+
+
+def _check_in_force(fleet: SoakFleet) -> list[Violation]:
+    """Check that each node has the newest version within its bound."""
+    fleet.change_configuration()
+    time.sleep(_APPLY_SECONDS)
+    newest = max(fleet.versions)
+    found = []
+    for machine in fleet.machines:
+        for version, expected in ((newest, 200), (newest - 1, 404)):
+            status = _ask_for(machine, version)
+            if status != expected:
+                detail = f'{machine.name}: v{version} is {status}'
+                found.append(Violation('in force', detail))
+    return found
+
+
+def _ask_for(machine: SoakMachine, version: int) -> int:
+    """Give the status on the route of a version, 0 for no answer."""
+    attempt_id = f'check-{time.monotonic_ns()}'
+    with contextlib.suppress(OSError, HTTPException):
+        return machine.send(f'/v{version}/x', attempt_id)[0].status
+    return 0
--- a/tests/godwitknot/mesh/meshfleet.py
+++ b/bench/meshfleet.py
@@ -15,7 +15,7 @@
 from standins.metadata import MetadataStore, start_store
 from standins.ports import reserve_addresses
 
-ROOT = pathlib.Path(__file__).parents[3]
+ROOT = pathlib.Path(__file__).parents[1]
 HOST = 'shop.example'
 
 
@@ -52,7 +52,7 @@
         settings = folder / f'{self.name}.yaml'
         settings.write_text(yaml.safe_dump(self._settings()))
         own = folder / f'{self.name}.ini'
-        own.write_text(f'[metrics]\nport = {self.ports[4]}\n')
+        own.write_text(self._own_settings())
         log = (folder / f'{self.name}.log').open('ab')
         self.process = subprocess.Popen(
             [sys.executable, '-m', 'godwitknot.mesh', str(own)],
@@ -102,6 +102,9 @@
         connection.close()
         return response, content
 
+    def _own_settings(self):
+        return f'[metrics]\nport = {self.ports[4]}\n'
+
     def _settings(self):
         return {
             'node_id': self.name,
@@ -160,9 +163,9 @@
         document = {
             'version': f'r{version}',
             'routes': {
-                'browse': _route('/browse/', 'idempotent', 'booking'),
-                'book': _route('/book/', 'non_idempotent', 'booking'),
-                'docs': _route('/docs/', 'download', 'documents'),
+                'browse': make_route('/browse/', 'idempotent', 'booking'),
+                'book': make_route('/book/', 'non_idempotent', 'booking'),
+                'docs': make_route('/docs/', 'download', 'documents'),
                 **routes,
             },
             'services': {
@@ -185,7 +188,8 @@
         self._http.server_close()
 
 
-def _route(prefix, kind, service):
+def make_route(prefix, kind, service):
+    """Give a route as the operator writes it."""
     return {
         'host': HOST,
         'prefix': prefix,
--- a/godwitknot/mesh/__main__.py
+++ b/godwitknot/mesh/__main__.py
@@ -1,6 +1,11 @@
-"""Starts the program of a mesh node."""
+"""``python -m godwitknot.mesh OWN-SETTINGS``: runs a node."""
 
-from godwitknot.mesh.program import main
+import signal
 
-if __name__ == '__main__':
-    main()
+# A reload while the program still loads has nothing to do, since settings
+# are read after that; by default the signal would end the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from godwitknot.mesh.program import main  # noqa: E402
+
+main()
--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -67,16 +67,20 @@
         store: MetadataStore,
         metrics_port: int,
         read_placement: Callable[[], Placement],
+        relay_listener: Address | None = None,
     ) -> None:
         """Build all parts; nothing listens before :meth:`run`.
 
         :param metrics_port: where counters are served.
         :param read_placement: reads the settings anew.
+        :param relay_listener: where to listen for other nodes, if that is
+            not the address that they are told.
         """
         self._placement = placement
         self._dialect = dialect
         self._metrics_port = metrics_port
         self._read_placement = read_placement
+        self._relay_listener = relay_listener or placement.relay
         clock = SystemClock()
         self._clock = clock
         self._log = EventLog(placement.node, clock)
@@ -192,7 +196,7 @@
                 placement.announcements,
                 SmallServer(self._announcements.handle).serve,
             ),
-            (placement.relay, self._relay_server.serve),
+            (self._relay_listener, self._relay_server.serve),
             (placement.ingress, self._entry.serve),
             (placement.readiness, SmallServer(readiness.handle).serve),
             (metrics, SmallServer(MetricsDesk(self._telemetry).handle).serve),
--- a/godwitknot/mesh/program.py
+++ b/godwitknot/mesh/program.py
@@ -11,6 +11,7 @@
 from godwitknot.platform.dialect import PlatformDialect
 from godwitknot.platform.settings import read_placement, settings_path
 from godwitknot.platform.store import PlatformStore
+from godwitknot.units import Address, parse_address
 
 # The store keeps idle connections at least this long.
 _STORE_IDLE_SECONDS = 20.0
@@ -21,15 +22,25 @@
     return read_placement(text)
 
 
-async def _run(metrics_port: int) -> None:
+def _read_listener(own: configparser.ConfigParser) -> Address | None:
+    """Give the address to listen on for other nodes, if it is set.
+
+    It differs from the announced one where a relay stands in between.
+    """
+    place = own.get('relay', 'listen', fallback='')
+    return parse_address(place) if place else None
+
+
+async def _run(own: configparser.ConfigParser) -> None:
     placement = _read_placement()
     store = PlatformStore(HttpClient(_STORE_IDLE_SECONDS), placement.store)
     node = MeshNode(
         placement,
         PlatformDialect(),
         store,
-        metrics_port,
+        own.getint('metrics', 'port'),
         _read_placement,
+        _read_listener(own),
     )
     await node.run()
 
@@ -38,4 +49,4 @@
     """Run a node until SIGTERM; the argument names its own settings."""
     own = configparser.ConfigParser()
     own.read_string(pathlib.Path(sys.argv[1]).read_text(encoding='utf-8'))
-    asyncio.run(_run(own.getint('metrics', 'port')))
+    asyncio.run(_run(own))
--- a/standins/cutter.py
+++ b/standins/cutter.py
@@ -8,7 +8,9 @@
 import contextlib
 import json
 import socket
+import struct
 import threading
+import time
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -19,6 +21,8 @@
 _CHUNK_BYTES = 65536
 _UDP_BYTES = 65535
 _BACKLOG = 128
+# Linger for no time: the kernel sends a reset.
+_RESET = struct.pack('ii', 1, 0)
 
 
 @attrs.define(eq=False)
@@ -26,11 +30,13 @@
     """One relayed TCP connection.
 
     :param silent: discard both directions for good.
+    :param broken: closed with a reset by order.
     """
 
     near: socket.socket
     far: socket.socket
     silent: bool = False
+    broken: bool = False
 
 
 class Cutter:
@@ -44,7 +50,9 @@
         """
         self.cut_forward = False
         self.cut_backward = False
-        self._address = address
+        # Seconds that each piece of a TCP connection is held up.
+        self.delay = float(0)
+        self.address = address
         self._target = target
         self._links: list[_Link] = []
         self._lock = threading.Lock()
@@ -53,12 +61,12 @@
     def start(self) -> None:
         """Listen on TCP and UDP."""
         listener = socket.create_server(
-            self._address.pair,
+            self.address.pair,
             backlog=_BACKLOG,
             reuse_port=False,
         )
         datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        datagrams.bind(self._address.pair)
+        datagrams.bind(self.address.pair)
         _run(self._accept, listener)
         _run(self._relay_datagrams, datagrams)
 
@@ -68,6 +76,15 @@
             for link in self._links:
                 link.silent = True
 
+    def reset_open(self) -> None:
+        """Reset all open TCP connections on both sides."""
+        with self._lock:
+            links = tuple(self._links)
+        for link in links:
+            link.broken = True
+            _prepare_reset(link.near)
+            _prepare_reset(link.far)
+
     def _accept(self, listener: socket.socket) -> None:
         while True:
             near, _ = listener.accept()
@@ -96,10 +113,14 @@
                 lost = self.cut_forward if forward else self.cut_backward
                 if not content:
                     break
+                time.sleep(self.delay)
                 if not (link.silent or lost):
                     sink.sendall(content)
         except OSError:
             self._forget(link)
+        if link.broken:
+            self._forget(link)
+            return
         # A lost direction loses the end of the connection too.
         if not link.silent:
             _close_write(sink)
@@ -140,6 +161,13 @@
                 near.sendto(content, origin)
 
 
+def _prepare_reset(sock: socket.socket) -> None:
+    """Let the next close send a reset, and wake the thread that reads."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        sock.shutdown(socket.SHUT_RD)
+
+
 def _close_write(sink: socket.socket) -> None:
     try:
         sink.shutdown(socket.SHUT_WR)
--- a/standins/meshserver.py
+++ b/standins/meshserver.py
@@ -31,8 +31,14 @@
 
 @attrs.frozen
 class Run:
-    """A request that the server has begun to run."""
+    """A request that the server has begun to run.
 
+    :param at: when it began, on the monotonic clock of this process.
+    :param server_id: of the start of the server that ran it.
+    """
+
+    at: float
+    server_id: str
     attempt_id: str
     method: str
     target: str
@@ -56,17 +62,36 @@
         self.runs: list[Run] = []
         self.cancelled = 0
         self.draining = False
+        # Set where others reach it through a relay.
+        self.announced = ''
         self.born = int(time.time() * _MILLISECONDS)
         self._sequence = 0
+        self._lock = threading.Lock()
         handler = type('Handler', (_Handler,), {'owner': self})
         self._http = QuietHTTPServer(('127.0.0.1', 0), handler)
         threading.Thread(target=self._http.serve_forever, daemon=True).start()
 
     @property
     def address(self) -> str:
-        """Host and port."""
+        """Host and port, as the server announces them."""
+        return self.announced or self.listens_at
+
+    @property
+    def listens_at(self) -> str:
+        """Host and port of the listener."""
         return '127.0.0.1:{0}'.format(self._http.server_address[1])
 
+    def restart(self, server_id: str, born: int) -> None:
+        """Begin a new start, which knows nothing of the one before.
+
+        :param born: Unix milliseconds by the clock of its instance.
+        """
+        with self._lock:
+            self.server_id = server_id
+            self.born = born
+            self.draining = False
+            self._sequence = 0
+
     def stop(self) -> None:
         """Stop listening."""
         self._http.shutdown()
@@ -74,8 +99,14 @@
 
     def announce(self, control: str, **changes: object) -> int:
         """Send a heartbeat; give the status."""
+        with self._lock:
+            beat = self._compose(changes)
+        return self._call(control, 'instances.heartbeat', beat)
+
+    def _compose(self, changes: dict[str, object]) -> dict[str, object]:
+        """Give the next heartbeat; the sequence orders the states told."""
         self._sequence += 1
-        beat = {
+        return {
             'service': self.service,
             'address': self.address,
             'zone': 'z1',
@@ -87,11 +118,10 @@
             'born': self.born,
             **changes,
         }
-        return self._call(control, 'instances.heartbeat', beat)
 
     def leave(self, control: str) -> int:
         """Say that the server leaves; give the status."""
-        return self._call(control, 'instances.deregister', {})
+        return self._call(control, 'instances.deregister', {'born': self.born})
 
     def _call(self, control: str, call: str, fields: dict) -> int:
         connection = HTTPConnection(control, timeout=2)
@@ -124,12 +154,16 @@
             status = 503 if owner.draining else 200
             self._reply(status, b'', {})
             return
-        if self.headers['Godwitknot-Expect-Instance'] != owner.server_id:
+        # A restart meanwhile does not change who runs the request.
+        server_id = owner.server_id
+        if self.headers['Godwitknot-Expect-Instance'] != server_id:
             self._reply(421, b'', {})
             return
         attempt_id = self.headers['Godwitknot-Attempt-Id']
         owner.runs.append(
             Run(
+                time.monotonic(),
+                server_id,
                 attempt_id,
                 self.command,
                 self.path,
@@ -145,7 +179,7 @@
             return
         time.sleep(owner.work)
         seal = {'Godwitknot-Server-Seal': 'seal'}
-        answer = f'{owner.server_id} ran {self.path}'.encode()
+        answer = f'{server_id} ran {self.path}'.encode()
         if owner.faults.stale:
             self._reply(
                 200, b'stale', {**seal, 'Godwitknot-Attempt-Id': 'other'}
--- a/tests/godwitknot/mesh/test_mesh_fleet.py
+++ b/tests/godwitknot/mesh/test_mesh_fleet.py
@@ -6,7 +6,8 @@
 import time
 
 import pytest
-from meshfleet import HOST, Fleet, _route, wait_until
+
+from bench.meshfleet import HOST, Fleet, make_route, wait_until
 
 
 @pytest.fixture
@@ -201,7 +202,7 @@
 
 
 def test_configuration_is_in_force_on_all_nodes(fleet):
-    fleet.configure(9, new=_route('/new/', 'idempotent', 'booking'))
+    fleet.configure(9, new=make_route('/new/', 'idempotent', 'booking'))
 
     def is_new():
         return all(
@@ -218,7 +219,7 @@
 
 def test_history_that_is_gone_is_read_anew(fleet):
     fleet.store.forget()
-    fleet.configure(9, new=_route('/new/', 'idempotent', 'booking'))
+    fleet.configure(9, new=make_route('/new/', 'idempotent', 'booking'))
     wait_until(
         lambda: fleet.machines[0].send('/new/1', 'a-1')[0].status == 200, 4
     )
