Compare directories by buckets and spread news mostly near

Change: a digest has 32 hashes, and only the records of buckets that differ travel. News go to three peers of the own domain and one elsewhere, and not to nodes that are stopping or silent; one comparison in four leaves the domain.

Ruled out: news to listening peers only for the comparison as well; a node that was stopped and is back while the store is down would never be told.

--- a/godwitknot/mesh/frames.py
+++ b/godwitknot/mesh/frames.py
@@ -126,18 +126,26 @@
 
 @attrs.frozen
 class Digest:
-    """A summary of what a node knows."""
+    """A summary of what a node knows.
+
+    :param buckets: a hash over the members of each bucket.
+    """
 
     sender: Address
-    members: int
+    buckets: tuple[int, ...]
     version: int
 
 
 @attrs.frozen
 class Knowledge:
-    """Members, and the configuration if the receiver lacks it."""
+    """Members, and the configuration if the receiver lacks it.
+
+    :param members: all of the buckets that differ.
+    :param buckets: numbers of the buckets that differ.
+    """
 
     members: tuple[Member, ...]
+    buckets: tuple[int, ...]
     configuration: bytes = attrs.field(repr=False)
 
 
@@ -296,7 +304,7 @@
         Kind.DIGEST,
         {
             'sender': str(digest.sender),
-            'members': digest.members,
+            'buckets': list(digest.buckets),
             'version': digest.version,
         },
     )
@@ -308,6 +316,7 @@
         Kind.KNOWLEDGE,
         {
             'members': [pack_member(member) for member in knowledge.members],
+            'buckets': list(knowledge.buckets),
             'configuration': knowledge.configuration,
         },
     )
@@ -455,11 +464,17 @@
 
 
 def _unpack_digest(entry: typing.Any) -> Digest:
-    return Digest(_unpack_address(entry.sender), entry.members, entry.version)
+    return Digest(
+        _unpack_address(entry.sender), tuple(entry.buckets), entry.version
+    )
 
 
 def _unpack_knowledge(entry: typing.Any) -> Knowledge:
-    return Knowledge(_unpack_members(entry.members), bytes(entry.configuration))
+    return Knowledge(
+        _unpack_members(entry.members),
+        tuple(entry.buckets),
+        bytes(entry.configuration),
+    )
 
 
 def _unpack_nothing(entry: typing.Any) -> None:
--- a/godwitknot/mesh/membership.py
+++ b/godwitknot/mesh/membership.py
@@ -1,6 +1,6 @@
 """What the fleet knows of its nodes and their servers."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import attrs
 import xxhash
@@ -55,6 +55,11 @@
     fingerprints: tuple[int, ...]
 
 
+# Two nodes compare this many hashes, and exchange the records behind those
+# that differ: one hash costs 8 bytes, one record about 150.
+BUCKETS = 32
+
+
 class Directory:
     """The newest record of each node, by its address.
 
@@ -64,11 +69,15 @@
 
     def __init__(self, own: Member) -> None:
         """Start with the own record."""
-        self._members: dict[Address, Member] = {own.address: own}
+        self._members: dict[Address, Member] = {}
+        self._buckets: tuple[dict[Address, Member], ...] = tuple(
+            {} for _ in range(BUCKETS)
+        )
+        self._hashes: list[int | None] = [None for _ in range(BUCKETS)]
         self._own_address = own.address
-        self._digest: int | None = None
         self._by_service: dict[str, list[Member]] = {}
         self.listeners: list[Callable[[Member], None]] = []
+        self._store(own)
 
     @property
     def own(self) -> Member:
@@ -96,15 +105,35 @@
         """Give the record of an address."""
         return self._members.get(address)
 
-    def digest(self) -> int:
-        """Give a hash over the ages of all records."""
-        if self._digest is None:
-            text = ';'.join(
-                f'{address}:{member.age}'
-                for address, member in sorted(self._members.items())
-            )
-            self._digest = xxhash.xxh3_64_intdigest(text.encode())
-        return self._digest
+    def digests(self) -> tuple[int, ...]:
+        """Give a hash over the ages of the records of each bucket."""
+        for number, known in enumerate(self._hashes):
+            if known is None:
+                self._hashes[number] = _hash_ages(self._buckets[number])
+        return tuple(self._hashes)
+
+    def compare(self, digests: Sequence[int]) -> tuple[int, ...]:
+        """Give the buckets that differ from those of another node.
+
+        :param digests: of the other node; all differ if they are not as
+            many as here.
+        """
+        own = self.digests()
+        if len(digests) != len(own):
+            return tuple(range(BUCKETS))
+        return tuple(
+            number
+            for number, pair in enumerate(zip(own, digests, strict=True))
+            if pair[0] != pair[1]
+        )
+
+    def list_buckets(self, numbers: Iterable[int]) -> tuple[Member, ...]:
+        """Give the records of some buckets."""
+        return tuple(
+            member
+            for number in numbers
+            for member in self._buckets[number % BUCKETS].values()
+        )
 
     def change_own(self, **changes: object) -> bool:
         """Change the own record.
@@ -149,10 +178,23 @@
 
     def _store(self, member: Member) -> None:
         self._members[member.address] = member
-        self._digest = None
+        number = _find_bucket(member.address)
+        self._buckets[number][member.address] = member
+        self._hashes[number] = None
         self._by_service = {}
         for each in self._members.values():
             if each.takes_work or self._serves_here(each):
                 self._by_service.setdefault(each.service, []).append(each)
         for listener in self.listeners:
             listener(member)
+
+
+def _find_bucket(address: Address) -> int:
+    return xxhash.xxh3_64_intdigest(str(address).encode()) % BUCKETS
+
+
+def _hash_ages(members: Mapping[Address, Member]) -> int:
+    text = ';'.join(
+        f'{address}:{member.age}' for address, member in sorted(members.items())
+    )
+    return xxhash.xxh3_64_intdigest(text.encode())
--- a/godwitknot/mesh/mesh.capnp
+++ b/godwitknot/mesh/mesh.capnp
@@ -83,13 +83,15 @@
 # Compares what two nodes know; a mismatch is answered with a Knowledge.
 struct Digest {
   sender @0 :Text;
-  members @1 :UInt64;      # hash over all members
+  unused @1 :UInt64;       # was one hash over all members
   version @2 :Int64;
+  buckets @3 :List(UInt64); # hash over the members of each bucket
 }
 
 struct Knowledge {
   members @0 :List(Member);
   configuration @1 :Data;  # empty if the receiver has this version
+  buckets @2 :List(UInt16); # those that differ; their members are given
 }
 
 struct Frame {
--- a/godwitknot/mesh/spreading.py
+++ b/godwitknot/mesh/spreading.py
@@ -15,8 +15,12 @@
 from godwitknot.messages import CrashReport
 from godwitknot.units import Address
 
-# News reaches all of n nodes in about log(n)/log(4) steps.
-_FAN_OUT = 4
+# Peers that a node passes news on to. Bytes between failure domains are
+# priced, and one copy for each node is enough there.
+_NEAR_FAN_OUT = 3
+_FAR_FAN_OUT = 1
+# Share of the comparisons that are with another failure domain.
+_FAR_SHARE = 0.25
 # Changes of the same moment travel together.
 _GATHER_SECONDS = 0.02
 _DIGEST_SECONDS = 1.0
@@ -152,15 +156,16 @@
 
     def _answer_digest(self, digest: Digest) -> bytes:
         self._chooser.note_heard(digest.sender)
-        same = digest.members == self._directory.digest()
+        differing = self._directory.compare(digest.buckets)
         newer = self._holder.version > digest.version
         if digest.version > self._holder.version:
             self._spawn(self._pull(digest.sender, digest.version))
-        if same and not newer:
+        if not (differing or newer):
             return frames.encode_same()
-        members = () if same else self._directory.members
+        members = self._directory.list_buckets(differing)
         source = self._holder.current.source if newer else b''
-        return frames.encode_knowledge(Knowledge(members, source))
+        knowledge = Knowledge(members, differing, source)
+        return frames.encode_knowledge(knowledge)
 
     async def _push(self) -> None:
         version = 0
@@ -179,7 +184,8 @@
                 self._directory.own.address, members, crashes, version
             )
             frame = frames.encode_rumor(rumor)
-            for peer in self._sample(_FAN_OUT):
+            peers = self._listening()
+            for peer in self._sample(peers, _NEAR_FAN_OUT, _FAR_FAN_OUT):
                 self._spawn(self._tell(peer.address, frame))
 
     async def _compare(self) -> None:
@@ -188,14 +194,18 @@
             probed = list(self._chooser.silent)[:_MOST_PROBED]
             for address in probed:
                 self._spawn(self._exchange(address))
-            for peer in self._sample(1):
+            far = int(self._rng.random() < _FAR_SHARE)
+            # A node that stopped may be back and know nobody, so that it
+            # has to be asked.
+            peers = self._directory.others()
+            for peer in self._sample(peers, 1 - far, far):
                 await self._exchange(peer.address)
 
     async def _exchange(self, address: Address) -> None:
         """Compare with another node and even out the differences."""
         digest = Digest(
             self._directory.own.address,
-            self._directory.digest(),
+            self._directory.digests(),
             self._holder.version,
         )
         frame = frames.encode_digest(digest)
@@ -212,8 +222,8 @@
             self._holder.adopt(content.configuration, 'peer')
         lacking = tuple(
             each
-            for each in self._directory.members
-            if theirs and theirs.get(each.address, (0, 0)) < each.age
+            for each in self._directory.list_buckets(content.buckets)
+            if theirs.get(each.address, (0, 0)) < each.age
         )
         if lacking:
             own = self._directory.own.address
@@ -237,9 +247,29 @@
         self._chooser.note_heard(address)
         return reply
 
-    def _sample(self, count: int) -> list[Member]:
-        others = self._directory.others()
-        return self._rng.sample(others, min(count, len(others)))
+    def _listening(self) -> list[Member]:
+        """Give the peers that are believed to hear news."""
+        silent = self._chooser.silent
+        return [
+            each
+            for each in self._directory.others()
+            if each.serving and each.address not in silent
+        ]
+
+    def _sample(self, peers: list[Member], near: int, far: int) -> list[Member]:
+        """Draw peers.
+
+        :param near: how many of the own failure domain; where it has fewer,
+            others take their place.
+        :param far: how many of other failure domains.
+        """
+        zone = self._directory.own.zone
+        close = [each for each in peers if each.zone == zone]
+        distant = [each for each in peers if each.zone != zone]
+        drawn = self._rng.sample(close, min(near, len(close)))
+        wanted = near + far - len(drawn)
+        drawn += self._rng.sample(distant, min(wanted, len(distant)))
+        return drawn
 
     def _spawn(self, work: object) -> None:
         task = asyncio.ensure_future(work)
--- a/tests/godwitknot/mesh/test_membership.py
+++ b/tests/godwitknot/mesh/test_membership.py
@@ -81,5 +81,31 @@
         one.merge([news[index]])
     for index in second:
         two.merge([news[index]])
-    assert one.digest() == two.digest()
+    assert one.digests() == two.digests()
+    assert one.compare(two.digests()) == ()
     assert set(one.members) == set(two.members)
+
+
+def test_one_difference_costs_one_bucket():
+    """A single change sent the records of the whole fleet."""
+    fleet = [
+        attrs.evolve(OTHER, address=Address(f'10.0.1.{number}', 1))
+        for number in range(200)
+    ]
+    one, two = Directory(OWN), Directory(OWN)
+    one.merge(fleet)
+    two.merge(fleet)
+    changed = attrs.evolve(fleet[7], revision=1)
+    one.merge([changed])
+    differing = two.compare(one.digests())
+    assert len(differing) == 1
+    listed = one.list_buckets(differing)
+    assert changed in listed
+    assert len(listed) < len(fleet) / 8
+
+
+def test_digests_of_another_size_differ_everywhere():
+    """A node of an earlier version sends no buckets."""
+    directory = Directory(OWN)
+    differing = directory.compare(())
+    assert directory.list_buckets(differing) == (OWN,)
--- /dev/null
+++ b/tests/godwitknot/mesh/test_spreading.py
@@ -0,0 +1,135 @@
+"""News reaches other nodes, mostly those of the own failure domain."""
+
+import asyncio
+import random
+
+import attrs
+import pytest
+from test_membership import OWN
+
+from godwitknot.crashes import CrashLedger
+from godwitknot.mesh import frames
+from godwitknot.mesh.choice import Chooser
+from godwitknot.mesh.knowledge import ConfigurationHolder
+from godwitknot.mesh.membership import Directory
+from godwitknot.mesh.runtime import Runtime
+from godwitknot.mesh.spreading import Spreader
+from godwitknot.mesh.telemetry import Telemetry
+from godwitknot.units import Address
+
+
+def make_member(number, zone='z1', **changes):
+    return attrs.evolve(
+        OWN,
+        node=f'node-{number}',
+        address=Address(f'10.0.1.{number}', 1),
+        zone=zone,
+        **changes,
+    )
+
+
+class Wire:
+    """Hands frames of one spreader to the others at once."""
+
+    def __init__(self):
+        self.spreaders = {}
+        self.told = []
+
+    async def tell(self, address, frame, timeout):
+        self.told.append((address, len(frame)))
+        other = self.spreaders.get(address)
+        if other is None:
+            return None
+        return frames.decode(other.handle(*frames.decode(frame)))
+
+
+@pytest.fixture
+def wire():
+    return Wire()
+
+
+@pytest.fixture
+def build(wire, placement, clock, log):
+    def build_one(own, known=()):
+        runtime = Runtime(clock, log, Telemetry(), random.Random(1))
+        directory = Directory(own)
+        directory.merge(known)
+        spreader = Spreader(
+            directory,
+            ConfigurationHolder(None, log),
+            Chooser(placement, directory, None, runtime),
+            CrashLedger(clock),
+            wire,
+            runtime,
+        )
+        wire.spreaders[own.address] = spreader
+        return spreader
+
+    return build_one
+
+
+def test_comparison_evens_out_both_sides(build):
+    """Guards against news that reach only one of two nodes."""
+
+    async def scenario():
+        here, there = make_member(1), make_member(2)
+        known = [make_member(number) for number in range(3, 90)]
+        first = build(here, [*known, make_member(95)])
+        second = build(there, [*known, make_member(96)])
+        await first._exchange(there.address)
+        return first._directory, second._directory
+
+    first, second = asyncio.run(scenario())
+    assert first.digests() == second.digests()
+    assert len(first.members) == 91
+
+
+def test_comparison_sends_little_beside_the_difference(build, wire):
+    """Guards against an exchange that sends the whole fleet."""
+
+    async def scenario():
+        here, there = make_member(1), make_member(2)
+        known = [make_member(number) for number in range(3, 203)]
+        first = build(here, [*known, there])
+        build(there, [*known, here])
+        changed = attrs.evolve(known[0], revision=1)
+        first._directory.merge([changed])
+        await first._exchange(there.address)
+
+    asyncio.run(scenario())
+    whole = 200 * len(frames.encode_member(OWN))
+    assert sum(size for _, size in wire.told) < whole / 8
+
+
+def test_news_go_mostly_to_the_own_failure_domain(build):
+    """Bytes between failure domains are priced."""
+    near = [make_member(number) for number in range(2, 10)]
+    far = [make_member(number, 'z2') for number in range(10, 40)]
+    spreader = build(make_member(1), [*near, *far])
+    drawn = spreader._sample(spreader._listening(), 3, 1)
+    assert [each.zone for each in drawn] == ['z1', 'z1', 'z1', 'z2']
+
+
+def test_domain_of_its_own_still_spreads_news(build):
+    far = [make_member(number, 'z2') for number in range(10, 40)]
+    spreader = build(make_member(1), far)
+    assert len(spreader._sample(spreader._listening(), 3, 1)) == 4
+
+
+def test_stopped_node_is_compared_with_but_gets_no_news(build):
+    """It may be back, know nobody, and the store may be down."""
+    stopped = make_member(2, serving=False)
+    spreader = build(make_member(1), [stopped])
+    assert spreader._listening() == []
+    assert spreader._sample(spreader._directory.others(), 1, 0) == [stopped]
+
+
+def test_comparison_of_equals_is_answered_without_records(build):
+    async def scenario():
+        here, there = make_member(1), make_member(2)
+        first = build(here, [there])
+        second = build(there, [here])
+        digest = frames.Digest(here.address, first._directory.digests(), 0)
+        return frames.decode(second.handle(frames.Kind.DIGEST, digest))
+
+    assert asyncio.run(scenario()) == (frames.Kind.SAME, None)
