Weigh unanswered runs together, and keep bookings off servers that hang

Requests that found no room were offered with leave to wait, and then passed every ejection and suspicion: servers that hang have free slots, so that they took bookings, which hold a slot for 2.3 s and fail. Besides: a run counted as failed when it hung and again at its deadline; a 504 at a short time-out of a route counted against a sound server; lookups that were answered elsewhere left no trace at the server that hung; a busy server that had failed for one failure domain got no trial from it while others used it.

Change: the ages of unanswered runs since the last good one are added, those that were cut short included; a suspect server gets one repeatable run at a time; what may run only once passes no ejection, also where it would wait, but is the trial after 1 s without repeatable requests; evidence counts once, not at all for short deadlines, and not on trial if the run is older; trials are counted for each failure domain; suspects are avoided for 0.25 s.

Ruled out: servers that slow down when full (runs by running requests: 0.30 s at 1, 0.29 s at 4, trial with a log line for each run).

--- a/godwitknot/mesh/gate.py
+++ b/godwitknot/mesh/gate.py
@@ -1,6 +1,7 @@
 """Admission to the local server: slots, a short queue, and its state."""
 
 import asyncio
+import collections
 import heapq
 import itertools
 from collections.abc import Callable
@@ -16,10 +17,18 @@
 
 # Refused callers are told to come back after one run at least.
 _LEAST_RETRY_SECONDS = 0.2
-# Requests on trial at a server that was ejected.
-_TRIAL_SLOTS = 1
+# A trial waits this long for a request that may be repeated; services that
+# get no such requests are tried with others.
+_TRIAL_PATIENCE_SECONDS = 1.0
 # A request that is no repeat itself is never refused as one.
 _MOST_HIDDEN = 0.9
+# Runs that were cut short are remembered this long, and so many of them.
+_CUT_SHORT_SECONDS = 1.0
+_MOST_CUT_SHORT = 16
+# More evidence is asked for against a server that is the last resort.
+_LAST_RESORT_FACTOR = 1.5
+# Senders leave a suspect server alone for about one run.
+_SUSPECT_AVOID_SECONDS = 0.25
 # Callers are told to stay away this long from a server that is not open.
 _CLOSED_SECONDS = 1.0
 
@@ -40,6 +49,14 @@
     counted_hung: bool = False
 
 
+@attrs.frozen
+class _CutShort:
+    """A run that was taken off the server before it answered."""
+
+    began: float
+    ended: float
+
+
 class Gate:
     """Grants slots of the local server, most urgent request first."""
 
@@ -62,6 +79,9 @@
         self.sharing = 1
         self._clock = clock
         self._running: set[Ticket] = set()
+        self._cut_short: collections.deque[_CutShort] = collections.deque(
+            maxlen=_MOST_CUT_SHORT
+        )
         self._queue: list[tuple[int, float, int, Ticket]] = []
         self._order = itertools.count()
         # Set while the node ends and must not begin more work.
@@ -109,7 +129,7 @@
         deadline = self._clock.now() + offer.seconds_left
         granted = asyncio.get_running_loop().create_future()
         ticket = Ticket(offer, granted, deadline)
-        if self._has_room(offer):
+        if self._has_room():
             self._grant(ticket)
             return ticket
         if note_queued is not None:
@@ -136,6 +156,14 @@
             ticket.granted.cancel()
         self._serve_queue()
 
+    def note_cut_short(self, ticket: Ticket) -> None:
+        """Remember a run that was taken off the server unanswered.
+
+        Second sends elsewhere end the first ones early, so that a server
+        that hangs would otherwise leave no trace.
+        """
+        self._cut_short.append(_CutShort(ticket.began, self._clock.now()))
+
     def expected_wait(self) -> float:
         """Give the seconds until a new request would get its slot."""
         ahead = len(self._running) + self._waiting() + 1 - self._server.slots
@@ -169,56 +197,109 @@
             if ticket.began and not ticket.counted_hung:
                 if now - ticket.began > limit:
                     ticket.counted_hung = True
-                    self._vitals.note_bad('hung', ticket.offer.caller_zone)
+                    self._vitals.note_bad(
+                        'hung', ticket.offer.caller_zone, ticket.began
+                    )
 
     def describe(self, error: RefusalError, offer: Offer) -> Refused:
         """Add to a refusal what helps the sender to choose."""
         avoid = self._vitals.blocks(offer.caller_zone)
+        if error.code is Code.EJECTED and not avoid:
+            avoid = _SUSPECT_AVOID_SECONDS
         if error.code in {Code.DRAINING, Code.WRONG_INCARNATION}:
             avoid = _CLOSED_SECONDS
         return Refused(error, avoid, self.load())
 
     def _check_vitals(self, offer: Offer) -> None:
-        # A request that may wait found no other server.
+        """Refuse what a server with evidence against it must not get.
+
+        What may run only once is lost at a server that hangs, and holds
+        its slot until the deadline; a refusal lets its caller come back.
+        What may be repeated also serves as trial, one at a time, and may
+        pass an ejection where it found no other server.
+        """
         self.note_hung()
-        zone = offer.caller_zone
-        if offer.max_wait > 0:
+        if not offer.repeatable:
+            self._check_sound(offer)
             return
-        if self._vitals.blocks(zone) > 0:
-            raise RefusalError(Code.EJECTED)
-        if offer.repeatable:
-            return
-        if self._vitals.on_trial(zone) or self._is_suspect():
-            raise RefusalError(Code.EJECTED)
+        zone = offer.caller_zone
+        blocked = self._vitals.blocks(zone)
+        if blocked > 0 and offer.max_wait <= 0 or self._is_tried_by(zone):
+            wait = max(blocked, _LEAST_RETRY_SECONDS)
+            raise RefusalError(Code.EJECTED, retry_after=wait)
+        if self._is_suspect() and self._was_tried():
+            raise RefusalError(Code.EJECTED, retry_after=_LEAST_RETRY_SECONDS)
+
+    def _check_sound(self, offer: Offer) -> None:
+        zone = offer.caller_zone
+        blocked = self._vitals.blocks(zone)
+        if blocked > 0:
+            raise RefusalError(Code.EJECTED, retry_after=blocked)
+        if self._vitals.on_trial(zone):
+            early = self._vitals.trial_age(zone) < _TRIAL_PATIENCE_SECONDS
+            if early or self._is_tried_by(zone):
+                raise RefusalError(
+                    Code.EJECTED, retry_after=_TRIAL_PATIENCE_SECONDS
+                )
+        # Where no other server has room, a false suspicion costs more.
+        certainty = _LAST_RESORT_FACTOR if offer.max_wait > 0 else 1
+        if self._is_suspect(certainty):
+            raise RefusalError(Code.EJECTED, retry_after=_LEAST_RETRY_SECONDS)
 
-    def _is_suspect(self) -> bool:
-        """Tell whether a run is late and none that began later was good."""
-        now = self._clock.now()
-        late = self._vitals.late_seconds
-        answered = self._vitals.last_good_began
-        return any(
-            now - ticket.began > late and ticket.began > answered
+    def _is_tried_by(self, zone: str) -> bool:
+        """Tell whether a run decides on the ejection from a domain.
+
+        Callers of other domains may use the server meanwhile.
+        """
+        failed = self._vitals.failed_at(zone)
+        return failed is not None and any(
+            ticket.began > failed
             for ticket in self._running
+            if ticket.offer.caller_zone == zone
         )
 
-    def _has_room(self, offer: Offer) -> bool:
-        return self._free_slots(offer) > 0 and not self._waiting()
+    def _was_tried(self) -> bool:
+        """Tell whether a run began lately that shows if the server answers.
+
+        One such run is enough; more would only wait with it.
+        """
+        earliest = self._clock.now() - self._vitals.suspect_seconds
+        return any(ticket.began > earliest for ticket in self._running)
+
+    def _is_suspect(self, certainty: float = 1) -> bool:
+        """Tell whether the runs without an answer are too old together.
+
+        :param certainty: multiplies the sum of ages that is too old.
+
+        Runs that began before the last good one say nothing. The chance
+        that a sound server keeps the others waiting falls about
+        exponentially with the sum of their ages.
+        """
+        now = self._clock.now()
+        answered = self._vitals.last_good_began
+        ages = [
+            now - ticket.began
+            for ticket in self._running
+            if ticket.began > answered
+        ]
+        ages += [
+            cut.ended - cut.began
+            for cut in self._cut_short
+            if cut.began > answered and now - cut.ended < _CUT_SHORT_SECONDS
+        ]
+        return sum(ages) > certainty * self._vitals.suspect_seconds
+
+    def _has_room(self) -> bool:
+        free = self._server.slots - len(self._running)
+        return free > 0 and not self._waiting()
 
     def _check_room(self, offer: Offer) -> None:
-        if self._has_room(offer):
+        if self._has_room():
             return
         wait = self.expected_wait()
         if offer.max_wait <= 0 or wait > offer.max_wait:
             raise RefusalError(Code.QUEUE_FULL, retry_after=wait)
 
-    def _free_slots(self, offer: Offer) -> int:
-        slots = self._server.slots
-        if offer.max_wait > 0:
-            return slots - len(self._running)
-        if self._vitals.on_trial(offer.caller_zone):
-            return _TRIAL_SLOTS - len(self._running)
-        return slots - len(self._running)
-
     def _waiting(self) -> int:
         return sum(not ticket.granted.done() for *_, ticket in self._queue)
 
@@ -236,8 +317,14 @@
             if ticket.granted.done():
                 continue
             try:
-                self.check_open(ticket.offer)
+                self._check_granted(ticket.offer)
             except RefusalError as refusal:
                 ticket.granted.set_exception(refusal)
                 continue
             self._grant(ticket)
+
+    def _check_granted(self, offer: Offer) -> None:
+        """Check again what has changed while a request waited."""
+        self.check_open(offer)
+        if not offer.repeatable:
+            self._check_sound(offer)
--- a/godwitknot/mesh/sidecar.py
+++ b/godwitknot/mesh/sidecar.py
@@ -25,6 +25,8 @@
 from godwitknot.outcomes import Code, Outcome, RefusalError
 
 _MISDIRECTED = 421
+# A server's own answer at the deadline that it was given.
+_DEADLINE_STATUS = 504
 # A server may drop an idle connection just as a request is sent, and then
 # nobody knows whether it ran. Servers keep connections for seconds.
 _FRESH_SECONDS = 1.0
@@ -68,13 +70,18 @@
         """
         offer = ticket.offer
         task = asyncio.ensure_future(self._run(ticket))
-        task.add_done_callback(lambda _: self.gate.release(ticket))
+        task.add_done_callback(lambda _: self._end(ticket, task))
         if offer.repeatable:
             return await _await_or_cancel(task)
         self._detached.add(task)
         task.add_done_callback(self._forget)
         return await asyncio.shield(task)
 
+    def _end(self, ticket: Ticket, task: asyncio.Task) -> None:
+        if task.cancelled():
+            self.gate.note_cut_short(ticket)
+        self.gate.release(ticket)
+
     def _forget(self, task: asyncio.Task) -> None:
         self._detached.discard(task)
         if not task.cancelled() and task.exception() is not None:
@@ -85,7 +92,10 @@
         offer = ticket.offer
         deadline = ticket.deadline
         self.gate.check_open(offer)
-        side = await self._connect(offer)
+        if self._clock.now() >= deadline:
+            # After a pause of this process, nobody waits for the answer.
+            raise RefusalError(Code.DEADLINE_PASSED)
+        side = await self._connect(ticket)
         sent = self._clock.now()
         message = self._address_server(offer, deadline - sent)
         try:
@@ -94,18 +104,18 @@
                 answer, facts = await self._read(side, message, offer)
         except ConnectionCutError as error:
             side.channel.abort()
-            self._note_cut(offer, error)
+            self._note_cut(ticket, error)
             raise RefusalError(
                 Code.CONNECTION_LOST, Outcome.MAY_HAVE_RUN
             ) from error
         except ProtocolError as error:
             side.channel.abort()
-            self._note_bad(offer, 'bad answer', str(error))
+            self._note_bad(ticket, 'bad answer', str(error))
             raise RefusalError(Code.BAD_ANSWER, Outcome.MAY_HAVE_RUN) from error
         except TimeoutError as error:
             side.channel.abort()
-            if not ticket.counted_hung:
-                self._note_bad(offer, 'deadline passed', '')
+            seconds = self._clock.now() - sent
+            self._note_late(ticket, 'deadline passed', seconds)
             raise RefusalError(
                 Code.DEADLINE_PASSED, Outcome.MAY_HAVE_RUN
             ) from error
@@ -116,12 +126,12 @@
         seconds = self._clock.now() - sent
         return self._judge(ticket, answer, facts, seconds)
 
-    async def _connect(self, offer: Offer) -> ClientSide:
-        newest = None if offer.repeatable else _FRESH_SECONDS
+    async def _connect(self, ticket: Ticket) -> ClientSide:
+        newest = None if ticket.offer.repeatable else _FRESH_SECONDS
         try:
             return await self._client.take(self._address, newest)
         except ConnectionFailedError as error:
-            self._note_bad(offer, 'unreachable', str(error))
+            self._note_bad(ticket, 'unreachable', str(error))
             raise RefusalError(
                 Code.UNREACHABLE, retry_after=_RETRY_SECONDS
             ) from error
@@ -171,10 +181,12 @@
         if answer.status == _MISDIRECTED or facts.not_executed:
             return self._refuse(offer, answer, facts)
         if answer.status in SUCCESS and not facts.sealed:
-            self._note_bad(offer, 'no signature', '')
+            self._note_bad(ticket, 'no signature', '')
             raise RefusalError(Code.BAD_ANSWER, Outcome.MAY_HAVE_RUN)
-        if answer.status >= SERVER_ERROR:
-            self._note_bad(offer, f'status {answer.status}', '')
+        if answer.status == _DEADLINE_STATUS:
+            self._note_late(ticket, 'deadline passed at server', seconds)
+        elif answer.status >= SERVER_ERROR:
+            self._note_bad(ticket, f'status {answer.status}', '')
         elif not ticket.counted_hung:
             self._vitals.note_good(seconds, zone)
         self._telemetry.observe('server_seconds', seconds)
@@ -208,19 +220,35 @@
             Code.SERVER_SHED, retry_after=_RETRY_SECONDS, relayed=True
         )
 
-    def _note_bad(self, offer: Offer, reason: str, detail: str) -> None:
-        self._vitals.note_bad(reason, offer.caller_zone)
+    def _note_bad(self, ticket: Ticket, reason: str, detail: str) -> None:
+        """Take a failed run as evidence against the server."""
+        zone = ticket.offer.caller_zone
+        self._vitals.note_bad(reason, zone, ticket.began)
+        self._log_failure(ticket, reason, detail)
+
+    def _note_late(self, ticket: Ticket, reason: str, seconds: float) -> None:
+        """Take in a run that met its deadline.
+
+        It says nothing on the server if the deadline was short, and a run
+        that was counted as hung is not counted again.
+        """
+        if ticket.counted_hung or seconds < self._vitals.hung_seconds:
+            self._log_failure(ticket, reason, 'no evidence')
+        else:
+            self._note_bad(ticket, reason, '')
+
+    def _log_failure(self, ticket: Ticket, reason: str, detail: str) -> None:
         self._telemetry.count('server_failures')
         self._log.write(
             'run failed',
-            request=offer.attempt_id,
+            request=ticket.offer.attempt_id,
             server=self._server.server_id,
             reason=reason,
             detail=detail,
         )
 
-    def _note_cut(self, offer: Offer, error: ConnectionCutError) -> None:
-        self._note_bad(offer, 'connection lost', str(error))
+    def _note_cut(self, ticket: Ticket, error: ConnectionCutError) -> None:
+        self._note_bad(ticket, 'connection lost', str(error))
         prints = tuple(each.offer.fingerprint for each in self.gate.running)
         self._client.close_idle(self._address)
         for listener in self.crash_listeners:
--- a/godwitknot/mesh/vitals.py
+++ b/godwitknot/mesh/vitals.py
@@ -21,9 +21,11 @@
 # A run this many times longer than usual counts as hung.
 _HUNG_FACTOR = 3.5
 _LEAST_HUNG_SECONDS = 0.5
-# A run this many times longer than usual makes its server suspect.
-_LATE_FACTOR = 2.0
-_LEAST_LATE_SECONDS = 0.3
+# Runs without an answer make their server suspect once they have waited
+# together this many times as long as one run usually takes. Servers that hang
+# lose fewer requests with less; sound ones are passed over more often.
+_SUSPECT_FACTOR = 2.0
+_LEAST_SUSPECT_SECONDS = 0.15
 _USUAL_SECONDS = 0.3
 _SMOOTHING = 0.1
 
@@ -41,10 +43,13 @@
 
     :param until: end of the ejection, on the node's clock.
     :param seconds: its length, which grows with each in a row.
+    :param bad_began: when the newest failed run began. Runs that began
+        earlier say nothing on whether the server has recovered.
     """
 
     until: float
     seconds: float
+    bad_began: float
     successes: int = 0
 
 
@@ -79,9 +84,9 @@
         return max(_LEAST_HUNG_SECONDS, _HUNG_FACTOR * self._usual)
 
     @property
-    def late_seconds(self) -> float:
-        """Age from which a run makes its server suspect."""
-        return max(_LEAST_LATE_SECONDS, _LATE_FACTOR * self._usual)
+    def suspect_seconds(self) -> float:
+        """Sum of ages from which runs make their server suspect."""
+        return max(_LEAST_SUSPECT_SECONDS, _SUSPECT_FACTOR * self._usual)
 
     def reset(self) -> None:
         """Forget everything, since another server is there."""
@@ -99,7 +104,7 @@
         self.last_good_began = max(self.last_good_began, now - seconds)
         self._outcomes.append(_Outcome(now, False, zone))
         verdict = self._ejected.get(zone)
-        if verdict is None:
+        if verdict is None or now - seconds <= verdict.bad_began:
             return
         verdict.successes += 1
         if verdict.successes >= _TRIAL_SUCCESSES:
@@ -107,8 +112,11 @@
             self._outcomes.clear()
             self._log.write('server reinstated', zone=zone)
 
-    def note_bad(self, reason: str, zone: str) -> None:
-        """Take in a failed, hung or lost run."""
+    def note_bad(self, reason: str, zone: str, began: float) -> None:
+        """Take in a failed, hung or lost run.
+
+        :param began: when the run began, on the node's clock.
+        """
         now = self._clock.now()
         self._outcomes.append(_Outcome(now, True, zone))
         recent = [
@@ -118,12 +126,13 @@
         ]
         verdict = self._ejected.get(zone)
         if verdict is not None:
-            if verdict.until <= now:
+            if verdict.until <= began:
                 self._extend(verdict, reason, zone)
+            verdict.bad_began = max(verdict.bad_began, began)
             return
         own = [each for each in recent if each.zone == zone][-_SAMPLE:]
         if sum(each.bad for each in own) >= _FAILURES:
-            self._eject(zone, reason, own)
+            self._eject(zone, reason, own, began)
 
     def blocks(self, zone: str) -> float:
         """Give the seconds that a domain's callers must stay away, or 0."""
@@ -137,10 +146,32 @@
         verdict = self._ejected.get(zone)
         return verdict is not None and verdict.until <= self._clock.now()
 
-    def _eject(self, zone: str, reason: str, seen: list[_Outcome]) -> None:
+    def failed_at(self, zone: str) -> float | None:
+        """Give the time at which the last failed run of a domain began.
+
+        :returns: on the node's clock, ``None`` if it is not ejected there.
+        """
+        verdict = self._ejected.get(zone)
+        return None if verdict is None else verdict.bad_began
+
+    def trial_age(self, zone: str) -> float:
+        """Give the seconds since an ejection has ended, 0 without one."""
+        verdict = self._ejected.get(zone)
+        if verdict is None:
+            return 0
+        return max(0, self._clock.now() - verdict.until)
+
+    def _eject(
+        self,
+        zone: str,
+        reason: str,
+        seen: list[_Outcome],
+        began: float,
+    ) -> None:
         verdict = Verdict(
             self._clock.now() + _FIRST_EJECTION_SECONDS,
             _FIRST_EJECTION_SECONDS,
+            began,
         )
         self._ejected[zone] = verdict
         self._log.write(
--- a/tests/godwitknot/mesh/test_vitals.py
+++ b/tests/godwitknot/mesh/test_vitals.py
@@ -10,30 +10,30 @@
     return Vitals(clock, log)
 
 
-def test_single_failure_ejects_nobody(vitals):
+def test_single_failure_ejects_nobody(vitals, clock):
     """Sound servers fail about one request in a hundred."""
-    vitals.note_bad('status 500', 'z1')
+    vitals.note_bad('status 500', 'z1', clock.now())
     for _ in range(5):
         vitals.note_good(0.3, 'z1')
     assert vitals.blocks('z1') == 0
 
 
-def test_two_failures_in_a_row_eject(vitals):
-    vitals.note_bad('status 500', 'z1')
-    vitals.note_bad('status 500', 'z1')
+def test_two_failures_in_a_row_eject(vitals, clock):
+    vitals.note_bad('status 500', 'z1', clock.now())
+    vitals.note_bad('status 500', 'z1', clock.now())
     assert vitals.blocks('z1') > 0
 
 
-def test_server_that_fails_for_one_domain_serves_the_others(vitals):
-    vitals.note_bad('status 500', 'z1')
-    vitals.note_bad('status 500', 'z1')
+def test_server_that_fails_for_one_domain_serves_the_others(vitals, clock):
+    vitals.note_bad('status 500', 'z1', clock.now())
+    vitals.note_bad('status 500', 'z1', clock.now())
     vitals.note_good(0.3, 'z2')
     assert vitals.blocks('z2') == 0
 
 
 def test_good_trial_reinstates(vitals, clock):
-    vitals.note_bad('hung', 'z1')
-    vitals.note_bad('hung', 'z1')
+    vitals.note_bad('hung', 'z1', clock.now())
+    vitals.note_bad('hung', 'z1', clock.now())
     clock.advance(vitals.blocks('z1'))
     assert vitals.on_trial('z1')
     vitals.note_good(0.3, 'z1')
@@ -42,16 +42,37 @@
 
 
 def test_failed_trials_last_longer_each_time(vitals, clock):
-    vitals.note_bad('hung', 'z1')
-    vitals.note_bad('hung', 'z1')
+    vitals.note_bad('hung', 'z1', clock.now())
+    vitals.note_bad('hung', 'z1', clock.now())
     first = vitals.blocks('z1')
     clock.advance(first)
-    vitals.note_bad('hung', 'z1')
+    vitals.note_bad('hung', 'z1', clock.now())
     assert vitals.blocks('z1') > first
 
 
 def test_old_failures_do_not_add_up(vitals, clock):
-    vitals.note_bad('status 500', 'z1')
+    vitals.note_bad('status 500', 'z1', clock.now())
     clock.advance(60)
-    vitals.note_bad('status 500', 'z1')
+    vitals.note_bad('status 500', 'z1', clock.now())
     assert vitals.blocks('z1') == 0
+
+
+def test_end_of_a_run_from_before_the_ejection_extends_nothing(vitals, clock):
+    """A hung run met its deadline on trial, and a sound server stayed out."""
+    began = clock.now()
+    vitals.note_bad('hung', 'z1', began)
+    vitals.note_bad('hung', 'z1', began)
+    clock.advance(vitals.blocks('z1'))
+    vitals.note_bad('deadline passed', 'z1', began)
+    assert vitals.on_trial('z1')
+
+
+def test_answer_to_a_run_older_than_the_failed_ones_reinstates_nobody(
+    vitals, clock
+):
+    """It was begun while the server still answered."""
+    clock.advance(1)
+    vitals.note_bad('hung', 'z1', clock.now())
+    vitals.note_bad('hung', 'z1', clock.now())
+    vitals.note_good(1.0, 'z1')
+    assert vitals.blocks('z1') > 0
--- a/tests/godwitknot/test_dispatch.py
+++ b/tests/godwitknot/test_dispatch.py
@@ -85,7 +85,7 @@
         cutter = Cutter(free_address(), target)
         cutter.start()
         cutters.append(cutter)
-        return cutter._address
+        return cutter.address
 
     with running_plane(names=('s1',), via=through) as plane:
         assert get(http, plane).status == 200
--- a/tests/godwitknot/test_proxying.py
+++ b/tests/godwitknot/test_proxying.py
@@ -285,7 +285,7 @@
                     for name in target.__slots__
                     if name not in {'address', '__weakref__'}
                 },
-                address=cutter._address,
+                address=cutter.address,
             )
         ]
         body = json.dumps({'cut': cut})
