Let refused requests wait at sound servers before ejected ones

A request that found no room at once asked for a place in the queue of the two cheapest servers, also of those that had just refused it as ejected, and was given up when both did.

Change: the queue is asked for at servers that are not to be avoided first, never again at one that refused for another reason than room unless the request may be repeated, and at up to four servers.

Ruled out: the queue's time limit; the refusals came far before it.

Measured: test_booking_waits_at_a_sound_server_beside_ejected_ones fails before the change and passes after it.

--- a/godwitknot/mesh/dispatch.py
+++ b/godwitknot/mesh/dispatch.py
@@ -21,6 +21,9 @@
 
 # Refusals by sidecars cost little, but each takes a round trip.
 _MOST_REFUSALS = 4
+# Servers at which a request asks for a place in the queue. Those that refuse
+# it do so at once.
+_MOST_QUEUES = 4
 # Part of the objective that a request may wait in a queue. Longer waits
 # would make the answer late, and a refusal tells the caller to come back.
 _QUEUE_SHARE = 0.6
@@ -56,6 +59,8 @@
     deadline: float
     fingerprint: int
     excluded: set[Address] = attrs.field(factory=set)
+    # Sidecars that refused it for another reason than a lack of room.
+    barred: set[Address] = attrs.field(factory=set)
     queued_at: set[Address] = attrs.field(factory=set)
     refusals: int = 0
     sends: int = 0
@@ -184,6 +189,8 @@
         )
         if error.outcome is Outcome.NOT_RUN:
             job.refusals += 1
+            if error.code is not Code.QUEUE_FULL:
+                job.barred.add(target.member.address)
             if error.code is Code.SERVER_SHED:
                 self._chooser.avoid(target, _SHED_SECONDS)
                 return
@@ -220,14 +227,27 @@
             if target is not None:
                 return target, 0
         # All servers that were asked are busy or ejected.
-        target = self._chooser.choose(job.service, job.queued_at, avoided=True)
+        target = self._choose_queue(job)
         waited = self._clock.now() - job.arrived
         max_wait = _QUEUE_SHARE * job.route.objective - waited
-        if target is None or max_wait <= 0 or len(job.queued_at) > 1:
+        tried = len(job.queued_at)
+        if target is None or max_wait <= 0 or tried >= _MOST_QUEUES:
             raise _conclude(job)
         job.queued_at.add(target.member.address)
         return target, max_wait
 
+    def _choose_queue(self, job: Job) -> Target | None:
+        """Give a server to wait at, sound ones first."""
+        refused = job.queued_at | job.barred
+        target = self._chooser.choose(job.service, refused, avoided=False)
+        if target is None:
+            target = self._chooser.choose(job.service, refused, avoided=True)
+        if target is None and job.repeatable:
+            return self._chooser.choose(
+                job.service, job.queued_at, avoided=True
+            )
+        return target
+
     def _send(
         self,
         job: Job,
--- a/tests/godwitknot/mesh/test_mesh_dispatch.py
+++ b/tests/godwitknot/mesh/test_mesh_dispatch.py
@@ -159,6 +159,27 @@
     assert [offer.repeat for offer in relay.offers] == [0, 1]
 
 
+def test_booking_waits_at_a_sound_server_beside_ejected_ones(
+    dispatcher, clock, relay
+):
+    """It was refused untried after two ejected servers."""
+
+    async def refuse_or_run(address, round_trip, exchange):
+        offer = exchange.offer
+        relay.offers.append(offer)
+        if offer.server_id != 's4':
+            raise RefusalError(Code.EJECTED, relayed=True)
+        if offer.max_wait == 0:
+            raise RefusalError(Code.QUEUE_FULL, relayed=True)
+        exchange.committed = True
+        return Answer(200, [], b'done')
+
+    relay.run = refuse_or_run
+    job = make_job(clock, RouteKind.AT_MOST_ONCE)
+    assert dispatch(dispatcher, job).status == 200
+    assert [each.server_id for each in relay.offers if each.max_wait] == ['s4']
+
+
 def test_request_that_found_no_room_is_not_run(dispatcher, clock, relay):
     full = RefusalError(Code.QUEUE_FULL, retry_after=0.3, relayed=True)
     relay.replies = dict.fromkeys(('s2', 's3', 's4'), full)
