--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,11 @@
 VENV := .venv
 BIN := $(VENV)/bin
 SEEDS ?= 20
+# Test processes side by side; tests with real nodes need two cores each.
+JOBS ?= 3
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: setup run test lint format measure soak slopes clean
+.PHONY: setup run test lint format measure soak fault-soak slopes clean
 
 setup: $(VENV)/.installed
 
@@ -20,7 +22,7 @@
 	$(BIN)/python -m bench.session
 
 test: setup
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(JOBS) --dist worksteal
 
 lint: setup
 	$(BIN)/ruff format --check .
@@ -36,6 +38,9 @@
 soak: setup
 	$(BIN)/python -m bench.soak --seeds $(SEEDS)
 
+fault-soak: setup
+	$(BIN)/python -m bench.faultsoak --seeds $(SEEDS)
+
 slopes: setup
 	$(BIN)/python -m bench.slopes
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -2,6 +2,7 @@
 
 import ast
 import pathlib
+import re
 
 import attrs
 import pytest
@@ -98,3 +99,21 @@
 
 def test_example_settings_are_valid():
     assert load_settings(ROOT / 'examples' / 'node.ini').servers
+
+
+PAGES = sorted(
+    [*(ROOT / 'docs').rglob('*.md'), ROOT / 'README.md', ROOT / 'DEVELOPERS.md']
+)
+NAMED_PATH = re.compile(
+    r'`((?:tests|bench|standins|deploy|docs|examples)/[^`\s]+)`'
+)
+
+
+@pytest.mark.parametrize('page', PAGES, ids=lambda page: page.name)
+def test_paths_in_pages_exist(page):
+    """Guards against pages that point to files that were moved."""
+    named = NAMED_PATH.findall(page.read_text(encoding='utf-8'))
+    missing = [
+        path for path in named if not (ROOT / path.partition('::')[0]).exists()
+    ]
+    assert not missing
