Name missing files, and all faults beside a repeated section

Cause: `godwitknot check` called a missing file not readable as UTF-8, and a section that stands twice ended the reading, so that it hid every other fault.

Change: a missing file, other I/O errors and another encoding have messages of their own; after a repeated section or key the rest is read leniently, and its faults are named too.

Ruled out: naming several repeated sections at once; the library stops at the first.

--- a/godwitknot/declarations/declaration.py
+++ b/godwitknot/declarations/declaration.py
@@ -271,7 +271,7 @@
     :raises DeclarationError: with every fault in the file.
     """
     parser, problems = read_text(text)
-    if problems:
+    if problems and not parser.sections():
         raise DeclarationError(problems)
     sections = {title: dict(parser[title]) for title in parser.sections()}
     fleet = read_section(
--- a/godwitknot/declarations/inifile.py
+++ b/godwitknot/declarations/inifile.py
@@ -1,6 +1,7 @@
 """Reading of INI sections into attrs classes, with all faults at once."""
 
 import configparser
+import contextlib
 import pathlib
 from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
@@ -45,29 +46,56 @@
     """
     try:
         return path.read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        reason = Problem('', str(path), 'a readable UTF-8 file', str(error))
+    except OSError as error:
+        why = error.strerror or str(error)
+        raise failure([Problem('', str(path), 'a file', why)]) from error
+    except UnicodeDecodeError as error:
+        reason = Problem('', str(path), 'UTF-8 text', str(error))
         raise failure([reason]) from error
 
 
-def read_text(text: str) -> tuple[configparser.ConfigParser, list[Problem]]:
-    """Parse INI text.
-
-    :returns: the parser and the faults that made it stop.
-    """
-    parser = configparser.ConfigParser(
+def _make_parser(*, strict: bool) -> configparser.ConfigParser:
+    return configparser.ConfigParser(
         interpolation=None,
         comment_prefixes=('#', ';'),
         inline_comment_prefixes=(';',),
+        strict=strict,
     )
+
+
+def read_text(text: str) -> tuple[configparser.ConfigParser, list[Problem]]:
+    """Parse INI text.
+
+    A section or key that stands twice is a fault, and the rest is read all
+    the same, so that it hides no other fault.
+
+    :returns: the parser, without sections if the text is no INI, and the
+        faults.
+    """
+    parser = _make_parser(strict=True)
     try:
         parser.read_string(text)
+    except configparser.DuplicateSectionError as error:
+        twice = Problem(error.section, '', 'one section of this name', 'two')
+        return _read_leniently(text), [twice]
+    except configparser.DuplicateOptionError as error:
+        twice = Problem(error.section, error.option, 'one value', 'two')
+        return _read_leniently(text), [twice]
     except configparser.Error as error:
         reason = str(error).replace('\n', ' ')
-        return parser, [Problem('', '', 'valid INI', reason)]
+        return _make_parser(strict=True), [Problem('', '', 'valid INI', reason)]
     return parser, []
 
 
+def _read_leniently(text: str) -> configparser.ConfigParser:
+    parser = _make_parser(strict=False)
+    with contextlib.suppress(configparser.Error):
+        # A fault of the syntax behind the repeated section is named once
+        # that one is mended.
+        parser.read_string(text)
+    return parser
+
+
 def ini_key(attribute: str) -> str:
     """Give the INI spelling of an attribute: hyphens for underscores."""
     return attribute.replace('_', '-')
--- a/godwitknot/declarations/settings.py
+++ b/godwitknot/declarations/settings.py
@@ -163,7 +163,7 @@
     :raises SettingsError: with every fault in the file.
     """
     parser, problems = read_text(text)
-    if problems:
+    if problems and not parser.sections():
         raise SettingsError(problems)
     sections = {title: dict(parser[title]) for title in parser.sections()}
     node = read_section(NodeSection, 'node', sections.pop('node', {}), problems)
--- a/tests/godwitknot/declarations/test_declaration.py
+++ b/tests/godwitknot/declarations/test_declaration.py
@@ -1,6 +1,10 @@
 import pytest
 
-from godwitknot.declarations.declaration import Weighing, parse_declaration
+from godwitknot.declarations.declaration import (
+    Weighing,
+    load_declaration,
+    parse_declaration,
+)
 from godwitknot.declarations.routes import RouteTable
 from godwitknot.errors import DeclarationError
 
@@ -95,3 +99,27 @@
         'latency',
         'service',
     ]
+
+
+def test_section_that_stands_twice_hides_no_other_fault():
+    """Guards against faults that show only after the first is mended."""
+    text = VALID.replace('floor = 75%', 'floor = lots')
+    with pytest.raises(DeclarationError) as caught:
+        parse_declaration(f'{text}\n[service booking-old]\nfloor = 1\n')
+    places = [(each.section, each.key) for each in caught.value.problems]
+    assert places == [('service booking-old', ''), ('service booking', 'floor')]
+
+
+def test_missing_file_is_not_called_unreadable(tmp_path):
+    with pytest.raises(DeclarationError) as caught:
+        load_declaration(tmp_path / 'fleet.ini')
+    assert 'No such file' in str(caught.value)
+    assert 'UTF-8' not in str(caught.value)
+
+
+def test_file_of_another_encoding_is_named(tmp_path):
+    path = tmp_path / 'fleet.ini'
+    path.write_bytes(b'\xff\xfe')
+    with pytest.raises(DeclarationError) as caught:
+        load_declaration(path)
+    assert 'UTF-8' in str(caught.value)
