Tell connections that a server closed from malformed responses

Their idle connections were kept, and a crash that closes its connections in an orderly way was not looked at as a crash.

--- a/godwitknot/mesh/httpwire.py
+++ b/godwitknot/mesh/httpwire.py
@@ -278,14 +278,18 @@
         return self.channel.is_quiet
 
     async def _next(self) -> object:
+        ended = False
         while True:
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
+                if ended:
+                    raise ConnectionCutError(str(error)) from error
                 raise ProtocolError(str(error)) from error
             if event is not h11.NEED_DATA:
                 return event
             data = await self.channel.receive()
+            ended = not data
             try:
                 self._parser.receive_data(data)
             except h11.RemoteProtocolError as error:
