--- a/tests/godwitknot/control/test_codec.py
+++ b/tests/godwitknot/control/test_codec.py
@@ -115,7 +115,7 @@
     packed = codec.encode(message)
     program = (
         'import sys\n'
-        'from godwitknot import codec\n'
+        'from godwitknot.control import codec\n'
         'from godwitknot.errors import ProtocolError\n'
         'packed = bytes.fromhex(sys.argv[1])\n'
         'for end in range(len(packed)):\n'
