Let the stand-in platform finish its start before it ends

The HTTP server answers before the start is over.

Change: the stand-in takes the signal itself and ends after the start is over.

Ruled out: the port; the log of the failed run shows the server listening.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -23,6 +23,7 @@
 from godwitknot.storage.store import Write
 from godwitknot.units import Address
 from standins.tables import MemoryObjects, MemoryTables, PlatformFaults
+from standins.waiting import watch_signals
 
 _THREADS = 40
 _MS_PER_SECOND = 1000
@@ -204,6 +205,9 @@
     servers.ServerAdapter(engine, server, bound).subscribe()
     engine.autoreload.unsubscribe()
     cherrypy.server.unsubscribe()
-    engine.signals.subscribe()
+    # The engine exits with status 70 on a signal while it still starts, and
+    # the server answers before that is over.
+    ended = watch_signals()
     engine.start()
-    engine.block()
+    ended.wait()
+    engine.exit()
