--- a/godwitknot/proxying/__init__.py
+++ b/godwitknot/proxying/__init__.py
@@ -1,4 +1,4 @@
 """The way of a request: ingress, choice of a server, hop, and sidecar.
 
-Imports all of the other packages but ``assembly``.
+Imports ``servers``, ``atmostonce``, ``membership`` and what stands below.
 """
