Do not take forgotten connections as failures of a server

Cause: the users' pages say that servers may drop idle connections without notice, and reset what comes next. The sidecar took each such reset as a failed run, and two within 4 s eject the server. A request that must not be repeated took connections of up to 1 s of rest, whatever the server did.

Resets of new connections, later resets and answers that break off count as before, so that a server that fails by resets is still ejected.

The new test of the sidecar ends with an ejection on the old code and passes on this one. A request without a Host field now ends as a ProtocolError, as documented.

--- a/godwitknot/mesh/httpclient.py
+++ b/godwitknot/mesh/httpclient.py
@@ -61,18 +61,19 @@
     async def take(
         self,
         address: Address,
-        newest_idle: float | None = None,
+        longest_rest: float | None = None,
     ) -> ClientSide:
         """Give an idle connection, or a new one.
 
-        :param newest_idle: longest idle time, if shorter than usual.
+        :param longest_rest: longest idle time, if shorter than usual.
         :raises ConnectionFailedError: if none could be opened.
         """
-        most = self._idle_seconds if newest_idle is None else newest_idle
+        most = self._idle_seconds if longest_rest is None else longest_rest
         kept = self._idle.get(address)
         while kept:
             side, since = kept.pop()
-            if side.channel.is_quiet and time.monotonic() - since <= most:
+            side.rested = time.monotonic() - since
+            if side.channel.is_quiet and side.rested <= most:
                 return side
             side.channel.close()
         return ClientSide(await open_channel(address, _CONNECT_SECONDS))
--- a/godwitknot/mesh/httpwire.py
+++ b/godwitknot/mesh/httpwire.py
@@ -199,12 +199,16 @@
 
 
 class ClientSide:
-    """The client's side of a connection: one request at a time."""
+    """The client's side of a connection: one request at a time.
+
+    :ivar rested: seconds that it was idle before the current request.
+    """
 
     def __init__(self, channel: Channel) -> None:
         """Start on a new connection."""
         self.channel = channel
         self.started = False
+        self.rested = float(0)
         self._parser = _client_parser()
 
     def send(self, message: Message) -> None:
@@ -220,12 +224,12 @@
         fields = strip_connection(message.fields)
         if message.body or message.method not in {'GET', 'HEAD', 'DELETE'}:
             fields.append(('Content-Length', str(len(message.body))))
-        head = h11.Request(
-            method=message.method.encode(_CHARSET),
-            target=message.target.encode(_CHARSET),
-            headers=_encode(fields),
-        )
         try:
+            head = h11.Request(
+                method=message.method.encode(_CHARSET),
+                target=message.target.encode(_CHARSET),
+                headers=_encode(fields),
+            )
             data = self._parser.send(head)
             if message.body:
                 data += self._parser.send(h11.Data(data=message.body))
@@ -256,6 +260,12 @@
             parts.append(bytes(event.data))
         return Answer(head.status_code, _decode(head.headers), b''.join(parts))
 
+    @property
+    def heard_nothing(self) -> bool:
+        """Whether no byte of the response has arrived."""
+        untouched = self._parser.their_state is h11.SEND_RESPONSE
+        return untouched and not self._parser.trailing_data[0]
+
     def skip_answer(self, message: Message) -> None:
         """Read the next response as the answer of the same request.
 
--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -34,6 +34,7 @@
 from godwitknot.mesh.model import Message, Placement, ServerState
 from godwitknot.mesh.ports import Dialect, MetadataStore
 from godwitknot.mesh.relay import RelayClient, RelayServer
+from godwitknot.mesh.reuse import USUAL_REST_SECONDS
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.sidecar import Sidecar
 from godwitknot.mesh.spreading import Spreader
@@ -43,8 +44,6 @@
 
 _MILLISECONDS = 1000
 _OK = 200
-# Servers close idle connections after 10 s.
-_SERVER_IDLE_SECONDS = 8.0
 _HEALTH_SECONDS = 1.0
 _CRASH_CHECK_SECONDS = 0.3
 # Callers are sent elsewhere after two misses of a question each second.
@@ -103,7 +102,7 @@
         self._vitals = Vitals(self._clock, self._log)
         budget = RepeatBudget(placement.bounds, self._clock)
         self._gate = Gate(self._server, self._vitals, budget, self._clock)
-        self._client = HttpClient(_SERVER_IDLE_SECONDS)
+        self._client = HttpClient(USUAL_REST_SECONDS)
         self._sidecar = Sidecar(
             self._server,
             self._gate,
--- a/godwitknot/mesh/sidecar.py
+++ b/godwitknot/mesh/sidecar.py
@@ -20,6 +20,7 @@
     Message,
 )
 from godwitknot.mesh.ports import Dialect
+from godwitknot.mesh.reuse import ReusePolicy
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.vitals import Vitals
 from godwitknot.outcomes import Code, Outcome, RefusalError
@@ -27,9 +28,6 @@
 _MISDIRECTED = 421
 # A server's own answer at the deadline that it was given.
 _DEADLINE_STATUS = 504
-# A server may drop an idle connection just as a request is sent, and then
-# nobody knows whether it ran. Servers keep connections for seconds.
-_FRESH_SECONDS = 1.0
 # Responses to other requests that may precede the expected one.
 _MOST_SKIPPED = 2
 _RETRY_SECONDS = 0.5
@@ -54,6 +52,7 @@
         self._vitals = vitals
         self._dialect = dialect
         self._client = client
+        self._reuse = ReusePolicy(runtime.clock)
         self._clock = runtime.clock
         self._log = runtime.log
         self._telemetry = runtime.telemetry
@@ -104,7 +103,7 @@
                 answer, facts = await self._read(side, message, offer)
         except ConnectionCutError as error:
             side.channel.abort()
-            self._note_cut(ticket, error)
+            self._note_cut(ticket, error, side, self._clock.now() - sent)
             raise RefusalError(
                 Code.CONNECTION_LOST, Outcome.MAY_HAVE_RUN
             ) from error
@@ -127,9 +126,9 @@
         return self._judge(ticket, answer, facts, seconds)
 
     async def _connect(self, ticket: Ticket) -> ClientSide:
-        newest = None if ticket.offer.repeatable else _FRESH_SECONDS
+        longest = self._reuse.longest_rest(repeatable=ticket.offer.repeatable)
         try:
-            return await self._client.take(self._address, newest)
+            return await self._client.take(self._address, longest)
         except ConnectionFailedError as error:
             self._note_bad(ticket, 'unreachable', str(error))
             raise RefusalError(
@@ -247,8 +246,18 @@
             detail=detail,
         )
 
-    def _note_cut(self, ticket: Ticket, error: ConnectionCutError) -> None:
-        self._note_bad(ticket, 'connection lost', str(error))
+    def _note_cut(
+        self,
+        ticket: Ticket,
+        error: ConnectionCutError,
+        side: ClientSide,
+        seconds: float,
+    ) -> None:
+        silent = side.heard_nothing
+        if silent and self._reuse.note_reset(side.rested, seconds):
+            self._log_failure(ticket, 'connection forgotten', str(error))
+        else:
+            self._note_bad(ticket, 'connection lost', str(error))
         prints = tuple(each.offer.fingerprint for each in self.gate.running)
         self._client.close_idle(self._address)
         for listener in self.crash_listeners:
--- /dev/null
+++ b/tests/godwitknot/mesh/test_sidecar.py
@@ -0,0 +1,131 @@
+"""What the sidecar takes as evidence against the local server."""
+
+import asyncio
+import random
+import socket
+import struct
+
+import attrs
+import pytest
+from test_gate import SLOTS, make_offer
+
+from godwitknot.clock import SystemClock
+from godwitknot.mesh.budget import RepeatBudget
+from godwitknot.mesh.gate import Gate
+from godwitknot.mesh.httpclient import HttpClient
+from godwitknot.mesh.localserver import LocalServer
+from godwitknot.mesh.model import AnswerFacts, Heartbeat, ServerState
+from godwitknot.mesh.reuse import USUAL_REST_SECONDS
+from godwitknot.mesh.runtime import Runtime
+from godwitknot.mesh.sidecar import Sidecar
+from godwitknot.mesh.telemetry import Telemetry
+from godwitknot.mesh.vitals import Vitals
+from godwitknot.outcomes import Code, Outcome, RefusalError
+from godwitknot.units import Address
+
+_RESET = struct.pack('ii', 1, 0)
+_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+_PART = b'HTTP/1.1 200 OK\r\nContent-Le'
+
+
+class ForgetfulServer:
+    """Resets a connection at its second request.
+
+    :param part: what it sends of an answer before.
+    """
+
+    def __init__(self, part=b''):
+        self.part = part
+        self.connections = 0
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(_ANSWER)
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(self.part)
+        await writer.drain()
+        await asyncio.sleep(0.01)
+        sock = writer.get_extra_info('socket')
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        writer.transport.abort()
+
+
+class PlainDialect:
+    """Reads no header fields."""
+
+    def address_server(self, fields, **facts):
+        return [('Host', 'booking'), *fields]
+
+    def read_answer(self, fields):
+        return AnswerFacts(
+            attempt_id='',
+            server_id='',
+            sealed=True,
+            not_executed=False,
+            waiting=0,
+        )
+
+
+@pytest.fixture
+def build(placement, bounds, log):
+    def build_one(port):
+        clock = SystemClock()
+        address = Address('127.0.0.1', port)
+        local = LocalServer(
+            attrs.evolve(placement, server=address), log, started=1
+        )
+        local.hear(
+            Heartbeat(
+                's1', 'booking', address, SLOTS, ServerState.READY, 1, 1, 0
+            )
+        )
+        vitals = Vitals(clock, log)
+        gate = Gate(local, vitals, RepeatBudget(bounds, clock), clock)
+        return Sidecar(
+            local,
+            gate,
+            vitals,
+            PlainDialect(),
+            HttpClient(USUAL_REST_SECONDS),
+            Runtime(clock, log, Telemetry(), random.Random(1)),
+        )
+
+    return build_one
+
+
+async def run_rested(server, build, count):
+    """Send requests that each find a connection that has rested."""
+    listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+    sidecar = build(listener.sockets[0].getsockname()[1])
+    ends = []
+    for number in range(count):
+        offer = make_offer(attempt_id=f'a{number}', caller_zone='z1')
+        ticket = await sidecar.gate.admit(offer)
+        try:
+            ends.append(await sidecar.run(ticket))
+        except RefusalError as refusal:
+            ends.append(refusal)
+        await asyncio.sleep(0.1)
+    listener.close()
+    return sidecar, ends
+
+
+def test_forgotten_connection_is_no_evidence(build):
+    """Guards against the ejection of servers that forget idle connections."""
+    server = ForgetfulServer()
+    sidecar, ends = asyncio.run(run_rested(server, build, 8))
+    lost = [each for each in ends if isinstance(each, RefusalError)]
+    assert [each.code for each in lost] == [Code.CONNECTION_LOST]
+    assert lost[0].outcome is Outcome.MAY_HAVE_RUN
+    assert not sidecar.gate._vitals.blocks('z1')
+    # From then on, no connection rests long enough to be forgotten.
+    assert server.connections == 7
+
+
+def test_answer_that_breaks_off_is_evidence(build):
+    """Guards against a server that spoils answers and is excused for it."""
+    server = ForgetfulServer(_PART)
+    sidecar, ends = asyncio.run(run_rested(server, build, 4))
+    bad = [each.bad for each in sidecar.gate._vitals._outcomes]
+    assert sum(bad) == 2
