--- a/godwitknot/mesh/choice.py
+++ b/godwitknot/mesh/choice.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from godwitknot.mesh.frames import Load
 from godwitknot.mesh.gate import Gate
 from godwitknot.mesh.membership import Directory, Member
+from godwitknot.mesh.messages import Load
 from godwitknot.mesh.model import Placement
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.units import Address
--- a/godwitknot/mesh/dispatch.py
+++ b/godwitknot/mesh/dispatch.py
@@ -5,75 +5,25 @@
 import attrs
 
 from godwitknot.mesh.choice import Chooser, Target
-from godwitknot.mesh.frames import Offer
-from godwitknot.mesh.model import (
-    SERVER_ERROR,
-    Answer,
-    Message,
-    Placement,
-    Route,
-)
+from godwitknot.mesh.job import Job
+from godwitknot.mesh.messages import Offer
+from godwitknot.mesh.model import SERVER_ERROR, Answer, Placement
 from godwitknot.mesh.relay import Exchange, RelayClient
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.sidecar import Sidecar
-from godwitknot.outcomes import Code, Outcome, RefusalError
-from godwitknot.units import Address
+from godwitknot.outcomes import Code, RefusalError
 
-# Refusals by sidecars cost little, but each takes a round trip.
-_MOST_REFUSALS = 4
-# Servers at which a request asks for a place in the queue. Those that refuse
-# it do so at once.
-_MOST_QUEUES = 4
-# Part of the objective that a request may wait in a queue. Longer waits
-# would make the answer late, and a refusal tells the caller to come back.
-_QUEUE_SHARE = 0.6
 # Part of the objective after which a repeatable request is sent to another
 # server, so that the second answer still comes in time.
 _HEDGE_SHARE = 0.5
 _LEAST_HEDGE_SECONDS = 0.1
-# Callers come back after this long when there is no server at all.
-_NO_SERVER_SECONDS = 0.5
 # The server's own answer at its deadline comes back this much earlier.
 _ANSWER_SECONDS = 0.03
-# Part of the objective that must be left for a second send.
-_LEAST_LEFT_SHARE = 0.15
 # A server that sheds is left alone for about the time of one run.
 _SHED_SECONDS = 0.25
 _LINK_CODES = frozenset((Code.LINK_DOWN, Code.LINK_LOST))
 
 
-@attrs.define(eq=False)
-class Job:
-    """One request of a caller.
-
-    :param service: that the route's split has chosen.
-    :param deadline: of the final answer, on the node's clock.
-    :param fingerprint: recognizes the request in crash reports.
-    """
-
-    attempt_id: str
-    message: Message
-    route: Route
-    service: str
-    arrived: float
-    deadline: float
-    fingerprint: int
-    excluded: set[Address] = attrs.field(factory=set)
-    # Sidecars that refused it for another reason than a lack of room.
-    barred: set[Address] = attrs.field(factory=set)
-    queued_at: set[Address] = attrs.field(factory=set)
-    refusals: int = 0
-    sends: int = 0
-    last: RefusalError | None = None
-    may_have_run: bool = False
-    fallback: Answer | None = None
-
-    @property
-    def repeatable(self) -> bool:
-        """Whether the request may run more than once."""
-        return self.route.kind.repeatable
-
-
 @attrs.define(eq=False)
 class _Attempt:
     """One send of a request; ``hedged`` once another one was started."""
@@ -171,8 +121,6 @@
         error: RefusalError,
     ) -> None:
         target = attempt.target
-        job.last = error
-        job.excluded.add(target.member.address)
         if error.code in _LINK_CODES and not error.relayed:
             self._chooser.note_silent(target)
             self._relay.close_idle(target.member.address)
@@ -187,22 +135,9 @@
             outcome=str(error.outcome),
             seconds=round(self._clock.now() - attempt.started, 4),
         )
-        if error.outcome is Outcome.NOT_RUN:
-            job.refusals += 1
-            if error.code is not Code.QUEUE_FULL:
-                job.barred.add(target.member.address)
-            if error.code is Code.SERVER_SHED:
-                self._chooser.avoid(target, _SHED_SECONDS)
-                return
-            # It has not reached a server.
-            job.sends -= 1
-            return
-        job.may_have_run = True
-        if not job.repeatable:
-            raise error
-
-    def _may_repeat(self, job: Job) -> bool:
-        return job.sends < job.route.attempts
+        job.note_refusal(target.member.address, error)
+        if error.code is Code.SERVER_SHED:
+            self._chooser.avoid(target, _SHED_SECONDS)
 
     def _start(self, job: Job, attempts: list[_Attempt]) -> None:
         """Start an attempt.
@@ -210,8 +145,8 @@
         :raises RefusalError: if there is no server left to try.
         """
         self._check_deadline(job, attempts)
-        if job.sends and not self._is_worth_sending(job):
-            raise _conclude(job)
+        if job.sends and not job.is_worth_sending(self._clock.now()):
+            raise job.conclude()
         target, max_wait = self._choose(job)
         self._send(job, target, max_wait, attempts)
 
@@ -220,7 +155,7 @@
 
         :raises RefusalError: if none is left.
         """
-        if job.refusals < _MOST_REFUSALS:
+        if job.may_ask_more:
             target = self._chooser.choose(
                 job.service, job.excluded, avoided=False
             )
@@ -228,11 +163,9 @@
                 return target, 0
         # All servers that were asked are busy or ejected.
         target = self._choose_queue(job)
-        waited = self._clock.now() - job.arrived
-        max_wait = _QUEUE_SHARE * job.route.objective - waited
-        tried = len(job.queued_at)
-        if target is None or max_wait <= 0 or tried >= _MOST_QUEUES:
-            raise _conclude(job)
+        max_wait = job.longest_wait(self._clock.now())
+        if target is None or max_wait <= 0:
+            raise job.conclude()
         job.queued_at.add(target.member.address)
         return target, max_wait
 
@@ -334,7 +267,7 @@
 
     def _next_hedge(self, job: Job, attempts: list[_Attempt]) -> float:
         """Give the time of the next second send."""
-        if not job.repeatable or not self._may_repeat(job):
+        if not job.repeatable or not job.may_be_sent_again:
             return job.deadline
         waiting = [each for each in attempts if not each.hedged]
         if not waiting:
@@ -350,7 +283,7 @@
         ended: int,
     ) -> None:
         """Let a second send go elsewhere after a sidecar refused it."""
-        if ended and job.refusals < _MOST_REFUSALS:
+        if ended and job.may_ask_more:
             for attempt in attempts:
                 attempt.hedged = False
 
@@ -364,37 +297,15 @@
         target = self._chooser.choose(
             job.service, job.excluded | used, avoided=False
         )
-        if target is None or not self._is_worth_sending(job):
+        if target is None or not job.is_worth_sending(self._clock.now()):
             return
         self._telemetry.count('hedged_requests')
         self._send(job, target, 0, attempts)
 
-    def _is_worth_sending(self, job: Job) -> bool:
-        """Tell whether another send is allowed and may be answered."""
-        if not self._may_repeat(job):
-            return False
-        left = job.deadline - self._clock.now()
-        return left > _LEAST_LEFT_SHARE * job.route.objective
-
     def _check_deadline(self, job: Job, attempts: list[_Attempt]) -> None:
         if self._clock.now() < job.deadline:
             return
         for attempt in attempts:
             if attempt.exchange.committed or job.repeatable:
                 job.may_have_run = True
-        if job.may_have_run:
-            raise RefusalError(Code.DEADLINE_PASSED, Outcome.MAY_HAVE_RUN)
-        raise RefusalError(Code.QUEUE_FULL, retry_after=_NO_SERVER_SECONDS)
-
-
-def _conclude(job: Job) -> RefusalError:
-    """Give the refusal for the caller, after all attempts."""
-    last = job.last
-    if last is None:
-        return RefusalError(Code.NO_SERVER, retry_after=_NO_SERVER_SECONDS)
-    if job.may_have_run:
-        code = last.code
-        if last.outcome is Outcome.NOT_RUN:
-            code = Code.CONNECTION_LOST
-        return RefusalError(code, Outcome.MAY_HAVE_RUN)
-    return RefusalError(last.code, Outcome.NOT_RUN, last.retry_after)
+        raise job.conclude_late()
--- a/godwitknot/mesh/gate.py
+++ b/godwitknot/mesh/gate.py
@@ -10,8 +10,8 @@
 
 from godwitknot.clock import Clock
 from godwitknot.mesh.budget import RepeatBudget
-from godwitknot.mesh.frames import Load, Offer, Refused
 from godwitknot.mesh.localserver import LocalServer
+from godwitknot.mesh.messages import Load, Offer, Refused
 from godwitknot.mesh.vitals import Vitals
 from godwitknot.outcomes import Code, RefusalError
 
--- a/godwitknot/mesh/knowledge.py
+++ b/godwitknot/mesh/knowledge.py
@@ -1,7 +1,7 @@
 """The configuration in force on this node, and how it is kept current."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 from godwitknot.errors import (
     HistoryLostError,
@@ -112,42 +112,45 @@
         self._changed.set()
 
     async def _follow_configuration(self) -> None:
-        after: int | None = None
-        pause = _FIRST_RETRY_SECONDS
-        while True:
-            try:
-                if after is None:
-                    page = await self._store.read_configuration()
-                else:
-                    page = await self._store.watch_configuration(
-                        after, _FEED_SECONDS
-                    )
-            except HistoryLostError:
-                self._log.write('feed history lost', table='configuration')
-                after = None
-                continue
-            except StoreError as error:
-                pause = await self._wait_out(error, pause)
-                continue
-            pause = self._note_connected()
-            after = page.version
+        async def read(after: int | None) -> Page:
+            if after is None:
+                return await self._store.read_configuration()
+            return await self._store.watch_configuration(after, _FEED_SECONDS)
+
+        async for page in self._follow('configuration', read):
             for row in page.rows:
                 if row.content is not None:
                     self._holder.adopt(row.content, 'store')
 
     async def _follow_members(self) -> None:
+        async def read(after: int | None) -> Page:
+            if after is None:
+                return await self._store.read_table(_MEMBER_TABLE)
+            return await self._store.watch_table(
+                _MEMBER_TABLE, after, _FEED_SECONDS
+            )
+
+        async for page in self._follow(_MEMBER_TABLE, read):
+            self._take_page(page)
+            self.members_read = True
+            await asyncio.sleep(_GATHER_SECONDS)
+
+    async def _follow(
+        self,
+        table: str,
+        read: Callable[[int | None], Awaitable[Page]],
+    ) -> AsyncIterator[Page]:
+        """Give the pages of a feed, and all rows again after a gap.
+
+        :param read: gives what changed after a version, or all rows.
+        """
         after: int | None = None
         pause = _FIRST_RETRY_SECONDS
         while True:
             try:
-                if after is None:
-                    page = await self._store.read_table(_MEMBER_TABLE)
-                else:
-                    page = await self._store.watch_table(
-                        _MEMBER_TABLE, after, _FEED_SECONDS
-                    )
+                page = await read(after)
             except HistoryLostError:
-                self._log.write('feed history lost', table='members')
+                self._log.write('feed history lost', table=table)
                 after = None
                 continue
             except StoreError as error:
@@ -155,9 +158,7 @@
                 continue
             pause = self._note_connected()
             after = page.version
-            self._take_page(page)
-            self.members_read = True
-            await asyncio.sleep(_GATHER_SECONDS)
+            yield page
 
     def _take_page(self, page: Page) -> None:
         members: list[Member] = []
--- a/godwitknot/mesh/relay.py
+++ b/godwitknot/mesh/relay.py
@@ -15,7 +15,8 @@
 from godwitknot.mesh import frames
 from godwitknot.mesh.channels import Channel, open_channel
 from godwitknot.mesh.events import EventLog
-from godwitknot.mesh.frames import FrameChannel, Kind, Load, Offer, Refused
+from godwitknot.mesh.frames import FrameChannel
+from godwitknot.mesh.messages import Kind, Load, Offer, Refused
 from godwitknot.mesh.model import Answer
 from godwitknot.mesh.sidecar import Sidecar
 from godwitknot.outcomes import Code, Outcome, RefusalError
--- a/godwitknot/mesh/sidecar.py
+++ b/godwitknot/mesh/sidecar.py
@@ -7,11 +7,11 @@
     ConnectionFailedError,
     ProtocolError,
 )
-from godwitknot.mesh.frames import Offer
 from godwitknot.mesh.gate import Gate, Ticket
 from godwitknot.mesh.httpclient import HttpClient
 from godwitknot.mesh.httpwire import ClientSide
 from godwitknot.mesh.localserver import LocalServer
+from godwitknot.mesh.messages import Offer
 from godwitknot.mesh.model import (
     SERVER_ERROR,
     SUCCESS,
--- a/tests/godwitknot/mesh/test_frames.py
+++ b/tests/godwitknot/mesh/test_frames.py
@@ -11,6 +11,7 @@
 
 from godwitknot.errors import ProtocolError
 from godwitknot.mesh import frames
+from godwitknot.mesh.messages import Kind
 
 
 def test_refused_offer_has_not_sent_its_body():
@@ -19,13 +20,13 @@
     frame = frames.encode_offer(offer)
     assert len(frame) < 1000
     kind, decoded = frames.decode(frame)
-    assert kind is frames.Kind.OFFER
+    assert kind is Kind.OFFER
     assert decoded == attrs.evolve(offer, body=b'', two_phase=True)
 
 
 def test_commit_carries_the_body():
     kind, body = frames.decode(frames.encode_commit(b'abc'))
-    assert (kind, body) == (frames.Kind.COMMIT, b'abc')
+    assert (kind, body) == (Kind.COMMIT, b'abc')
 
 
 def test_offer_without_body_needs_no_commit_if_repeatable():
--- a/tests/godwitknot/mesh/test_gate.py
+++ b/tests/godwitknot/mesh/test_gate.py
@@ -5,9 +5,9 @@
 import pytest
 
 from godwitknot.mesh.budget import RepeatBudget
-from godwitknot.mesh.frames import Offer
 from godwitknot.mesh.gate import Gate
 from godwitknot.mesh.localserver import LocalServer
+from godwitknot.mesh.messages import Offer
 from godwitknot.mesh.model import Heartbeat, ServerState
 from godwitknot.mesh.vitals import Vitals
 from godwitknot.outcomes import Code, Outcome, RefusalError
--- a/tests/godwitknot/mesh/test_mesh_dispatch.py
+++ b/tests/godwitknot/mesh/test_mesh_dispatch.py
@@ -7,7 +7,8 @@
 import pytest
 
 from godwitknot.mesh.choice import Chooser
-from godwitknot.mesh.dispatch import Dispatcher, Job
+from godwitknot.mesh.dispatch import Dispatcher
+from godwitknot.mesh.job import Job
 from godwitknot.mesh.gate import Gate
 from godwitknot.mesh.localserver import LocalServer
 from godwitknot.mesh.membership import Directory, Member
--- a/tests/godwitknot/mesh/test_spreading.py
+++ b/tests/godwitknot/mesh/test_spreading.py
@@ -12,6 +12,7 @@
 from godwitknot.mesh.choice import Chooser
 from godwitknot.mesh.knowledge import ConfigurationHolder
 from godwitknot.mesh.membership import Directory
+from godwitknot.mesh.messages import Digest, Kind
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.spreading import Spreader
 from godwitknot.mesh.telemetry import Telemetry
@@ -44,7 +45,8 @@
         return frames.decode(other.handle(*frames.decode(frame)))
 
     def take_closed(self):
-        closed, self.closed = self.closed, []
+        closed = list(self.closed)
+        self.closed.clear()
         return closed
 
 
@@ -134,10 +136,10 @@
         here, there = make_member(1), make_member(2)
         first = build(here, [there])
         second = build(there, [here])
-        digest = frames.Digest(here.address, first._directory.digests(), 0)
-        return frames.decode(second.handle(frames.Kind.DIGEST, digest))
+        digest = Digest(here.address, first._directory.digests(), 0)
+        return frames.decode(second.handle(Kind.DIGEST, digest))
 
-    assert asyncio.run(scenario()) == (frames.Kind.SAME, None)
+    assert asyncio.run(scenario()) == (Kind.SAME, None)
 
 
 def test_node_that_closed_its_connections_is_asked_until_it_answers(
