Judge runs by the objective of their request

Each node starts with a usual run of 0.3 s, so that a run counts as hung after 1.05 s, while runs take 0.55 s on the mean there; and short lookups and long downloads of one server shared one usual time. A deployment whose runs take over a second would never have learned it, since a run that was counted as hung teaches nothing. Cold servers were ruled out: the times of good runs are those of calm seconds but for the queue.

The usual time is now a part of the objective, 0.2 at first; offers carry the objective. Limits stay as they were for an objective of 1.5 s.

--- a/godwitknot/mesh/dispatch.py
+++ b/godwitknot/mesh/dispatch.py
@@ -242,6 +242,7 @@
             caller_zone=self._placement.zone,
             fingerprint=job.fingerprint,
             repeat=1 if job.sends > 1 else self._hidden_repeat(job),
+            objective=job.route.objective,
         )
 
     def _hidden_repeat(self, job: Job) -> float:
--- a/godwitknot/mesh/frames.py
+++ b/godwitknot/mesh/frames.py
@@ -11,6 +11,7 @@
 from godwitknot.mesh.channels import Channel
 from godwitknot.mesh.membership import Crash, Member
 from godwitknot.mesh.messages import (
+    DEFAULT_OBJECTIVE_SECONDS,
     Digest,
     Kind,
     Knowledge,
@@ -122,6 +123,7 @@
             'callerZone': offer.caller_zone,
             'fingerprint': offer.fingerprint,
             'repeat': offer.repeat,
+            'objective': offer.objective,
         },
     )
 
@@ -290,6 +292,7 @@
         fingerprint=entry.fingerprint,
         repeat=entry.repeat,
         two_phase=entry.twoPhase,
+        objective=entry.objective or DEFAULT_OBJECTIVE_SECONDS,
     )
 
 
--- a/godwitknot/mesh/gate.py
+++ b/godwitknot/mesh/gate.py
@@ -55,6 +55,7 @@
 
     began: float
     ended: float
+    objective: float
 
 
 class Gate:
@@ -162,13 +163,23 @@
         Second sends elsewhere end the first ones early, so that a server
         that hangs would otherwise leave no trace.
         """
-        self._cut_short.append(_CutShort(ticket.began, self._clock.now()))
+        self._cut_short.append(
+            _CutShort(ticket.began, self._clock.now(), ticket.offer.objective)
+        )
 
     def expected_wait(self) -> float:
         """Give the seconds until a new request would get its slot."""
         ahead = len(self._running) + self._waiting() + 1 - self._server.slots
         rounds = max(0, ahead) / max(1, self._server.slots)
-        return max(_LEAST_RETRY_SECONDS, rounds * self._vitals.usual_seconds)
+        return max(_LEAST_RETRY_SECONDS, rounds * self._usual_run())
+
+    def _usual_run(self) -> float:
+        """Give the usual time of the present runs, in seconds."""
+        usual = [
+            self._vitals.usual_seconds(ticket.offer.objective)
+            for ticket in self._running
+        ]
+        return sum(usual) / max(1, len(usual))
 
     def refuse_all(self) -> None:
         """Refuse every request in the queue, since the server closes."""
@@ -192,9 +203,9 @@
     def note_hung(self) -> None:
         """Count runs that take far longer than usual, once each."""
         now = self._clock.now()
-        limit = self._vitals.hung_seconds
         for ticket in self._running:
             if ticket.began and not ticket.counted_hung:
+                limit = self._vitals.hung_seconds(ticket.offer.objective)
                 if now - ticket.began > limit:
                     ticket.counted_hung = True
                     self._vitals.note_bad(
@@ -263,8 +274,12 @@
 
         One such run is enough; more would only wait with it.
         """
-        earliest = self._clock.now() - self._vitals.suspect_seconds
-        return any(ticket.began > earliest for ticket in self._running)
+        now = self._clock.now()
+        return any(
+            now - ticket.began
+            < self._vitals.suspect_seconds(ticket.offer.objective)
+            for ticket in self._running
+        )
 
     def _is_suspect(self, certainty: float = 1) -> bool:
         """Tell whether the runs without an answer are too old together.
@@ -278,16 +293,17 @@
         now = self._clock.now()
         answered = self._vitals.last_good_began
         ages = [
-            now - ticket.began
+            (now - ticket.began, ticket.offer.objective)
             for ticket in self._running
             if ticket.began > answered
         ]
         ages += [
-            cut.ended - cut.began
+            (cut.ended - cut.began, cut.objective)
             for cut in self._cut_short
             if cut.began > answered and now - cut.ended < _CUT_SHORT_SECONDS
         ]
-        return sum(ages) > certainty * self._vitals.suspect_seconds
+        limit = self._vitals.suspect_seconds
+        return sum(age / limit(aim) for age, aim in ages) > certainty
 
     def _has_room(self) -> bool:
         free = self._server.slots - len(self._running)
--- a/godwitknot/mesh/mesh.capnp
+++ b/godwitknot/mesh/mesh.capnp
@@ -25,6 +25,7 @@
   fingerprint @13 :UInt64; # recognizes the request in crash reports
   repeat @14 :Float64;     # 1 for a repeat, less if it may count as one
   twoPhase @15 :Bool;      # the receiver waits for a commit with the body
+  objective @16 :Float64;  # seconds in which the answer is wanted
 }
 
 struct Load {
--- a/godwitknot/mesh/messages.py
+++ b/godwitknot/mesh/messages.py
@@ -10,6 +10,10 @@
 from godwitknot.units import Address
 
 
+# For offers of nodes that do not tell the objective.
+DEFAULT_OBJECTIVE_SECONDS = 1.5
+
+
 class Kind(enum.StrEnum):
     """Kinds of frames."""
 
@@ -51,6 +55,7 @@
     :param repeat: 1 if it was sent before; otherwise the likelihood that
         it counts as a repeat, since a repeated run called it.
     :param two_phase: on the receiving side, whether a commit follows.
+    :param objective: seconds in which the answer is wanted.
     """
 
     attempt_id: str
@@ -69,6 +74,7 @@
     fingerprint: int
     repeat: float = 0
     two_phase: bool = False
+    objective: float = DEFAULT_OBJECTIVE_SECONDS
 
     @property
     def needs_commit(self) -> bool:
--- a/godwitknot/mesh/sidecar.py
+++ b/godwitknot/mesh/sidecar.py
@@ -187,7 +187,7 @@
         elif answer.status >= SERVER_ERROR:
             self._note_bad(ticket, f'status {answer.status}', '')
         elif not ticket.counted_hung:
-            self._vitals.note_good(seconds, zone)
+            self._vitals.note_good(seconds, offer.objective, zone)
         self._telemetry.observe('server_seconds', seconds)
         return answer
 
@@ -231,7 +231,8 @@
         It says nothing on the server if the deadline was short, and a run
         that was counted as hung is not counted again.
         """
-        if ticket.counted_hung or seconds < self._vitals.hung_seconds:
+        limit = self._vitals.hung_seconds(ticket.offer.objective)
+        if ticket.counted_hung or seconds < limit:
             self._log_failure(ticket, reason, 'no evidence')
         else:
             self._note_bad(ticket, reason, '')
--- a/godwitknot/mesh/vitals.py
+++ b/godwitknot/mesh/vitals.py
@@ -26,7 +26,9 @@
 # lose fewer requests with less; sound ones are passed over more often.
 _SUSPECT_FACTOR = 2.0
 _LEAST_SUSPECT_SECONDS = 0.15
-_USUAL_SECONDS = 0.3
+# A run takes about this part of its request's objective before any was seen.
+# A fixed time makes servers with long runs look hung after each start.
+_USUAL_SHARE = 0.2
 _SMOOTHING = 0.1
 
 
@@ -69,37 +71,44 @@
             maxlen=4 * _SAMPLE
         )
         self._ejected: dict[str, Verdict] = {}
-        self._usual = _USUAL_SECONDS
+        self._usual_share = _USUAL_SHARE
         # When the run began that was good last, on the node's clock.
         self.last_good_began = float(0)
 
-    @property
-    def usual_seconds(self) -> float:
-        """Smoothed time of a good run."""
-        return self._usual
+    def usual_seconds(self, objective: float) -> float:
+        """Give the smoothed time of a good run.
 
-    @property
-    def hung_seconds(self) -> float:
-        """Age from which a run counts as hung."""
-        return max(_LEAST_HUNG_SECONDS, _HUNG_FACTOR * self._usual)
+        Requests of different objectives take different times on the same
+        server, which are compared as parts of the objective.
 
-    @property
-    def suspect_seconds(self) -> float:
-        """Sum of ages from which runs make their server suspect."""
-        return max(_LEAST_SUSPECT_SECONDS, _SUSPECT_FACTOR * self._usual)
+        :param objective: of the request, in seconds.
+        """
+        return self._usual_share * objective
+
+    def hung_seconds(self, objective: float) -> float:
+        """Give the age from which a run counts as hung."""
+        usual = self.usual_seconds(objective)
+        return max(_LEAST_HUNG_SECONDS, _HUNG_FACTOR * usual)
+
+    def suspect_seconds(self, objective: float) -> float:
+        """Give the sum of ages from which runs make their server suspect."""
+        usual = self.usual_seconds(objective)
+        return max(_LEAST_SUSPECT_SECONDS, _SUSPECT_FACTOR * usual)
 
     def reset(self) -> None:
         """Forget everything, since another server is there."""
         self._outcomes.clear()
         self._ejected.clear()
-        self._usual = _USUAL_SECONDS
+        self._usual_share = _USUAL_SHARE
 
-    def note_good(self, seconds: float, zone: str) -> None:
+    def note_good(self, seconds: float, objective: float, zone: str) -> None:
         """Take in a good run.
 
         :param seconds: that it took.
+        :param objective: of its request, in seconds.
         """
-        self._usual += _SMOOTHING * (seconds - self._usual)
+        share = seconds / objective
+        self._usual_share += _SMOOTHING * (share - self._usual_share)
         now = self._clock.now()
         self.last_good_began = max(self.last_good_began, now - seconds)
         self._outcomes.append(_Outcome(now, False, zone))
