Offer a second send again after a round of refusals

The second send, due after half the objective, was refused by up to four busy or ejected servers within milliseconds, often fewer since the refusals of the first send counted too, and was then given up for good with 2.8 s left. The retry budget was ruled out: 'retry-budget-exhausted' is rare in these logs.

Rounds after the first stay within the region.

--- a/godwitknot/mesh/choice.py
+++ b/godwitknot/mesh/choice.py
@@ -84,11 +84,13 @@
         excluded: set[Address],
         *,
         avoided: bool,
+        anywhere: bool = True,
     ) -> Target | None:
         """Give the best server that is not excluded.
 
         :param excluded: nodes that the request was refused by or sent to.
         :param avoided: consider also servers that are to be avoided.
+        :param anywhere: consider also servers of other regions.
         """
         now = self._clock.now()
         best: Member | None = None
@@ -99,6 +101,8 @@
             peer = self._peer(member)
             if not avoided and self._avoids(member, peer, now):
                 continue
+            if not anywhere and member.region != self._placement.region:
+                continue
             cost = self._cost(member, peer, now)
             if best is None or cost < best_cost:
                 best, best_cost = member, cost
--- a/godwitknot/mesh/dispatch.py
+++ b/godwitknot/mesh/dispatch.py
@@ -17,6 +17,8 @@
 # server, so that the second answer still comes in time.
 _HEDGE_SHARE = 0.5
 _LEAST_HEDGE_SECONDS = 0.1
+# After a round of refusals, about as long as a slot takes to become free.
+_HEDGE_PAUSE_SECONDS = 0.2
 # The server's own answer at its deadline comes back this much earlier.
 _ANSWER_SECONDS = 0.03
 # A server that sheds is left alone for about the time of one run.
@@ -93,7 +95,9 @@
                     return answer
             if attempts:
                 self._check_deadline(job, attempts)
-                self._reopen_hedge(job, attempts, len(done))
+                if done:
+                    # The second send may go elsewhere.
+                    self._reopen_hedge(attempts)
                 self._hedge(job, attempts)
 
     def _take(self, job: Job, attempt: _Attempt) -> Answer | None:
@@ -157,7 +161,7 @@
         """
         if job.may_ask_more:
             target = self._chooser.choose(
-                job.service, job.excluded, avoided=False
+                job.service, job.excluded | job.passed, avoided=False
             )
             if target is not None:
                 return target, 0
@@ -275,34 +279,49 @@
             return job.deadline
         share = _HEDGE_SHARE * job.route.objective
         patience = max(_LEAST_HEDGE_SECONDS, share)
-        return min(each.started for each in waiting) + patience
+        earliest = min(each.started for each in waiting) + patience
+        return max(earliest, job.hedge_after)
 
-    def _reopen_hedge(
-        self,
-        job: Job,
-        attempts: list[_Attempt],
-        ended: int,
-    ) -> None:
-        """Let a second send go elsewhere after a sidecar refused it."""
-        if ended and job.may_ask_more:
-            for attempt in attempts:
-                attempt.hedged = False
+    def _reopen_hedge(self, attempts: list[_Attempt]) -> None:
+        for attempt in attempts:
+            attempt.hedged = False
 
     def _hedge(self, job: Job, attempts: list[_Attempt]) -> None:
         now = self._clock.now()
         if now < self._next_hedge(job, attempts):
             return
+        if not job.is_worth_sending(now):
+            job.hedge_after = job.deadline
+            return
+        if not job.rounds:
+            job.begin_round()
+        target = self._choose_second(job, attempts)
+        if target is None:
+            job.begin_round()
+            job.hedge_after = now + _HEDGE_PAUSE_SECONDS
+            return
         for attempt in attempts:
             attempt.hedged = True
-        used = {each.target.member.address for each in attempts}
-        target = self._chooser.choose(
-            job.service, job.excluded | used, avoided=False
-        )
-        if target is None or not job.is_worth_sending(self._clock.now()):
-            return
         self._telemetry.count('hedged_requests')
         self._send(job, target, 0, attempts)
 
+    def _choose_second(
+        self,
+        job: Job,
+        attempts: list[_Attempt],
+    ) -> Target | None:
+        """Give a server for a second send, if one may have room."""
+        if not job.may_ask_more:
+            return None
+        used = {each.target.member.address for each in attempts}
+        return self._chooser.choose(
+            job.service,
+            job.excluded | job.passed | used,
+            avoided=False,
+            # Bytes between regions cost more than a late answer is worth.
+            anywhere=job.rounds == 1,
+        )
+
     def _check_deadline(self, job: Job, attempts: list[_Attempt]) -> None:
         if self._clock.now() < job.deadline:
             return
--- a/godwitknot/mesh/job.py
+++ b/godwitknot/mesh/job.py
@@ -6,7 +6,8 @@
 from godwitknot.outcomes import Code, Outcome, RefusalError
 from godwitknot.units import Address
 
-# Refusals by sidecars cost little, but each takes a round trip.
+# Refusals by sidecars cost little, but each takes a round trip. A second
+# send may ask as many again after a pause.
 _MOST_REFUSALS = 4
 # Servers at which a request asks for a place in the queue. Those that refuse
 # it do so at once.
@@ -27,7 +28,12 @@
     :param service: that the route's split has chosen.
     :param deadline: of the final answer, on the node's clock.
     :param fingerprint: recognizes the request in crash reports.
-    :ivar excluded: nodes that the request was refused by or sent to.
+    :ivar excluded: nodes whose server it was sent to.
+    :ivar passed: nodes that refused it in this round of asking.
+    :ivar asked: refusals in this round.
+    :ivar refusals: in all rounds.
+    :ivar rounds: of asking for a second send.
+    :ivar hedge_after: no second send before, on the node's clock.
     :ivar barred: nodes that refused it for another reason than a lack of
         room.
     :ivar queued_at: nodes that it asked for a place in the queue.
@@ -43,9 +49,13 @@
     deadline: float
     fingerprint: int
     excluded: set[Address] = attrs.field(factory=set)
+    passed: set[Address] = attrs.field(factory=set)
     barred: set[Address] = attrs.field(factory=set)
     queued_at: set[Address] = attrs.field(factory=set)
+    asked: int = 0
+    rounds: int = 0
     refusals: int = 0
+    hedge_after: float = 0
     sends: int = 0
     last: RefusalError | None = None
     may_have_run: bool = False
@@ -64,7 +74,7 @@
     @property
     def may_ask_more(self) -> bool:
         """Whether it may still look for a server with room at once."""
-        return self.refusals < _MOST_REFUSALS
+        return self.asked < _MOST_REFUSALS
 
     def is_worth_sending(self, now: float) -> bool:
         """Tell whether another send is allowed and may be answered."""
@@ -73,6 +83,12 @@
         left = self.deadline - now
         return left > _LEAST_LEFT_SHARE * self.route.objective
 
+    def begin_round(self) -> None:
+        """Let nodes be asked again that refused it."""
+        self.rounds += 1
+        self.passed.clear()
+        self.asked = 0
+
     def longest_wait(self, now: float) -> float:
         """Give the seconds that it may wait in a queue, 0 or less for none."""
         if len(self.queued_at) >= _MOST_QUEUES:
@@ -86,18 +102,22 @@
             and may have run.
         """
         self.last = error
-        self.excluded.add(address)
         if error.outcome is not Outcome.NOT_RUN:
+            self.excluded.add(address)
             self.may_have_run = True
             if not self.repeatable:
                 raise error
             return
+        self.asked += 1
         self.refusals += 1
         if error.code is not Code.QUEUE_FULL:
             self.barred.add(address)
-        if error.code is not Code.SERVER_SHED:
-            # It has not reached a server.
-            self.sends -= 1
+        if error.code is Code.SERVER_SHED:
+            self.excluded.add(address)
+            return
+        # It has not reached a server.
+        self.passed.add(address)
+        self.sends -= 1
 
     def conclude(self) -> RefusalError:
         """Give the refusal for the caller, after all attempts."""
--- a/tests/godwitknot/mesh/test_mesh_dispatch.py
+++ b/tests/godwitknot/mesh/test_mesh_dispatch.py
@@ -41,6 +41,10 @@
 )
 
 
+# Half the objective, then two pauses and the second with room.
+SOON = 1.5
+
+
 class FakeSidecar:
     """The sidecar of a node whose server is of another service."""
 
@@ -190,3 +194,40 @@
     assert caught.value.outcome is Outcome.NOT_RUN
     assert caught.value.retry_after > 0
     assert relay.offers[-1].max_wait > 0
+
+
+def test_second_send_is_offered_again_after_refusals(
+    dispatcher, clock, relay, monkeypatch
+):
+    """Guards against a request that stays at a hung server to its end.
+
+    The first refusals of a second send used up all that a request had.
+    """
+    hung = []
+    began = clock.now()
+
+    async def run(address, round_trip, exchange):
+        offer = exchange.offer
+        relay.offers.append(offer)
+        if not hung:
+            hung.append(offer.server_id)
+            await asyncio.Event().wait()
+        if clock.now() - began < 1:
+            raise RefusalError(Code.QUEUE_FULL, relayed=True)
+        return Answer(200, [], b'done')
+
+    async def wait(tasks, timeout, return_when):
+        done, pending = await real_wait(tasks, timeout=0.001)
+        if not done:
+            clock.advance(timeout + 0.001)
+        return done, pending
+
+    real_wait = asyncio.wait
+    monkeypatch.setattr(relay, 'run', run)
+    monkeypatch.setattr(asyncio, 'wait', wait)
+    job = make_job(clock, RouteKind.IDEMPOTENT)
+    assert dispatch(dispatcher, job).status == 200
+    assert clock.now() - began < SOON
+    servers = [offer.server_id for offer in relay.offers]
+    assert servers.count(hung[0]) == 1
+    assert relay.offers[-1].repeat == 1
