--- a/godwitknot/commands.py
+++ b/godwitknot/commands.py
@@ -4,6 +4,7 @@
 import json
 import pathlib
 import sys
+from collections.abc import Iterator
 from typing import Any
 
 import attrs
@@ -23,12 +24,14 @@
     DeclarationError,
     InvalidFileError,
     OperationRefusedError,
+    UnreadableLogError,
     UserError,
 )
 from godwitknot.operators import options, renderings
 from godwitknot.operators.access import resolve_access
 from godwitknot.operators.burnreport import format_report
 from godwitknot.operators.operatorclient import OperatorClient
+from godwitknot.operators.stories import tell_story
 from godwitknot.operators.waiting import (
     await_confirmation,
     await_stop,
@@ -39,6 +42,7 @@
     'Nothing was applied. Take the change above into your file and apply it '
     'with --expect and the version in force.'
 )
+_STANDARD_INPUT = '-'
 _CONVERTER = cattrs.Converter()
 
 app = typer.Typer(
@@ -272,6 +276,7 @@
     context: typer.Context,
     subject: options.Subject = '',
     *,
+    log: options.Logs = None,
     as_json: options.Json = False,
 ) -> None:
     """Explain the treatment of a server or request.
@@ -281,11 +286,29 @@
       godwitknot explain
       godwitknot explain reykjanes-a-1/booking-1
       godwitknot explain 3f1c9a52d0b84e6f
+      godwitknot explain 3f1c9a52d0b84e6f --log a-1.log --log b-2.log
     """
-    answer = context.obj.connect().explain(subject)
+    if log:
+        answer = tell_story(_read_logs(log), subject)
+    else:
+        answer = context.obj.connect().explain(subject)
     _print_answer(answer, as_json, renderings.format_explanation)
 
 
+def _read_logs(names: list[str]) -> Iterator[str]:
+    for name in names:
+        if name == _STANDARD_INPUT:
+            yield from sys.stdin
+            continue
+        try:
+            with pathlib.Path(name).open(
+                encoding='utf-8', errors='replace'
+            ) as lines:
+                yield from lines
+        except OSError as error:
+            raise UnreadableLogError(f'{name}: {error.strerror}') from error
+
+
 def main(arguments: list[str] | None = None) -> None:
     """Run the command line; errors of users are shown without traceback."""
     try:
--- a/godwitknot/errors.py
+++ b/godwitknot/errors.py
@@ -93,6 +93,14 @@
     exit_code = 5
 
 
+class UnknownRequestError(UserError):
+    """The logs that were read have no line about the request."""
+
+
+class UnreadableLogError(UserError):
+    """A log file cannot be read."""
+
+
 class OperationTimeoutError(UserError):
     """An operation was accepted but not confirmed in time."""
 
--- a/godwitknot/operators/options.py
+++ b/godwitknot/operators/options.py
@@ -69,4 +69,13 @@
 File = Annotated[pathlib.Path, typer.Argument(metavar='FILE')]
 Settings = Annotated[pathlib.Path, typer.Argument(metavar='SETTINGS')]
 Target = Annotated[str, typer.Argument(metavar='SERVER')]
+Logs = Annotated[
+    list[str] | None,
+    typer.Option(
+        '--log',
+        metavar='FILE',
+        help='Log of a node on the platform, "-" for standard input; may be '
+        'given several times. No node is asked then.',
+    ),
+]
 Subject = Annotated[str, typer.Argument(metavar='[SERVER|REQUEST-ID]')]
