Tell hidden repeats from repeatable runs alone

Calls of a repeated run count as repeats where they arrive. The node beside the caller took the share of repeats among all runs for their likelihood, but bookings, two thirds of the runs, make no calls, so that about two of three hidden repeats were not counted. The ids of calls begin with the id of their parent, but no page says so, and it is not relied on.

The likelihood is now that among the runs that may be repeated, and a hidden repeat no longer adds to the requests that the ratio is of. Where runs that must not be repeated make calls, this charges too much, which costs repeats.

--- a/godwitknot/mesh/budget.py
+++ b/godwitknot/mesh/budget.py
@@ -57,7 +57,7 @@
             since a run that called it was one.
         """
         now = self._clock.now()
-        self._firsts.add(now, 1)
+        self._firsts.add(now, 1 - hidden)
         if hidden > 0:
             self._repeats.add(now, hidden)
 
--- a/godwitknot/mesh/gate.py
+++ b/godwitknot/mesh/gate.py
@@ -191,14 +191,20 @@
                 )
 
     def repeats_running(self) -> float:
-        """Give the share of repeats among the requests on the server.
+        """Give the likelihood that a call comes from a repeated run.
 
-        The calls of a repeated run count as repeats where they arrive.
+        Such a call counts as a repeat where it arrives. Which run makes it is
+        not known. Runs that must not be repeated are left out: if they make
+        no calls, counting them hides most repeats.
         """
-        if not self._running:
+        repeats = [
+            ticket.offer.repeat
+            for ticket in self._running
+            if ticket.offer.repeatable
+        ]
+        if not repeats:
             return 0
-        repeats = sum(ticket.offer.repeat for ticket in self._running)
-        return min(_MOST_HIDDEN, repeats / len(self._running))
+        return min(_MOST_HIDDEN, sum(repeats) / len(repeats))
 
     def note_hung(self) -> None:
         """Count runs that take far longer than usual, once each."""
--- a/godwitknot/operators/stories.py
+++ b/godwitknot/operators/stories.py
@@ -118,12 +118,15 @@
     return [
         line
         for line in held
-        if line.node in nodes and first <= line.time <= last
-        # Crashes of other servers are told to every node.
-        if not line.peer or line.peer in nodes
+        if first <= line.time <= last and _concerns(line, nodes)
     ]
 
 
+def _concerns(line: LogLine, nodes: set[str]) -> bool:
+    # Crashes of other servers are told to every node.
+    return line.node in nodes and (not line.peer or line.peer in nodes)
+
+
 def _format_line(line: LogLine, start: float, request: str) -> str:
     mark = ' ' if line.request == request else '|'
     moment = f'{line.time - start:+9.3f} s'
--- a/tests/godwitknot/mesh/test_budget.py
+++ b/tests/godwitknot/mesh/test_budget.py
@@ -57,3 +57,13 @@
     for _ in range(10):
         before.note_first(0)
     assert not budget.try_spend(SERVERS)
+
+
+def test_call_of_a_repeated_run_allows_no_further_repeats(budget, bounds):
+    """It is a repeat itself, and none of the requests that the ratio is of."""
+    for _ in range(400):
+        budget.note_first(0.45)
+    for _ in range(700):
+        budget.note_first(0)
+    # 180 hidden repeats leave no room beside the other 920 requests.
+    assert not budget.try_spend(SERVERS)
--- a/tests/godwitknot/mesh/test_gate.py
+++ b/tests/godwitknot/mesh/test_gate.py
@@ -291,3 +291,17 @@
     clock.advance(2 * bounds.retry_window_seconds)
     asyncio.run(gate.admit(make_offer(repeat=1)))
     assert 0 < gate.repeats_running() < 1
+
+
+def test_call_beside_a_repeat_counts_as_one_whatever_else_runs(gate):
+    """Guards against hidden repeats over the fleet's budget.
+
+    Bookings make no calls, and were counted as if they did.
+    """
+
+    async def scenario():
+        await gate.admit(make_offer(attempt_id='b', repeatable=False))
+        await gate.admit(make_offer(attempt_id='l', repeat=0.9))
+        return gate.repeats_running()
+
+    assert asyncio.run(scenario()) == pytest.approx(0.9)
