Wait for both ends of a cut link to see it

Cause: a node that did not run for a while leaves that time out of the silence of its peers (LinkTable.excuse), and under load it does not run for a while. Shown without load: with 2 s excused one second after the cut, all others see it while the own link is whole, and see it 2.0 s later.

The test now waits for both ends, within the limit of all its waits, and then checks the same directions.

--- a/tests/godwitknot/membership/test_gossip.py
+++ b/tests/godwitknot/membership/test_gossip.py
@@ -117,6 +117,10 @@
         subject.endpoint.cut = frozenset(node.address for node in others)
     wait_for(lambda: fleet.all_see(subject.name, reachable=False))
     peer = others[0]
+    # A node that did not run leaves that time out of its peers' silence, so
+    # that others may report the cut before it sees it itself.
+    wait_for(lambda: not subject.gossip.link(peer.name).is_whole)
+    wait_for(lambda: not peer.gossip.link(subject.name).is_whole)
     here = subject.gossip.link(peer.name)
     there = peer.gossip.link(subject.name)
     assert not here.is_whole
