Log the requests that the exit of a node cuts

Each request without an answer at the exit now gets a line with its id and the seconds since it was read.

--- a/godwitknot/mesh/entry.py
+++ b/godwitknot/mesh/entry.py
@@ -60,6 +60,17 @@
         return best.service
 
 
+@attrs.define(eq=False)
+class _Pending:
+    """A request that was read and has no answer yet.
+
+    :param read_at: on the node's clock.
+    """
+
+    read_at: float
+    attempt_id: str = ''
+
+
 class Entry:
     """Serves the connections of callers."""
 
@@ -83,8 +94,21 @@
         self._splits: dict[tuple, _Split] = {}
         # Set once the node ends: answers ask callers to reconnect.
         self.closing = False
-        self.active = 0
-        self.last_request = float(0)
+        self._pending: set[_Pending] = set()
+
+    @property
+    def active(self) -> int:
+        """Number of requests that have no answer yet."""
+        return len(self._pending)
+
+    def log_cut(self) -> None:
+        """Log the requests that the exit of this process cuts."""
+        for pending in self._pending:
+            self._log.write(
+                'request cut by exit',
+                request=pending.attempt_id,
+                seconds=round(self._clock.now() - pending.read_at, 4),
+            )
 
     async def serve(self, channel: Channel) -> None:
         """Serve one connection until its end."""
@@ -120,15 +144,20 @@
             return False
         if message is None:
             return False
-        self.active += 1
-        self.last_request = self._clock.now()
+        pending = _Pending(self._clock.now())
+        self._pending.add(pending)
         try:
-            return await self._answer(side, message)
+            return await self._answer(side, message, pending)
         finally:
-            self.active -= 1
+            self._pending.discard(pending)
 
-    async def _answer(self, side: ServerSide, message: Message) -> bool:
-        work = asyncio.ensure_future(self._handle(message))
+    async def _answer(
+        self,
+        side: ServerSide,
+        message: Message,
+        pending: _Pending,
+    ) -> bool:
+        work = asyncio.ensure_future(self._handle(message, pending))
         leaving = asyncio.ensure_future(side.channel.wait_for_end())
         try:
             await asyncio.wait(
@@ -145,12 +174,13 @@
         await side.respond(answer, message.method, close=close)
         return not (close or side.must_close)
 
-    async def _handle(self, message: Message) -> Answer:
-        started = self._clock.now()
+    async def _handle(self, message: Message, pending: _Pending) -> Answer:
+        started = pending.read_at
         attempt_id = ''
         try:
             facts = self._dialect.read_request(message.fields)
             attempt_id = facts.attempt_id
+            pending.attempt_id = attempt_id
             if not attempt_id:
                 raise PlatformFormatError('request without an id')
             job = self._make_job(message, attempt_id, facts.seconds_left)
--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -234,6 +234,7 @@
             if lasted > _LEAST_STOP_SECONDS and not self._busy():
                 break
         self._gate.closing = True
+        self._entry.log_cut()
         self._log.write('node stopped', active=self._entry.active)
         self._log.flush()
 
