Add a failing test for requests that are cut at a planned stop

Six callers stay with a node that gets SIGTERM, as they do where most nodes of a failure domain stop together.

--- a/tests/godwitknot/mesh/test_node.py
+++ b/tests/godwitknot/mesh/test_node.py
@@ -8,9 +8,38 @@
 
 import pytest
 
+from bench.faultsoak.callers import Connections
 from bench.meshfleet import Fleet, make_route, wait_until
 
 GRACE_SECONDS = 6.0
+WORK_SECONDS = 0.4
+
+
+class StayingCaller(threading.Thread):
+    """Sends requests to one node until it is gone, whatever it says.
+
+    Callers stay where most nodes of a failure domain stop together.
+    """
+
+    def __init__(self, machine, name, request):
+        super().__init__(daemon=True)
+        self.statuses = {}
+        self._machine = machine
+        self._name = name
+        self._request = request
+
+    def run(self):
+        connections = Connections()
+        number = 0
+        while self._machine.process.poll() is None:
+            number += 1
+            attempt_id = f'{self._name}-{number}'
+            self.statuses[attempt_id] = 0
+            with contextlib.suppress(OSError, HTTPException):
+                answer = connections.send(
+                    self._machine, self._request, attempt_id
+                )
+                self.statuses[attempt_id] = answer[0]
 
 
 @pytest.fixture
@@ -70,3 +99,31 @@
     assert stopping.process.wait(GRACE_SECONDS) == 0
     caller.join()
     assert list_cut(stopping) == ['a-1']
+
+
+def test_stop_cuts_no_request_of_callers_that_stay(fleet):
+    """Guards against requests that are taken late and cut at the exit."""
+    for machine in fleet.machines:
+        machine.server.work = WORK_SECONDS
+    stopping = fleet.machines[2]
+    booking = ('POST', '/book/1', b'x')
+    lookup = ('GET', '/browse/1', b'')
+    callers = [
+        StayingCaller(stopping, f'caller-{number}', request)
+        for number, request in enumerate((booking, lookup) * 3)
+    ]
+    for caller in callers:
+        caller.start()
+    stopping.process.send_signal(signal.SIGTERM)
+    assert stopping.process.wait(GRACE_SECONDS) == 0
+    statuses = {}
+    for caller in callers:
+        caller.join()
+        statuses.update(caller.statuses)
+    runs = list_runs(fleet)
+    cut = {each for each, status in statuses.items() if not status}
+    assert not cut & {run.attempt_id for run in runs}
+    refused = {each for each, status in statuses.items() if status == 503}
+    booked = {run.attempt_id for run in runs if run.method == 'POST'}
+    assert not refused & booked
+    assert not list_cut(stopping)
