Refuse what a stopping node cannot answer before its exit

What callers saw: requests sent 4.5 to 5.2 s after the SIGTERM of their node were passed on to a server, and their connection closed without an answer (LOST).

Cause: a stopping node took requests until it exited. It relied on callers being sent elsewhere by its readiness check. Where most nodes of a failure domain stop together they are not, so that it was never idle, ran into its limit 0.6 s before the end of the grace, and cut what it had taken in its last moments.

Evidence: nodes whose callers had left ended after 2.6 to 2.9 s with no request open; those of the one domain with five of six nodes stopping ended at 5.4 s with three open, each taken in the last second. Ruled out: an early exit (it was at its limit) and requests that were taken early and hung (one of the cut ones was taken 0.28 s before the exit).

Change: the new Shutdown decides for entry and gate. Until callers can have been sent elsewhere (2.6 s) everything is taken as before. After that, a request is taken only if its deadline is before the exit, so that the answer, or its timeout, always comes first; others are refused at once as not run, with the time of a restart to come back. The gate applies it to runs offered by other nodes and to queued ones too. Calls of a server whose run was taken in time have the deadline of that run, and pass.

--- a/godwitknot/mesh/entry.py
+++ b/godwitknot/mesh/entry.py
@@ -30,6 +30,7 @@
 )
 from godwitknot.mesh.ports import Dialect
 from godwitknot.mesh.runtime import Runtime
+from godwitknot.mesh.shutdown import Shutdown
 from godwitknot.outcomes import Code, RefusalError
 
 _BAD_REQUEST = 400
@@ -38,6 +39,8 @@
 # that were refused together from coming back together.
 _RETRY_SPREAD = 0.5
 _NOT_READY_SECONDS = 0.5
+# A node that stops is back after about this long.
+_RESTART_SECONDS = 1.0
 
 
 @attrs.define
@@ -80,20 +83,24 @@
         configuration: ConfigurationHolder,
         dialect: Dialect,
         crashes: CrashLedger,
+        shutdown: Shutdown,
         runtime: Runtime,
     ) -> None:
-        """Take the collaborators."""
+        """Take the collaborators.
+
+        :param shutdown: of this process; answers then ask callers to
+            reconnect.
+        """
         self._dispatcher = dispatcher
         self._configuration = configuration
         self._dialect = dialect
         self._crashes = crashes
+        self._shutdown = shutdown
         self._clock = runtime.clock
         self._log = runtime.log
         self._telemetry = runtime.telemetry
         self._rng = runtime.rng
         self._splits: dict[tuple, _Split] = {}
-        # Set once the node ends: answers ask callers to reconnect.
-        self.closing = False
         self._pending: set[_Pending] = set()
 
     @property
@@ -131,6 +138,9 @@
                 await side.channel.wait_for_input()
         except TimeoutError:
             return False
+        if self._shutdown.ended:
+            # Callers may repeat anything that was not read.
+            return False
         try:
             message = await side.read(limits.body_bytes, limits.header_seconds)
         except TooLargeError as error:
@@ -170,7 +180,7 @@
         finally:
             work.cancel()
             leaving.cancel()
-        close = self.closing or side.channel.ended
+        close = self._shutdown.begun or side.channel.ended
         await side.respond(answer, message.method, close=close)
         return not (close or side.must_close)
 
@@ -184,6 +194,8 @@
             if not attempt_id:
                 raise PlatformFormatError('request without an id')
             job = self._make_job(message, attempt_id, facts.seconds_left)
+            if not self._shutdown.admits(job.deadline):
+                raise RefusalError(Code.DRAINING, retry_after=_RESTART_SECONDS)
             answer = await self._dispatcher.dispatch(job)
         except PlatformFormatError as error:
             refusal = RefusalError(Code.BAD_REQUEST, detail=str(error))
--- a/godwitknot/mesh/gate.py
+++ b/godwitknot/mesh/gate.py
@@ -12,6 +12,7 @@
 from godwitknot.mesh.budget import RepeatBudget
 from godwitknot.mesh.localserver import LocalServer
 from godwitknot.mesh.messages import Load, Offer, Refused
+from godwitknot.mesh.shutdown import Shutdown
 from godwitknot.mesh.vitals import Vitals
 from godwitknot.outcomes import Code, RefusalError
 
@@ -66,16 +67,19 @@
         server: LocalServer,
         vitals: Vitals,
         budget: RepeatBudget,
+        shutdown: Shutdown,
         clock: Clock,
     ) -> None:
         """Take the server.
 
         :param vitals: evidence on the server's health.
         :param budget: of repeats that may reach the server.
+        :param shutdown: of this process.
         """
         self._server = server
         self._vitals = vitals
         self._budget = budget
+        self._shutdown = shutdown
         # Servers that share the repeats of the service.
         self.sharing = 1
         self._clock = clock
@@ -85,8 +89,6 @@
         )
         self._queue: list[tuple[int, float, int, Ticket]] = []
         self._order = itertools.count()
-        # Set while the node ends and must not begin more work.
-        self.closing = False
 
     @property
     def running(self) -> frozenset[Ticket]:
@@ -97,12 +99,13 @@
         """Give the present load."""
         return Load(len(self._running), self._waiting(), self._server.slots)
 
-    def check_open(self, offer: Offer) -> None:
+    def check_open(self, offer: Offer, deadline: float) -> None:
         """Refuse a request that the server must not get now.
 
+        :param deadline: of its answer, on the node's clock.
         :raises RefusalError: not run, with the reason.
         """
-        if self.closing:
+        if not self._shutdown.admits(deadline):
             raise RefusalError(Code.DRAINING, retry_after=_CLOSED_SECONDS)
         server = self._server
         if offer.server_id and offer.server_id != server.server_id:
@@ -122,12 +125,12 @@
         :param note_queued: called once if the request has to wait.
         :raises RefusalError: not run, if it gets none.
         """
-        self.check_open(offer)
+        deadline = self._clock.now() + offer.seconds_left
+        self.check_open(offer, deadline)
         self._check_vitals(offer)
         self._check_room(offer)
         if offer.repeat >= 1 and not self._budget.try_spend(self.sharing):
             raise RefusalError(Code.RETRY_BUDGET)
-        deadline = self._clock.now() + offer.seconds_left
         granted = asyncio.get_running_loop().create_future()
         ticket = Ticket(offer, granted, deadline)
         if self._has_room():
@@ -339,14 +342,14 @@
             if ticket.granted.done():
                 continue
             try:
-                self._check_granted(ticket.offer)
+                self._check_granted(ticket)
             except RefusalError as refusal:
                 ticket.granted.set_exception(refusal)
                 continue
             self._grant(ticket)
 
-    def _check_granted(self, offer: Offer) -> None:
+    def _check_granted(self, ticket: Ticket) -> None:
         """Check again what has changed while a request waited."""
-        self.check_open(offer)
-        if not offer.repeatable:
-            self._check_sound(offer)
+        self.check_open(ticket.offer, ticket.deadline)
+        if not ticket.offer.repeatable:
+            self._check_sound(ticket.offer)
--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -36,6 +36,7 @@
 from godwitknot.mesh.relay import RelayClient, RelayServer
 from godwitknot.mesh.reuse import USUAL_REST_SECONDS
 from godwitknot.mesh.runtime import Runtime
+from godwitknot.mesh.shutdown import Shutdown
 from godwitknot.mesh.sidecar import Sidecar
 from godwitknot.mesh.spreading import Spreader
 from godwitknot.mesh.telemetry import Telemetry
@@ -46,11 +47,9 @@
 _OK = 200
 _HEALTH_SECONDS = 1.0
 _CRASH_CHECK_SECONDS = 0.3
-# Callers are sent elsewhere after two misses of a question each second.
-_LEAST_STOP_SECONDS = 2.6
-# The end of the grace that is kept free for the exit itself.
-_EXIT_SECONDS = 0.6
 _STOP_POLL_SECONDS = 0.1
+# What was read just before the exit is refused within this time.
+_REFUSAL_SECONDS = 0.05
 _SETTINGS_POLL_SECONDS = 2.0
 
 Serve = Callable[[Channel], Awaitable[None]]
@@ -86,7 +85,9 @@
         self._telemetry = Telemetry()
         runtime = Runtime(clock, self._log, self._telemetry, random.Random())
         self._stopping = asyncio.Event()
+        self._shutdown = Shutdown(clock)
         self._tasks: set[asyncio.Task] = set()
+        self._listeners: list[asyncio.Server] = []
         self._started = int(clock.wall() * _MILLISECONDS)
         self._build_server_side(runtime)
         self._build_knowledge(runtime, store)
@@ -101,7 +102,9 @@
         self._server = LocalServer(placement, self._log, self._started)
         self._vitals = Vitals(self._clock, self._log)
         budget = RepeatBudget(placement.bounds, self._clock)
-        self._gate = Gate(self._server, self._vitals, budget, self._clock)
+        self._gate = Gate(
+            self._server, self._vitals, budget, self._shutdown, self._clock
+        )
         self._client = HttpClient(USUAL_REST_SECONDS)
         self._sidecar = Sidecar(
             self._server,
@@ -159,6 +162,7 @@
             self._holder,
             self._dialect,
             self._crashes,
+            self._shutdown,
             runtime,
         )
         self._relay_server = RelayServer(
@@ -201,7 +205,8 @@
             (metrics, SmallServer(MetricsDesk(self._telemetry).handle).serve),
         ]
         for address, serve in services:
-            await listen(address, self._guard(serve))
+            listener = await listen(address, self._guard(serve))
+            self._listeners.append(listener)
 
     def _guard(self, serve: Serve) -> Serve:
         """Let an unexpected error end one connection alone."""
@@ -222,18 +227,15 @@
 
     async def _stop(self) -> None:
         """Finish what runs, within the grace."""
-        begun = self._clock.now()
-        grace = self._placement.bounds.stop_grace_seconds
+        self._shutdown.begin(self._placement.bounds)
         self._log.write('node stopping', active=self._entry.active)
-        self._entry.closing = True
         self._directory.change_own(serving=False)
-        last = begun + grace - _EXIT_SECONDS
-        while self._clock.now() < last:
+        while not self._shutdown.is_over(busy=self._busy()):
             await asyncio.sleep(_STOP_POLL_SECONDS)
-            lasted = self._clock.now() - begun
-            if lasted > _LEAST_STOP_SECONDS and not self._busy():
-                break
-        self._gate.closing = True
+        self._shutdown.end()
+        for listener in self._listeners:
+            listener.close()
+        await asyncio.sleep(_REFUSAL_SECONDS)
         self._entry.log_cut()
         self._log.write('node stopped', active=self._entry.active)
         self._log.flush()
--- a/godwitknot/mesh/sidecar.py
+++ b/godwitknot/mesh/sidecar.py
@@ -90,7 +90,7 @@
     async def _run(self, ticket: Ticket) -> Answer:
         offer = ticket.offer
         deadline = ticket.deadline
-        self.gate.check_open(offer)
+        self.gate.check_open(offer, deadline)
         if self._clock.now() >= deadline:
             # After a pause of this process, nobody waits for the answer.
             raise RefusalError(Code.DEADLINE_PASSED)
--- a/tests/godwitknot/mesh/test_gate.py
+++ b/tests/godwitknot/mesh/test_gate.py
@@ -9,6 +9,7 @@
 from godwitknot.mesh.localserver import LocalServer
 from godwitknot.mesh.messages import Offer
 from godwitknot.mesh.model import Heartbeat, ServerState
+from godwitknot.mesh.shutdown import Shutdown
 from godwitknot.mesh.vitals import Vitals
 from godwitknot.outcomes import Code, Outcome, RefusalError
 from godwitknot.units import Address
@@ -62,9 +63,15 @@
 
 
 @pytest.fixture
-def gate(server, vitals, bounds, clock):
+def shutdown(clock):
+    return Shutdown(clock)
+
+
+@pytest.fixture
+def gate(server, vitals, bounds, shutdown, clock):
     clock.advance(bounds.retry_window_seconds)
-    return Gate(server, vitals, RepeatBudget(bounds, clock), clock)
+    budget = RepeatBudget(bounds, clock)
+    return Gate(server, vitals, budget, shutdown, clock)
 
 
 def refuse(gate, offer):
@@ -74,6 +81,35 @@
     return caught.value
 
 
+def test_stopping_node_refuses_runs_that_outlive_it(
+    gate, shutdown, clock, bounds
+):
+    """Guards against runs that other nodes offer and the exit cuts."""
+    shutdown.begin(bounds)
+    clock.advance(3)
+    assert refuse(gate, make_offer(seconds_left=2.5)).code is Code.DRAINING
+    asyncio.run(gate.admit(make_offer(seconds_left=1.0)))
+
+
+def test_run_that_waited_into_a_stop_is_refused(gate, shutdown, clock, bounds):
+    """Guards against queued runs that begin when they cannot end in time."""
+
+    async def wait_into_stop():
+        running = [await gate.admit(make_offer()) for _ in range(SLOTS)]
+        waiting = asyncio.ensure_future(
+            gate.admit(make_offer(max_wait=4, seconds_left=6))
+        )
+        await asyncio.sleep(0)
+        shutdown.begin(bounds)
+        clock.advance(3)
+        gate.release(running[0])
+        with pytest.raises(RefusalError) as caught:
+            await waiting
+        assert caught.value.code is Code.DRAINING
+
+    asyncio.run(wait_into_stop())
+
+
 def test_draining_server_gets_nothing_from_its_announcement_on(gate, server):
     server.hear(_beat(2, ServerState.DRAINING))
     assert refuse(gate, make_offer()).code is Code.DRAINING
--- a/tests/godwitknot/mesh/test_mesh_dispatch.py
+++ b/tests/godwitknot/mesh/test_mesh_dispatch.py
@@ -21,6 +21,7 @@
     Share,
 )
 from godwitknot.mesh.runtime import Runtime
+from godwitknot.mesh.shutdown import Shutdown
 from godwitknot.mesh.telemetry import Telemetry
 from godwitknot.outcomes import Code, Outcome, RefusalError
 from godwitknot.units import Address
@@ -93,7 +94,8 @@
         )
         for number in (2, 3, 4)
     )
-    gate = Gate(LocalServer(placement, log, 1), None, None, clock)
+    server = LocalServer(placement, log, 1)
+    gate = Gate(server, None, None, Shutdown(clock), clock)
     chooser = Chooser(placement, directory, gate, runtime)
     sidecar = FakeSidecar(gate)
     return Dispatcher(placement, chooser, sidecar, relay, runtime)
--- /dev/null
+++ b/tests/godwitknot/mesh/test_shutdown.py
@@ -0,0 +1,44 @@
+"""A stopping process takes on only what it can still answer."""
+
+import pytest
+
+from godwitknot.mesh.shutdown import Shutdown
+
+
+@pytest.fixture
+def shutdown(clock):
+    return Shutdown(clock)
+
+
+def test_process_that_does_not_stop_takes_everything(shutdown, clock):
+    assert shutdown.admits(clock.now() + 1000)
+    assert not shutdown.begun
+    assert not shutdown.is_over(busy=False)
+
+
+def test_callers_are_served_until_they_are_sent_elsewhere(
+    shutdown, clock, bounds
+):
+    shutdown.begin(bounds)
+    clock.advance(2)
+    assert shutdown.admits(clock.now() + 1000)
+    assert not shutdown.is_over(busy=False)
+
+
+def test_late_request_must_end_before_the_exit(shutdown, clock, bounds):
+    """Guards against requests that the exit cuts."""
+    shutdown.begin(bounds)
+    clock.advance(3)
+    assert shutdown.admits(clock.now() + 2)
+    assert not shutdown.admits(clock.now() + 2.5)
+
+
+def test_busy_process_ends_before_it_is_killed(shutdown, clock, bounds):
+    shutdown.begin(bounds)
+    clock.advance(3)
+    assert not shutdown.is_over(busy=True)
+    assert shutdown.is_over(busy=False)
+    clock.advance(2.5)
+    assert shutdown.is_over(busy=True)
+    clock.advance(0.4)
+    assert not shutdown.admits(clock.now())
--- a/tests/godwitknot/mesh/test_sidecar.py
+++ b/tests/godwitknot/mesh/test_sidecar.py
@@ -17,6 +17,7 @@
 from godwitknot.mesh.model import AnswerFacts, Heartbeat, ServerState
 from godwitknot.mesh.reuse import USUAL_REST_SECONDS
 from godwitknot.mesh.runtime import Runtime
+from godwitknot.mesh.shutdown import Shutdown
 from godwitknot.mesh.sidecar import Sidecar
 from godwitknot.mesh.telemetry import Telemetry
 from godwitknot.mesh.vitals import Vitals
@@ -81,7 +82,8 @@
             )
         )
         vitals = Vitals(clock, log)
-        gate = Gate(local, vitals, RepeatBudget(bounds, clock), clock)
+        budget = RepeatBudget(bounds, clock)
+        gate = Gate(local, vitals, budget, Shutdown(clock), clock)
         return Sidecar(
             local,
             gate,
