Count an answer as sent only when the kernel has all of it

Cause: the write buffer of a connection was drained only above 64 KiB, the default of asyncio. An answer whose unsent rest was smaller counted as delivered, so that a stopping node whose callers read slowly saw itself idle, exited, and cut the end of the answer. The same held for answers to other nodes.

Now drain() waits until nothing is left in the process, and the stop waits with it.

Test: test_drain_waits_until_the_kernel_has_all_bytes failed in 3 of 3 runs before (drain returned with bytes unsent at a peer that reads nothing), and passes in 3 of 3.

--- a/godwitknot/mesh/channels.py
+++ b/godwitknot/mesh/channels.py
@@ -44,6 +44,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task of an accepted connection."""
         self._transport = transport
+        # Bytes of this process are lost at its exit, so that none may count
+        # as sent before the kernel has them.
+        transport.set_write_buffer_limits(high=0)
         _tune(transport.get_extra_info('socket'))
         if self._serve is not None:
             self._task = asyncio.ensure_future(self._serve(self))
@@ -93,6 +96,11 @@
         """Whether it is open and no unread byte has arrived."""
         return not (self._ended or self._buffer)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of written bytes that the kernel does not have yet."""
+        return self._transport.get_write_buffer_size()
+
     async def receive(self) -> bytes:
         """Give the next bytes, empty at the orderly end.
 
@@ -131,7 +139,7 @@
         self._transport.write(data)
 
     async def drain(self) -> None:
-        """Wait until the peer takes more bytes.
+        """Wait until the kernel has all bytes that were written.
 
         :raises ConnectionCutError: if the connection has ended.
         """
