Take on nothing between the decision to exit and the exit

Now Shutdown.close() ends all admission, requests that are read after it are refused as not run, and the exit waits until they are, 50 ms at most. The stop tells its states apart by clearer names (stopping, close, may_exit).

Tests: test_exiting_process_takes_nothing failed before.

Calls of a server pass a stop if their own deadline is before the exit; a call with a longer one is refused, although its parent was taken.

--- a/bench/faultsoak/callers.py
+++ b/bench/faultsoak/callers.py
@@ -73,9 +73,11 @@
         machine: SoakMachine,
         request: tuple[str, str, bytes],
         attempt_id: str,
+        seconds_left: float = _SECONDS_LEFT,
     ) -> tuple[int, str, bool, bytes, float]:
         """Send a request on the kept connection.
 
+        :param seconds_left: how long the node may take.
         :returns: status, id in the answer, whether it is signed, body, and
             seconds after which the caller may come back.
         :raises OSError: if no complete answer came.
@@ -86,7 +88,7 @@
         connection = kept or HTTPConnection(
             machine.address(0), timeout=_TIMEOUT_SECONDS
         )
-        left = int(_SECONDS_LEFT * _MILLISECONDS)
+        left = int(seconds_left * _MILLISECONDS)
         fields = {
             'Host': HOST,
             'Godwitknot-Attempt-Id': attempt_id,
@@ -113,13 +115,23 @@
 class Caller(threading.Thread):
     """Sends requests of all kinds to all nodes until told to end."""
 
-    def __init__(self, fleet: SoakFleet, name: str, seed: str) -> None:
-        """Prepare; the seed decides what is sent where."""
+    def __init__(
+        self,
+        fleet: SoakFleet,
+        name: str,
+        seed: str,
+        home: SoakMachine | None = None,
+    ) -> None:
+        """Prepare; the seed decides what is sent where.
+
+        :param home: the only node to send to, whatever it answers.
+        """
         super().__init__(daemon=True)
         self.calls: list[Call] = []
         self.ended = threading.Event()
         self._fleet = fleet
         self._name = name
+        self._home = home
         self._random = random.Random(seed)
         self._connections = Connections()
         self._numbers = itertools.count()
@@ -133,7 +145,7 @@
 
     def _send_one(self) -> float:
         """Send one request; give the seconds to wait as told."""
-        machine = self._random.choice(self._fleet.machines)
+        machine = self._home or self._random.choice(self._fleet.machines)
         method, prefix = self._random.choice(_KINDS)
         attempt_id = f'{self._name}-{next(self._numbers)}'
         body = attempt_id.encode() if method == 'POST' else b''
--- a/godwitknot/mesh/entry.py
+++ b/godwitknot/mesh/entry.py
@@ -138,9 +138,6 @@
                 await side.channel.wait_for_input()
         except TimeoutError:
             return False
-        if self._shutdown.ended:
-            # Callers may repeat anything that was not read.
-            return False
         try:
             message = await side.read(limits.body_bytes, limits.header_seconds)
         except TooLargeError as error:
@@ -180,7 +177,7 @@
         finally:
             work.cancel()
             leaving.cancel()
-        close = self._shutdown.begun or side.channel.ended
+        close = self._shutdown.stopping or side.channel.ended
         await side.respond(answer, message.method, close=close)
         return not (close or side.must_close)
 
--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -48,8 +48,9 @@
 _HEALTH_SECONDS = 1.0
 _CRASH_CHECK_SECONDS = 0.3
 _STOP_POLL_SECONDS = 0.1
-# What was read just before the exit is refused within this time.
+# Requests that are read just before the exit are refused in this time.
 _REFUSAL_SECONDS = 0.05
+_REFUSAL_POLL_SECONDS = 0.005
 _SETTINGS_POLL_SECONDS = 2.0
 
 Serve = Callable[[Channel], Awaitable[None]]
@@ -230,16 +231,25 @@
         self._shutdown.begin(self._placement.bounds)
         self._log.write('node stopping', active=self._entry.active)
         self._directory.change_own(serving=False)
-        while not self._shutdown.is_over(busy=self._busy()):
+        while not self._shutdown.may_exit(busy=self._busy()):
             await asyncio.sleep(_STOP_POLL_SECONDS)
-        self._shutdown.end()
-        for listener in self._listeners:
-            listener.close()
-        await asyncio.sleep(_REFUSAL_SECONDS)
+        await self._refuse_rest()
         self._entry.log_cut()
         self._log.write('node stopped', active=self._entry.active)
         self._log.flush()
 
+    async def _refuse_rest(self) -> None:
+        """Take on nothing more, and refuse what was read meanwhile."""
+        self._shutdown.close()
+        for listener in self._listeners:
+            listener.close()
+        end = self._clock.now() + _REFUSAL_SECONDS
+        waiting = True
+        while waiting and self._clock.now() < end:
+            # Connections that were accepted last get their task first.
+            await asyncio.sleep(_REFUSAL_POLL_SECONDS)
+            waiting = self._busy()
+
     def _busy(self) -> bool:
         return bool(self._entry.active or self._relay_server.active)
 
--- a/godwitknot/mesh/shutdown.py
+++ b/godwitknot/mesh/shutdown.py
@@ -1,4 +1,4 @@
-"""The planned stop of this process: what it still takes, and when it ends."""
+"""The planned stop of this process: what it still takes, and when it exits."""
 
 from godwitknot.clock import Clock
 from godwitknot.mesh.model import Bounds
@@ -17,53 +17,50 @@
     Callers may stay until the exit, for example where most nodes of their
     failure domain stop together. Whatever is taken on has to be answered
     before it.
-
-    :ivar ended: whether the process exits now and reads nothing more.
     """
 
     def __init__(self, clock: Clock) -> None:
         """Start as a process that takes everything."""
         self._clock = clock
-        self._began: float | None = None
-        self._end = float(0)
-        self.ended = False
-
-    @property
-    def begun(self) -> bool:
-        """Whether the process is stopping."""
-        return self._began is not None
+        self._rerouted_at = float(0)
+        self._exit_at = float(0)
+        self._closed = False
+        self.stopping = False
 
     def begin(self, bounds: Bounds) -> None:
         """Start to stop.
 
         :param bounds: with the time until the process is killed.
         """
-        self._began = self._clock.now()
-        self._end = self._began + bounds.stop_grace_seconds - _EXIT_SECONDS
+        grace = bounds.stop_grace_seconds
+        now = self._clock.now()
+        self._rerouted_at = now + _REROUTE_SECONDS
+        self._exit_at = now + grace - _EXIT_SECONDS
+        self.stopping = True
 
-    def end(self) -> None:
-        """Read no more requests."""
-        self.ended = True
+    def close(self) -> None:
+        """Take on nothing more, since the process exits now."""
+        self._closed = True
 
     def admits(self, deadline: float) -> bool:
         """Tell whether a request may be taken on.
 
         :param deadline: of its answer, on the node's clock.
         """
-        if self._began is None:
+        if not self.stopping:
             return True
-        if self._clock.now() - self._began < _REROUTE_SECONDS:
+        if self._closed:
+            return False
+        if self._clock.now() < self._rerouted_at:
             return True
-        return deadline <= self._end - _ANSWER_SECONDS
+        return deadline <= self._exit_at - _ANSWER_SECONDS
 
-    def is_over(self, *, busy: bool) -> bool:
-        """Tell whether a stopping process has to exit now.
+    def may_exit(self, *, busy: bool) -> bool:
+        """Tell whether a stopping process may exit.
 
         :param busy: whether requests wait for their answer.
         """
-        if self._began is None:
+        if not self.stopping:
             return False
-        now = self._clock.now()
-        if busy:
-            return now >= self._end
-        return now - self._began > _REROUTE_SECONDS
+        earliest = self._exit_at if busy else self._rerouted_at
+        return self._clock.now() >= earliest
--- a/tests/godwitknot/mesh/test_node.py
+++ b/tests/godwitknot/mesh/test_node.py
@@ -13,6 +13,8 @@
 
 GRACE_SECONDS = 6.0
 WORK_SECONDS = 0.4
+# The first is taken until shortly before the exit.
+SECONDS_LEFT = (0.6, 1.2, 3.0)
 
 
 class StayingCaller(threading.Thread):
@@ -21,23 +23,26 @@
     Callers stay where most nodes of a failure domain stop together.
     """
 
-    def __init__(self, machine, name, request):
+    def __init__(self, machine, request, seconds_left):
         super().__init__(daemon=True)
         self.statuses = {}
         self._machine = machine
-        self._name = name
         self._request = request
+        self._seconds_left = seconds_left
 
     def run(self):
         connections = Connections()
         number = 0
         while self._machine.process.poll() is None:
             number += 1
-            attempt_id = f'{self._name}-{number}'
+            attempt_id = f'{self.name}-{number}'
             self.statuses[attempt_id] = 0
             with contextlib.suppress(OSError, HTTPException):
                 answer = connections.send(
-                    self._machine, self._request, attempt_id
+                    self._machine,
+                    self._request,
+                    attempt_id,
+                    self._seconds_left,
                 )
                 self.statuses[attempt_id] = answer[0]
 
@@ -94,23 +99,25 @@
 
     caller = threading.Thread(target=send, daemon=True)
     caller.start()
-    wait_until(lambda: [each for each in fleet.machines if each.server.runs][0])
+    wait_until(lambda: 'a-1' in {run.attempt_id for run in list_runs(fleet)})
     stopping.process.send_signal(signal.SIGTERM)
     assert stopping.process.wait(GRACE_SECONDS) == 0
     caller.join()
     assert list_cut(stopping) == ['a-1']
 
 
-def test_stop_cuts_no_request_of_callers_that_stay(fleet):
+@pytest.mark.parametrize('number', [0, 2], ids=['booking', 'documents'])
+def test_stop_cuts_no_request_of_callers_that_stay(fleet, number):
     """Guards against requests that are taken late and cut at the exit."""
     for machine in fleet.machines:
         machine.server.work = WORK_SECONDS
-    stopping = fleet.machines[2]
+    stopping = fleet.machines[number]
     booking = ('POST', '/book/1', b'x')
     lookup = ('GET', '/browse/1', b'')
     callers = [
-        StayingCaller(stopping, f'caller-{number}', request)
-        for number, request in enumerate((booking, lookup) * 3)
+        StayingCaller(stopping, request, seconds_left)
+        for request in (booking, lookup)
+        for seconds_left in SECONDS_LEFT
     ]
     for caller in callers:
         caller.start()
--- a/tests/godwitknot/mesh/test_shutdown.py
+++ b/tests/godwitknot/mesh/test_shutdown.py
@@ -12,8 +12,8 @@
 
 def test_process_that_does_not_stop_takes_everything(shutdown, clock):
     assert shutdown.admits(clock.now() + 1000)
-    assert not shutdown.begun
-    assert not shutdown.is_over(busy=False)
+    assert not shutdown.stopping
+    assert not shutdown.may_exit(busy=False)
 
 
 def test_callers_are_served_until_they_are_sent_elsewhere(
@@ -22,7 +22,7 @@
     shutdown.begin(bounds)
     clock.advance(2)
     assert shutdown.admits(clock.now() + 1000)
-    assert not shutdown.is_over(busy=False)
+    assert not shutdown.may_exit(busy=False)
 
 
 def test_late_request_must_end_before_the_exit(shutdown, clock, bounds):
@@ -33,12 +33,18 @@
     assert not shutdown.admits(clock.now() + 2.5)
 
 
-def test_busy_process_ends_before_it_is_killed(shutdown, clock, bounds):
+def test_exiting_process_takes_nothing(shutdown, clock, bounds):
+    """Guards against requests that come between the decision and the exit."""
+    shutdown.begin(bounds)
+    clock.advance(2.7)
+    shutdown.close()
+    assert not shutdown.admits(clock.now() + 1)
+
+
+def test_busy_process_exits_before_it_is_killed(shutdown, clock, bounds):
     shutdown.begin(bounds)
     clock.advance(3)
-    assert not shutdown.is_over(busy=True)
-    assert shutdown.is_over(busy=False)
+    assert not shutdown.may_exit(busy=True)
+    assert shutdown.may_exit(busy=False)
     clock.advance(2.5)
-    assert shutdown.is_over(busy=True)
-    clock.advance(0.4)
-    assert not shutdown.admits(clock.now())
+    assert shutdown.may_exit(busy=True)
