Fit a planned stop into short graces

Found by the review: with a grace below 3.6 s a node took everything until after its own exit time, and with 2 s an idle node outlived the grace and was killed.

The times of a stop are now at most half (callers are sent elsewhere) and a tenth (exit) of the grace; nothing changes from 6 s on.

Test: test_stop_fits_into_any_grace failed for 1, 2 and 3 s before, and passes.

--- a/godwitknot/mesh/shutdown.py
+++ b/godwitknot/mesh/shutdown.py
@@ -5,8 +5,12 @@
 
 # Callers are sent elsewhere after two failed readiness checks, one a second.
 _REROUTE_SECONDS = 2.6
-# The end of the grace that is kept free for the exit itself.
+# Where the grace is short, what was taken until then has the rest of it.
+_REROUTE_SHARE = 0.5
+# The end of the grace that is kept free for the exit itself, and its largest
+# part of a short grace.
 _EXIT_SECONDS = 0.6
+_EXIT_SHARE = 0.1
 # From the deadline of a request until its answer is written.
 _ANSWER_SECONDS = 0.2
 
@@ -34,8 +38,8 @@
         """
         grace = bounds.stop_grace_seconds
         now = self._clock.now()
-        self._rerouted_at = now + _REROUTE_SECONDS
-        self._exit_at = now + grace - _EXIT_SECONDS
+        self._rerouted_at = now + min(_REROUTE_SECONDS, _REROUTE_SHARE * grace)
+        self._exit_at = now + grace - min(_EXIT_SECONDS, _EXIT_SHARE * grace)
         self.stopping = True
 
     def close(self) -> None:
--- a/tests/godwitknot/mesh/test_shutdown.py
+++ b/tests/godwitknot/mesh/test_shutdown.py
@@ -1,5 +1,6 @@
 """A stopping process takes on only what it can still answer."""
 
+import attrs
 import pytest
 
 from godwitknot.mesh.shutdown import Shutdown
@@ -48,3 +49,14 @@
     assert shutdown.may_exit(busy=False)
     clock.advance(2.5)
     assert shutdown.may_exit(busy=True)
+
+
+@pytest.mark.parametrize('grace', [1, 2, 3, 6, 30])
+def test_stop_fits_into_any_grace(shutdown, clock, bounds, grace):
+    """Guards against fixed times that are longer than a short grace."""
+    shutdown.begin(attrs.evolve(bounds, stop_grace_seconds=grace))
+    clock.advance(0.75 * grace)
+    assert not shutdown.admits(clock.now() + grace)
+    assert shutdown.may_exit(busy=False)
+    clock.advance(0.23 * grace)
+    assert shutdown.may_exit(busy=True)
