Let the fault soak stop most nodes together before callers that stay

The soak never found the requests that the exit of a node cut: its callers went to another node for each request and obeyed Retry-After, so that a stopping node was soon idle, and at most two nodes stopped at a time.

Now two callers stay at each node whatever it answers, and a lane of its own in the planned part stops all nodes but one together. The other lanes draw as before.

--- a/bench/faultsoak/faults.py
+++ b/bench/faultsoak/faults.py
@@ -2,6 +2,7 @@
 
 import random
 import signal
+import threading
 import time
 
 from bench.faultsoak.fleet import SoakFleet, SoakMachine
@@ -28,6 +29,23 @@
     fleet.restart_node(machine, signal.SIGTERM)
 
 
+def stop_together(
+    fleet: SoakFleet, machine: SoakMachine, rng: random.Random
+) -> None:
+    """Stop all nodes but one as planned; callers have nowhere else to go."""
+    others = [each for each in fleet.machines if each is not machine]
+    threads = [
+        threading.Thread(
+            target=fleet.restart_node, args=(other, signal.SIGTERM)
+        )
+        for other in others
+    ]
+    for thread in threads:
+        thread.start()
+    for started in threads:
+        started.join()
+
+
 def reload_node(
     fleet: SoakFleet, machine: SoakMachine, rng: random.Random
 ) -> None:
@@ -199,6 +217,8 @@
     server_fails,
     server_answers_twice,
 )
+# In a lane of its own, so that the other lanes draw as before.
+STOPS = (stop_together,)
 PLANNED = (
     stop_node,
     reload_node,
--- a/bench/faultsoak/run.py
+++ b/bench/faultsoak/run.py
@@ -54,6 +54,11 @@
             Caller(fleet, f'{seed}-{number}', f'{seed}/{number}')
             for number in range(_CALLERS)
         ]
+        callers += [
+            Caller(fleet, f'{seed}-{name}', f'{seed}/{name}', home)
+            for home in fleet.machines
+            for name in (f'{home.name}-1', f'{home.name}-2')
+        ]
         prober = Prober(fleet)
         for thread in (*callers, prober):
             thread.start()
--- a/bench/faultsoak/script.py
+++ b/bench/faultsoak/script.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from bench.faultsoak.faults import PLANNED, UNPLANNED
+from bench.faultsoak.faults import PLANNED, STOPS, UNPLANNED
 from bench.faultsoak.fleet import SoakFleet
 
 _MOST_GAP_SECONDS = 0.6
@@ -41,8 +41,8 @@
         self._run_lanes(seconds, [UNPLANNED, UNPLANNED, PLANNED])
 
     def cause_planned(self, seconds: float) -> None:
-        """Cause planned events only, in two lanes."""
-        self._run_lanes(seconds, [PLANNED, PLANNED])
+        """Cause planned events only, in three lanes."""
+        self._run_lanes(seconds, [PLANNED, PLANNED, STOPS])
 
     def _run_lanes(
         self, seconds: float, lanes: list[tuple[Callable, ...]]
