--- a/godwitknot/errors.py
+++ b/godwitknot/errors.py
@@ -97,6 +97,12 @@
     """The logs that were read have no line about the request."""
 
 
+class MissingRequestError(UserError):
+    """Logs were given, but not the id of the request to look for."""
+
+    exit_code = 2
+
+
 class UnreadableLogError(UserError):
     """A log file cannot be read."""
 
--- a/godwitknot/operators/stories.py
+++ b/godwitknot/operators/stories.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from godwitknot.errors import UnknownRequestError
+from godwitknot.errors import MissingRequestError, UnknownRequestError
 from godwitknot.operators.operations import Explanation
 
 # What ailed a server shows in its log up to a few seconds earlier.
@@ -52,36 +52,74 @@
     peer: str = ''
 
 
+@attrs.define
+class _Selection:
+    """Lines of one request and on servers, and counts of the others.
+
+    :param skipped: texts that are no log lines.
+    :param beliefs: lines on nodes and servers, held or not.
+    """
+
+    request: str
+    own: list[LogLine] = attrs.field(factory=list)
+    held: collections.deque[LogLine] = attrs.field(
+        factory=lambda: collections.deque(maxlen=_MOST_HELD)
+    )
+    skipped: int = 0
+    beliefs: int = 0
+
+    def take(self, text: str) -> None:
+        """Keep a line that may matter; of too many, the latest read."""
+        line = read_line(text)
+        if line is None:
+            self.skipped += 1
+        elif line.request == self.request:
+            self.own.append(line)
+        elif line.event in _BELIEFS:
+            self.beliefs += 1
+            self.held.append(line)
+
+    def count_omissions(self) -> dict[str, str]:
+        """Give how many lines were left out unseen, by reason."""
+        counts = {
+            'lines that are no log lines': self.skipped,
+            'lines on servers beyond the limit, left out': (
+                self.beliefs - len(self.held)
+            ),
+        }
+        return {reason: str(count) for reason, count in counts.items() if count}
+
+
 def tell_story(texts: Iterable[str], request: str) -> Explanation:
     """Give the lines on a request in order, with what its nodes went through.
 
     Lines of other requests are left out, but for runs that failed beside it.
 
     :param texts: log lines of any nodes in any order; other text is skipped
-        and counted.
+        and counted. Of more than 200,000 lines on nodes and servers, the
+        earlier ones are left out and counted.
+    :raises MissingRequestError: if the id is empty.
     :raises UnknownRequestError: if no line is about the request.
     """
-    own: list[LogLine] = []
-    held: collections.deque[LogLine] = collections.deque(maxlen=_MOST_HELD)
-    skipped = 0
+    if not request:
+        raise MissingRequestError(
+            '--log needs the id of a request: '
+            'godwitknot explain REQUEST-ID --log FILE'
+        )
+    selection = _Selection(request)
     for text in texts:
-        line = read_line(text)
-        if line is None:
-            skipped += 1
-        elif line.request == request:
-            own.append(line)
-        elif line.event in _BELIEFS:
-            held.append(line)
+        selection.take(text)
+    own = selection.own
     if not own:
         raise UnknownRequestError(f'no line is about request {request}')
     own.sort(key=_get_time)
     start = own[0].time
-    beside = _choose_beside(own, held)
+    beside = _choose_beside(own, selection.held)
     told = sorted([*own, *beside], key=_get_time)
     return Explanation(
         request,
         tuple(_format_line(line, start, request) for line in told),
-        {'lines that are no log lines': str(skipped)} if skipped else {},
+        selection.count_omissions(),
     )
 
 
--- a/tests/godwitknot/operators/test_stories.py
+++ b/tests/godwitknot/operators/test_stories.py
@@ -1,11 +1,12 @@
 """The story of a request is told from the logs of all nodes in order."""
 
+import itertools
 import json
 
 import pytest
 
 from godwitknot.commands import main
-from godwitknot.errors import UnknownRequestError
+from godwitknot.errors import MissingRequestError, UnknownRequestError
 from godwitknot.operators.stories import tell_story
 
 REQUEST = '665c79d5f4e4380c'
@@ -15,6 +16,11 @@
     return json.dumps({'time': time, 'node': node, 'event': event, **fields})
 
 
+def repeat_line(times):
+    line = write(1, 'd-4', 'server state', state='up')
+    return itertools.repeat(line, times)
+
+
 @pytest.fixture
 def logs():
     return [
@@ -59,6 +65,36 @@
     assert story.facts == {'lines that are no log lines': '3'}
 
 
+def test_lines_on_servers_beyond_the_limit_are_counted(logs):
+    """Guards against a story that lacks a cause without saying so."""
+    story = tell_story([*logs[:3], *repeat_line(200_000), *logs[3:5]], REQUEST)
+    assert not any('ejected' in line for line in story.lines)
+    assert story.facts == {'lines on servers beyond the limit, left out': '3'}
+
+
+def test_no_line_is_left_out_at_the_limit(logs):
+    story = tell_story([*logs[:3], *repeat_line(199_997), *logs[3:5]], REQUEST)
+    assert 'server ejected' in story.lines[0]
+    assert not story.facts
+
+
+def test_empty_id_is_refused(logs):
+    """Guards against a story of all lines that are about no request."""
+    with pytest.raises(MissingRequestError):
+        tell_story(logs, '')
+
+
+def test_command_refuses_logs_without_an_id(logs, tmp_path, capsys):
+    path = tmp_path / 'a.log'
+    path.write_text('\n'.join(logs))
+    with pytest.raises(SystemExit) as ended:
+        main(['explain', '--log', str(path)])
+    assert ended.value.code == 2
+    shown = capsys.readouterr()
+    assert 'needs the id of a request' in shown.err
+    assert not shown.out
+
+
 def test_unknown_request_is_an_error(logs):
     with pytest.raises(UnknownRequestError):
         tell_story(logs, 'nothing')
