Name the list of nodes to ask for what it gives

Spreader._owed gave the addresses of silent and restarted nodes that are asked next whether they are back; the name said nothing of that. It is _list_nodes_to_ask now. No behaviour changes.

--- a/godwitknot/mesh/spreading.py
+++ b/godwitknot/mesh/spreading.py
@@ -196,7 +196,7 @@
     async def _compare(self) -> None:
         while True:
             await asyncio.sleep(_DIGEST_SECONDS * (0.5 + self._rng.random()))
-            for address in self._owed():
+            for address in self._list_nodes_to_ask():
                 self._spawn(self._exchange(address))
             far = int(self._rng.random() < _FAR_SHARE)
             # A node that stopped may be back and know nobody, so that it
@@ -205,7 +205,7 @@
             for peer in self._sample(peers, 1 - far, far):
                 await self._exchange(peer.address)
 
-    def _owed(self) -> list[Address]:
+    def _list_nodes_to_ask(self) -> list[Address]:
         """Give the nodes to ask now, whether they are back.
 
         One that restarts while the store is away knows nobody. It is not
--- a/tests/godwitknot/mesh/test_spreading.py
+++ b/tests/godwitknot/mesh/test_spreading.py
@@ -153,15 +153,15 @@
     spreader = build(make_member(1), others)
     restarted = others[30]
     wire.closed = [restarted.address]
-    assert spreader._owed() == [restarted.address]
-    assert spreader._owed() == [restarted.address]
+    assert spreader._list_nodes_to_ask() == [restarted.address]
+    assert spreader._list_nodes_to_ask() == [restarted.address]
 
     asyncio.run(spreader._exchange(restarted.address))
-    assert spreader._owed() == [restarted.address]
+    assert spreader._list_nodes_to_ask() == [restarted.address]
 
     build(restarted, [])
     asyncio.run(spreader._exchange(restarted.address))
-    assert spreader._owed() == []
+    assert spreader._list_nodes_to_ask() == []
 
 
 def test_node_that_stays_away_is_not_asked_for_long(build, wire, clock):
@@ -169,9 +169,9 @@
     gone = make_member(2)
     spreader = build(make_member(1), [gone])
     wire.closed = [gone.address]
-    assert spreader._owed() == [gone.address]
+    assert spreader._list_nodes_to_ask() == [gone.address]
     clock.advance(31)
-    assert spreader._owed() == []
+    assert spreader._list_nodes_to_ask() == []
 
 
 def test_node_of_another_domain_is_not_asked_at_once(build, wire):
@@ -180,4 +180,4 @@
     near = make_member(3)
     spreader = build(make_member(1), [far, near])
     wire.closed = [far.address]
-    assert spreader._owed() == []
+    assert spreader._list_nodes_to_ask() == []
