Name the estimate of a server's keep-alive time for what it is

ReusePolicy read like a policy, but it only learns how long the local server keeps idle connections, from those that the server forgot. It is KeepAliveEstimate in mesh/keepalive.py now. No behaviour changes; in node.py only the import moves.

Run beside other load (20 to 25 on 8 cores): tests/godwitknot/mesh, test_layers and test_docs passed but for the setup of test_mesh_fleet.py::test_restarted_node_does_not_trust_a_late_heartbeat ("not true in time" after 15 s), which passed in 2 of 2 runs alone afterwards. In a second run of test_keepalive, test_sidecar and test_layers, 22 passed and test_sidecar.py::test_forgotten_connection_is_no_evidence failed once; it passed in 13 of 13 runs alone afterwards. Neither is traced.

--- a/godwitknot/mesh/reuse.py
+++ b/godwitknot/mesh/keepalive.py
@@ -18,7 +18,7 @@
 _MEMORY_SECONDS = 60.0
 
 
-class ReusePolicy:
+class KeepAliveEstimate:
     """Learns how long the local server remembers idle connections."""
 
     def __init__(self, clock: Clock) -> None:
--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -28,13 +28,13 @@
 from godwitknot.mesh.events import EventLog
 from godwitknot.mesh.gate import Gate
 from godwitknot.mesh.httpclient import HttpClient
+from godwitknot.mesh.keepalive import USUAL_REST_SECONDS
 from godwitknot.mesh.knowledge import ConfigurationHolder, StoreSync
 from godwitknot.mesh.localserver import LocalServer
 from godwitknot.mesh.membership import Directory, Member
 from godwitknot.mesh.model import Message, Placement, ServerState
 from godwitknot.mesh.ports import Dialect, MetadataStore
 from godwitknot.mesh.relay import RelayClient, RelayServer
-from godwitknot.mesh.reuse import USUAL_REST_SECONDS
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.sidecar import Sidecar
 from godwitknot.mesh.spreading import Spreader
--- a/godwitknot/mesh/sidecar.py
+++ b/godwitknot/mesh/sidecar.py
@@ -10,6 +10,7 @@
 from godwitknot.mesh.gate import Gate, Ticket
 from godwitknot.mesh.httpclient import HttpClient
 from godwitknot.mesh.httpwire import ClientSide
+from godwitknot.mesh.keepalive import KeepAliveEstimate
 from godwitknot.mesh.localserver import LocalServer
 from godwitknot.mesh.messages import Offer
 from godwitknot.mesh.model import (
@@ -20,7 +21,6 @@
     Message,
 )
 from godwitknot.mesh.ports import Dialect
-from godwitknot.mesh.reuse import ReusePolicy
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.vitals import Vitals
 from godwitknot.outcomes import Code, Outcome, RefusalError
@@ -52,7 +52,7 @@
         self._vitals = vitals
         self._dialect = dialect
         self._client = client
-        self._reuse = ReusePolicy(runtime.clock)
+        self._keep_alive = KeepAliveEstimate(runtime.clock)
         self._clock = runtime.clock
         self._log = runtime.log
         self._telemetry = runtime.telemetry
@@ -126,7 +126,9 @@
         return self._judge(ticket, answer, facts, seconds)
 
     async def _connect(self, ticket: Ticket) -> ClientSide:
-        longest = self._reuse.longest_rest(repeatable=ticket.offer.repeatable)
+        longest = self._keep_alive.longest_rest(
+            repeatable=ticket.offer.repeatable
+        )
         try:
             return await self._client.take(self._address, longest)
         except ConnectionFailedError as error:
@@ -255,7 +257,7 @@
         seconds: float,
     ) -> None:
         silent = side.heard_nothing
-        if silent and self._reuse.note_reset(side.rested, seconds):
+        if silent and self._keep_alive.note_reset(side.rested, seconds):
             self._log_failure(ticket, 'connection forgotten', str(error))
         else:
             self._note_bad(ticket, 'connection lost', str(error))
--- a/tests/godwitknot/mesh/test_sidecar.py
+++ b/tests/godwitknot/mesh/test_sidecar.py
@@ -13,9 +13,9 @@
 from godwitknot.mesh.budget import RepeatBudget
 from godwitknot.mesh.gate import Gate
 from godwitknot.mesh.httpclient import HttpClient
+from godwitknot.mesh.keepalive import USUAL_REST_SECONDS
 from godwitknot.mesh.localserver import LocalServer
 from godwitknot.mesh.model import AnswerFacts, Heartbeat, ServerState
-from godwitknot.mesh.reuse import USUAL_REST_SECONDS
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.sidecar import Sidecar
 from godwitknot.mesh.telemetry import Telemetry
