--- a/tests/godwitknot/atmostonce/test_claims.py
+++ b/tests/godwitknot/atmostonce/test_claims.py
@@ -2,8 +2,9 @@
 import threading
 
 import pytest
-from hypothesis import settings, stateful
+from hypothesis import stateful
 from hypothesis import strategies as st
+from statemachines import run_machine
 
 from godwitknot.atmostonce.claimrows import ClaimRequest, ClaimState
 from godwitknot.atmostonce.claims import ClaimDesk, ClaimPermit
@@ -296,22 +297,13 @@
         super().record(make_write(write.key, write.expected, released))
 
 
-def run_machine(desk_class, examples=400):
-    stateful.run_state_machine_as_test(
-        type('Machine', (ClaimMachine,), {'desk_class': desk_class}),
-        settings=settings(
-            max_examples=examples,
-            stateful_step_count=20,
-            derandomize=True,
-            deadline=None,
-            database=None,
-            report_multiple_bugs=False,
-        ),
-    )
+def search(desk_class, examples=400):
+    machine = type('Machine', (ClaimMachine,), {'desk_class': desk_class})
+    run_machine(machine, examples, steps=20, report_multiple_bugs=False)
 
 
 def test_no_interleaving_runs_a_chosen_key_twice():
-    run_machine(ClaimDesk)
+    search(ClaimDesk)
 
 
 @pytest.mark.parametrize(
@@ -322,4 +314,4 @@
     with pytest.raises(AssertionError):
         # Ends at the first violation, which comes sooner or later depending
         # on the modules that Hypothesis finds loaded.
-        run_machine(broken, examples=10000)
+        search(broken, examples=10000)
--- a/tests/godwitknot/atmostonce/test_idempotency.py
+++ b/tests/godwitknot/atmostonce/test_idempotency.py
@@ -2,8 +2,9 @@
 import threading
 
 import pytest
-from hypothesis import settings, stateful
+from hypothesis import stateful
 from hypothesis import strategies as st
+from statemachines import run_machine
 
 from godwitknot.atmostonce.idempotency import IdempotencyBook, Moved
 from godwitknot.atmostonce.runs import (
@@ -350,22 +351,13 @@
         return super().begin(shown, digest, patience)
 
 
-def run_machine(book_class, examples=1000):
-    stateful.run_state_machine_as_test(
-        type('Machine', (BookMachine,), {'book_class': book_class}),
-        settings=settings(
-            max_examples=examples,
-            stateful_step_count=20,
-            derandomize=True,
-            deadline=None,
-            database=None,
-            report_multiple_bugs=False,
-        ),
-    )
+def search(book_class, examples=1000):
+    machine = type('Machine', (BookMachine,), {'book_class': book_class})
+    run_machine(machine, examples, steps=20, report_multiple_bugs=False)
 
 
 def test_no_interleaving_runs_a_key_twice():
-    run_machine(IdempotencyBook)
+    search(IdempotencyBook)
 
 
 @pytest.mark.parametrize('broken', [ForgetfulBook, OpenBook, TrustingBook])
@@ -374,4 +366,4 @@
     with pytest.raises(AssertionError):
         # Ends at the first violation, which comes sooner or later depending
         # on the modules that Hypothesis finds loaded.
-        run_machine(broken, examples=10000)
+        search(broken, examples=10000)
--- a/tests/godwitknot/config/test_configuration.py
+++ b/tests/godwitknot/config/test_configuration.py
@@ -1,14 +1,14 @@
 import attrs
 import pytest
 from fake_platform import FakeObjects, FakeTables
-from hypothesis import Phase, settings, strategies
+from hypothesis import Phase, strategies
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
+from statemachines import run_machine
 
 from godwitknot.clock import ManualClock
 from godwitknot.config.configuration import ConfigurationKeeper
@@ -369,18 +369,9 @@
         return super().accept(text, head.version, fresh, author, census)
 
 
-MACHINE_SETTINGS = settings(
-    max_examples=200,
-    stateful_step_count=30,
-    deadline=None,
-    derandomize=True,
-    database=None,
-)
-
-
 def test_configuration_never_reverts():
     """Guards against any sequence of faults that reverts or repeats."""
-    run_state_machine_as_test(OperatorsAndNodes, settings=MACHINE_SETTINGS)
+    run_machine(OperatorsAndNodes, examples=200, steps=30)
 
 
 class RevertingMachine(OperatorsAndNodes):
@@ -399,8 +390,5 @@
     """Guards against a state machine that could not fail."""
     # What Hypothesis tries depends on the modules that are loaded, so the
     # search is long enough to find the fault in any case.
-    without_shrinking = settings(
-        MACHINE_SETTINGS, max_examples=2000, phases=[Phase.generate]
-    )
     with pytest.raises(AssertionError, match=reason):
-        run_state_machine_as_test(machine, settings=without_shrinking)
+        run_machine(machine, 2000, steps=30, phases=[Phase.generate])
--- a/tests/godwitknot/health/test_floors.py
+++ b/tests/godwitknot/health/test_floors.py
@@ -3,15 +3,15 @@
 import threading
 
 import pytest
-from hypothesis import Phase, settings
+from hypothesis import Phase
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
+from statemachines import run_machine
 
 from godwitknot.clock import ManualClock
 from godwitknot.control.messages import PromiseAnswer
@@ -227,17 +227,8 @@
             assert len(out) <= SERVERS - self.floor
 
 
-SETTINGS = settings(
-    max_examples=400,
-    stateful_step_count=50,
-    deadline=None,
-    derandomize=True,
-    database=None,
-)
-
-
 def test_servers_out_never_exceed_what_the_floor_leaves():
-    run_state_machine_as_test(FloorMachine, settings=SETTINGS)
+    run_machine(FloorMachine, examples=400, steps=50)
 
 
 @pytest.mark.parametrize(
@@ -247,9 +238,8 @@
     """Guards against a state machine that would pass anything."""
 
     machine = type('Broken', (FloorMachine,), {'keeper_class': broken})
-    search = settings(SETTINGS, max_examples=1000, phases=[Phase.generate])
     with pytest.raises(AssertionError, match='assert'):
-        run_state_machine_as_test(machine, settings=search)
+        run_machine(machine, 1000, steps=50, phases=[Phase.generate])
 
 
 class Wire(View):
