Give up a server that sends informational responses without end

Users report servers whose bytes go on until the caller closes. The stand-in server now plays such floods (standins/endless.py), and tests read each kind. Heads, chunk lines and trailers without end were already given up at the parser's limit of 64 KiB; those tests passed at once.

Informational responses were read without a limit.

A response now has at most 16 informational ones before it.

--- a/bench/meshfleet.py
+++ b/bench/meshfleet.py
@@ -67,6 +67,11 @@
         text = (self.fleet.folder / f'{self.name}.log').read_text()
         return [json.loads(line) for line in text.splitlines() if line]
 
+    def peak_megabytes(self):
+        """Give the most resident memory that the node had so far."""
+        status = pathlib.Path(f'/proc/{self.process.pid}/status').read_text()
+        return int(status.partition('VmHWM:')[2].split()[0]) / 1024
+
     def stop(self):
         if self.process is not None and self.process.poll() is None:
             self.process.kill()
--- a/godwitknot/mesh/httpwire.py
+++ b/godwitknot/mesh/httpwire.py
@@ -12,6 +12,9 @@
 # Bounds what one response takes of the memory of a node.
 MAX_ANSWER_BYTES = 33554432
 _HEAD_BYTES = 65536
+# Informational responses before the final one. Servers send one or two; each
+# costs 10 us to parse, so that a flood of them would hold up the event loop.
+_MOST_INFORMATIONAL = 16
 _BODY_TOO_LARGE = 413
 _HEAD_TOO_LARGE = 431
 _CHARSET = 'latin-1'
@@ -243,11 +246,7 @@
         :raises ProtocolError: if it is no HTTP response, or encoded.
         :raises ConnectionCutError: if it ended early.
         """
-        head = await self._next()
-        while isinstance(head, h11.InformationalResponse):
-            head = await self._next()
-        if not isinstance(head, h11.Response):
-            raise ConnectionCutError('no response')
+        head = await self._read_head()
         parts: list[bytes] = []
         size = 0
         while True:
@@ -260,6 +259,15 @@
             parts.append(bytes(event.data))
         return Answer(head.status_code, _decode(head.headers), b''.join(parts))
 
+    async def _read_head(self) -> h11.Response:
+        for _ in range(_MOST_INFORMATIONAL + 1):
+            head = await self._next()
+            if isinstance(head, h11.Response):
+                return head
+            if not isinstance(head, h11.InformationalResponse):
+                raise ConnectionCutError('no response')
+        raise ProtocolError('too many informational responses')
+
     @property
     def heard_nothing(self) -> bool:
         """Whether no byte of the response has arrived."""
--- /dev/null
+++ b/standins/endless.py
@@ -0,0 +1,46 @@
+"""Bytes without end that a faulty server sends instead of an answer."""
+
+from collections.abc import Iterator
+
+_BLOCK_BYTES = 65536
+_FIELDS = (
+    b'Godwitknot-Attempt-Id: %(attempt)s\r\nGodwitknot-Server-Seal: seal\r\n'
+)
+_HEAD = b'HTTP/1.1 200 OK\r\n%s' % _FIELDS
+_CHUNKED = b'%sTransfer-Encoding: chunked\r\n\r\n' % _HEAD
+_WHOLE = b'%sContent-Length: 2\r\n\r\nok' % _HEAD
+_OTHER = b'HTTP/1.1 200 OK\r\nGodwitknot-Attempt-Id: other\r\n'
+_LARGE_CHUNK = b'2000\r\n%s\r\n' % (b'x' * 8192)
+_EXTENDED_CHUNK = b'1;%s\r\nx\r\n' % (b'x' * 32768)
+
+# What is sent once, and what follows until the caller closes.
+FLOODS = {
+    'garbage': (b'', b'\x00\xff\xfe no answer'),
+    'garbage-lines': (b'', b'no answer\r\n'),
+    'header-line': (b'%sX-Filler: ' % _HEAD, b'x'),
+    'headers': (_HEAD, b'X-Filler: x\r\n'),
+    'short-headers': (_HEAD, b'x:\r\n'),
+    'informational': (b'', b'HTTP/1.1 102 Processing\r\n\r\n'),
+    'body-to-close': (b'%s\r\n' % _HEAD, b'x'),
+    'body-of-length': (b'%sContent-Length: 999999999999\r\n\r\n' % _HEAD, b'x'),
+    'chunks': (_CHUNKED, _LARGE_CHUNK),
+    'short-chunks': (_CHUNKED, b'1\r\nx\r\n'),
+    'chunk-line': (b'%s1;' % _CHUNKED, b'x'),
+    'chunk-extensions': (_CHUNKED, _EXTENDED_CHUNK),
+    'trailer': (b'%s0\r\n' % _CHUNKED, b'X-Filler: x\r\n'),
+    'after-answer': (_WHOLE, b'more'),
+    'other-answers': (b'', b'%sContent-Length: 2\r\n\r\nno' % _OTHER),
+}
+
+
+def flood(name: str, attempt_id: str) -> Iterator[bytes]:
+    """Give the blocks of an endless answer.
+
+    :param name: key of :data:`FLOODS`.
+    """
+    first, repeated = FLOODS[name]
+    if first:
+        yield first % {b'attempt': attempt_id.encode()}
+    block = repeated * max(1, _BLOCK_BYTES // len(repeated))
+    while True:
+        yield block
--- a/standins/meshserver.py
+++ b/standins/meshserver.py
@@ -1,5 +1,6 @@
 """Stand-in of a backend server that speaks the platform's protocol."""
 
+import io
 import json
 import threading
 import time
@@ -8,6 +9,7 @@
 
 import attrs
 
+from standins.endless import flood
 from standins.metadata import QuietHTTPServer
 
 _MILLISECONDS = 1000
@@ -21,12 +23,16 @@
     :param cut: close after part of the answer.
     :param fail: answer 500.
     :param stale: answer with another request's id first.
+    :param endless: send this flood until the caller closes.
+    :param endless_health: send it to health checks as well.
     """
 
     hang: bool = False
     cut: bool = False
     fail: bool = False
     stale: bool = False
+    endless: str = ''
+    endless_health: bool = False
 
 
 @attrs.frozen
@@ -61,6 +67,9 @@
         self.faults = ServerFaults()
         self.runs: list[Run] = []
         self.cancelled = 0
+        # Floods that are being sent, and bytes of all floods so far.
+        self.flooding = 0
+        self.flooded_bytes = 0
         self.draining = False
         # Set where others reach it through a relay.
         self.announced = ''
@@ -151,6 +160,9 @@
     def _serve(self, body: bytes) -> None:
         owner = self.owner
         if self.path == '/health':
+            if owner.faults.endless_health:
+                self._flood('')
+                return
             status = 503 if owner.draining else 200
             self._reply(status, b'', {})
             return
@@ -178,6 +190,9 @@
             self.close_connection = True
             return
         time.sleep(owner.work)
+        if owner.faults.endless:
+            self._flood(attempt_id)
+            return
         seal = {'Godwitknot-Server-Seal': 'seal'}
         answer = f'{server_id} ran {self.path}'.encode()
         if owner.faults.stale:
@@ -189,6 +204,20 @@
             status, answer, {**seal, 'Godwitknot-Attempt-Id': attempt_id}
         )
 
+    def _flood(self, attempt_id: str) -> None:
+        owner = self.owner
+        owner.flooding += 1
+        self.close_connection = True
+        try:
+            for block in flood(owner.faults.endless, attempt_id):
+                self.wfile.write(block)
+                owner.flooded_bytes += len(block)
+        except OSError:
+            # The caller has closed.
+            self.wfile = io.BytesIO()
+        finally:
+            owner.flooding -= 1
+
     def _reply(self, status: int, body: bytes, fields: dict) -> None:
         self.send_response(status)
         for name, text in fields.items():
--- a/tests/godwitknot/mesh/test_httpwire.py
+++ b/tests/godwitknot/mesh/test_httpwire.py
@@ -7,6 +7,7 @@
 from godwitknot.errors import ConnectionCutError, ProtocolError
 from godwitknot.mesh.httpwire import ClientSide
 from godwitknot.mesh.model import Message
+from standins.endless import flood
 
 
 class ScriptedChannel:
@@ -22,8 +23,29 @@
         return self.pieces.pop(0)
 
 
+class FloodedChannel:
+    """Gives an endless answer, and fails the test if much of it is read."""
+
+    def __init__(self, name, most):
+        self.blocks = flood(name, 'a1')
+        self.left = most
+
+    def write(self, data):
+        """Send nowhere."""
+
+    async def receive(self):
+        assert self.left > 0, 'read on and on'
+        block = next(self.blocks)
+        self.left -= len(block)
+        return block
+
+
 def read(*pieces):
-    side = ClientSide(ScriptedChannel(*pieces))
+    return read_from(ScriptedChannel(*pieces))
+
+
+def read_from(channel):
+    side = ClientSide(channel)
     side.send(Message('GET', '/x', [('Host', 'h')], b''))
     return asyncio.run(side.read())
 
@@ -52,3 +74,28 @@
 def test_response_without_length_ends_with_its_connection():
     answer = read(b'HTTP/1.1 200 OK\r\n\r\nabc')
     assert answer.body == b'abc'
+
+
+@pytest.mark.parametrize(
+    'name',
+    [
+        'garbage',
+        'garbage-lines',
+        'header-line',
+        'headers',
+        'short-headers',
+        'informational',
+        'chunk-line',
+        'trailer',
+    ],
+)
+def test_endless_head_or_line_is_given_up(name):
+    """A server kept a node busy with informational responses without end."""
+    with pytest.raises(ProtocolError):
+        read_from(FloodedChannel(name, 262144))
+
+
+def test_some_informational_responses_may_come_first():
+    hint = b'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'
+    answer = read(hint * 8, b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+    assert answer.body == b'ok'
