Count the framing of a response against its largest size

A response was bounded by the bytes of its body. A server that adds 32 KiB of chunk extension to each byte of body could send without end: in a trial with 4 requests that must not be repeated, it sent 1196 MB, two callers got 504 after 3.0 s, and the node used 3.0 s of processor time. The log said "deadline passed", which does not name the fault; hedged requests left no evidence.

The bound now counts all bytes received for a response.

--- a/godwitknot/mesh/httpwire.py
+++ b/godwitknot/mesh/httpwire.py
@@ -9,7 +9,8 @@
 from godwitknot.mesh.channels import Channel
 from godwitknot.mesh.model import Answer, Fields, Message
 
-# Bounds what one response takes of the memory of a node.
+# Bounds what one response takes of the memory and time of a node, with its
+# head and framing.
 MAX_ANSWER_BYTES = 33554432
 _HEAD_BYTES = 65536
 # Informational responses before the final one. Servers send one or two; each
@@ -212,6 +213,8 @@
         self.channel = channel
         self.started = False
         self.rested = float(0)
+        # Bytes of the current response, with head and framing.
+        self._received = 0
         self._parser = _client_parser()
 
     def send(self, message: Message) -> None:
@@ -246,16 +249,13 @@
         :raises ProtocolError: if it is no HTTP response, or encoded.
         :raises ConnectionCutError: if it ended early.
         """
+        self._received = 0
         head = await self._read_head()
         parts: list[bytes] = []
-        size = 0
         while True:
             event = await self._next()
             if not isinstance(event, h11.Data):
                 break
-            size += len(event.data)
-            if size > MAX_ANSWER_BYTES:
-                raise ProtocolError('response too large')
             parts.append(bytes(event.data))
         return Answer(head.status_code, _decode(head.headers), b''.join(parts))
 
@@ -308,6 +308,9 @@
                 return event
             data = await self.channel.receive()
             ended = not data
+            self._received += len(data)
+            if self._received > MAX_ANSWER_BYTES:
+                raise ProtocolError('response too large')
             try:
                 self._parser.receive_data(data)
             except h11.RemoteProtocolError as error:
--- a/tests/godwitknot/mesh/test_httpwire.py
+++ b/tests/godwitknot/mesh/test_httpwire.py
@@ -5,7 +5,7 @@
 import pytest
 
 from godwitknot.errors import ConnectionCutError, ProtocolError
-from godwitknot.mesh.httpwire import ClientSide
+from godwitknot.mesh.httpwire import MAX_ANSWER_BYTES, ClientSide
 from godwitknot.mesh.model import Message
 from standins.endless import flood
 
@@ -99,3 +99,9 @@
     hint = b'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'
     answer = read(hint * 8, b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
     assert answer.body == b'ok'
+
+
+def test_endless_framing_is_given_up():
+    """Only the body counted, which extensions of chunks outweigh at will."""
+    with pytest.raises(ProtocolError):
+        read_from(FloodedChannel('chunk-extensions', 2 * MAX_ANSWER_BYTES))
