Lower the largest response of a server to 4 MiB

Each response of a server could take 32 MiB of a node, without a bound on all together. With endless bodies on 4 slots the peak of resident memory was 152 to 187 MB, with 16 slots 419 to 438 MB, where a process above 300 MB is killed. The new case of test_mesh_endless failed before: 151 MB above rest instead of less than 50.

The bound is now 4 MiB; bodies have a few hundred kilobytes.

The store's client keeps a bound of its own, 16 MiB, since a feed that is behind by its whole history can be larger than any body.

--- a/godwitknot/mesh/httpclient.py
+++ b/godwitknot/mesh/httpclient.py
@@ -6,7 +6,7 @@
 
 from godwitknot.errors import ConnectionCutError, ProtocolError
 from godwitknot.mesh.channels import open_channel
-from godwitknot.mesh.httpwire import ClientSide
+from godwitknot.mesh.httpwire import MAX_ANSWER_BYTES, ClientSide
 from godwitknot.mesh.model import Answer, Message
 from godwitknot.units import Address
 
@@ -19,12 +19,18 @@
 class HttpClient:
     """Sends requests, reusing connections that are idle."""
 
-    def __init__(self, idle_seconds: float) -> None:
+    def __init__(
+        self,
+        idle_seconds: float,
+        answer_bytes: int = MAX_ANSWER_BYTES,
+    ) -> None:
         """Start without connections.
 
         :param idle_seconds: longest time that a connection is kept idle.
+        :param answer_bytes: largest response, with its head and framing.
         """
         self._idle_seconds = idle_seconds
+        self._answer_bytes = answer_bytes
         self._idle: dict[Address, collections.deque] = {}
 
     async def call(
@@ -76,7 +82,8 @@
             if side.channel.is_quiet and side.rested <= most:
                 return side
             side.channel.close()
-        return ClientSide(await open_channel(address, _CONNECT_SECONDS))
+        channel = await open_channel(address, _CONNECT_SECONDS)
+        return ClientSide(channel, self._answer_bytes)
 
     def give_back(self, address: Address, side: ClientSide) -> None:
         """Keep a connection for the next request, if it can take one."""
--- a/godwitknot/mesh/httpwire.py
+++ b/godwitknot/mesh/httpwire.py
@@ -9,9 +9,9 @@
 from godwitknot.mesh.channels import Channel
 from godwitknot.mesh.model import Answer, Fields, Message
 
-# Bounds what one response takes of the memory and time of a node, with its
-# head and framing.
-MAX_ANSWER_BYTES = 33554432
+# Largest response of a server, with its head and framing. Bodies have a few
+# hundred kilobytes; 16 slots at this bound take 64 MiB of the 300 of a node.
+MAX_ANSWER_BYTES = 4194304
 _HEAD_BYTES = 65536
 # Informational responses before the final one. Servers send one or two; each
 # costs 10 us to parse, so that a flood of them would hold up the event loop.
@@ -208,9 +208,17 @@
     :ivar rested: seconds that it was idle before the current request.
     """
 
-    def __init__(self, channel: Channel) -> None:
-        """Start on a new connection."""
+    def __init__(
+        self,
+        channel: Channel,
+        answer_bytes: int = MAX_ANSWER_BYTES,
+    ) -> None:
+        """Start on a new connection.
+
+        :param answer_bytes: largest response, with its head and framing.
+        """
         self.channel = channel
+        self._answer_bytes = answer_bytes
         self.started = False
         self.rested = float(0)
         # Bytes of the current response, with head and framing.
@@ -309,7 +317,7 @@
             data = await self.channel.receive()
             ended = not data
             self._received += len(data)
-            if self._received > MAX_ANSWER_BYTES:
+            if self._received > self._answer_bytes:
                 raise ProtocolError('response too large')
             try:
                 self._parser.receive_data(data)
--- a/godwitknot/mesh/program.py
+++ b/godwitknot/mesh/program.py
@@ -15,6 +15,9 @@
 
 # The store keeps idle connections at least this long.
 _STORE_IDLE_SECONDS = 20.0
+# Largest response of the store. A feed behind by its whole history of 20 s, at
+# 400 writes a second and 374 bytes a row, takes 3 MB; larger fleets write more.
+_STORE_ANSWER_BYTES = 16777216
 
 
 def _read_placement() -> Placement:
@@ -33,7 +36,8 @@
 
 async def _run(own: configparser.ConfigParser) -> None:
     placement = _read_placement()
-    store = PlatformStore(HttpClient(_STORE_IDLE_SECONDS), placement.store)
+    client = HttpClient(_STORE_IDLE_SECONDS, _STORE_ANSWER_BYTES)
+    store = PlatformStore(client, placement.store)
     node = MeshNode(
         placement,
         PlatformDialect(),
--- a/tests/godwitknot/mesh/test_httpwire.py
+++ b/tests/godwitknot/mesh/test_httpwire.py
@@ -1,6 +1,7 @@
 """Responses that end early are told apart from malformed ones."""
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -105,3 +106,11 @@
     """Only the body counted, which extensions of chunks outweigh at will."""
     with pytest.raises(ProtocolError):
         read_from(FloodedChannel('chunk-extensions', 2 * MAX_ANSWER_BYTES))
+
+
+def test_download_of_a_megabyte_is_read_whole():
+    """Guards against a bound on endless bodies that cuts real ones."""
+    head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+    chunk = b'400\r\n%s\r\n' % (b'x' * 1024)
+    answer = read(head, *itertools.repeat(chunk, 1024), b'0\r\n\r\n')
+    assert len(answer.body) == 1048576
--- a/tests/godwitknot/mesh/test_mesh_endless.py
+++ b/tests/godwitknot/mesh/test_mesh_endless.py
@@ -80,7 +80,9 @@
         )
 
 
-@pytest.mark.parametrize('name', ['informational', 'chunk-extensions'])
+@pytest.mark.parametrize(
+    'name', ['informational', 'chunk-extensions', 'body-to-close']
+)
 def test_node_outlasts_endless_answers_on_all_slots(build, name):
     """Guards against floods that hold up heartbeats or fill the memory."""
     machine = build(1).machines[0]
