Give up a response in too many pieces

A body in chunks of one byte costs 10 us for each chunk, and the bound on bytes lets 700,000 of them through. With 4 such responses at once, a heartbeat waited 1.8 to 2.0 s for its acknowledgement, the node used 3.5 s of processor time, and callers got their 502 or 504 after 3.4 s. The new tests failed before ("read on and on" in test_httpwire, a heartbeat of 1.93 s in test_mesh_endless, where less than 1 is demanded).

A response now has at most 8192 pieces: 400 KB in chunks of 50 bytes, or 4 MiB in segments of 512.

--- a/godwitknot/mesh/httpwire.py
+++ b/godwitknot/mesh/httpwire.py
@@ -16,6 +16,10 @@
 # Informational responses before the final one. Servers send one or two; each
 # costs 10 us to parse, so that a flood of them would hold up the event loop.
 _MOST_INFORMATIONAL = 16
+# Pieces of the body of a response, as chunks or as they arrive. Bodies have a
+# few hundred kilobytes, and each piece costs 10 us, so that a flood of short
+# chunks would hold up the event loop.
+_MOST_PARTS = 8192
 _BODY_TOO_LARGE = 413
 _HEAD_TOO_LARGE = 431
 _CHARSET = 'latin-1'
@@ -264,6 +268,8 @@
             event = await self._next()
             if not isinstance(event, h11.Data):
                 break
+            if len(parts) == _MOST_PARTS:
+                raise ProtocolError('response in too many parts')
             parts.append(bytes(event.data))
         return Answer(head.status_code, _decode(head.headers), b''.join(parts))
 
--- a/tests/godwitknot/mesh/test_httpwire.py
+++ b/tests/godwitknot/mesh/test_httpwire.py
@@ -102,6 +102,12 @@
     assert answer.body == b'ok'
 
 
+def test_endless_short_chunks_are_given_up():
+    """Each chunk costs time, so that 4 MiB of them held up the event loop."""
+    with pytest.raises(ProtocolError):
+        read_from(FloodedChannel('short-chunks', 262144))
+
+
 def test_endless_framing_is_given_up():
     """Only the body counted, which extensions of chunks outweigh at will."""
     with pytest.raises(ProtocolError):
--- a/tests/godwitknot/mesh/test_mesh_endless.py
+++ b/tests/godwitknot/mesh/test_mesh_endless.py
@@ -81,7 +81,8 @@
 
 
 @pytest.mark.parametrize(
-    'name', ['informational', 'chunk-extensions', 'body-to-close']
+    'name',
+    ['informational', 'chunk-extensions', 'body-to-close', 'short-chunks'],
 )
 def test_node_outlasts_endless_answers_on_all_slots(build, name):
     """Guards against floods that hold up heartbeats or fill the memory."""
