Close a kept connection when bytes follow the answer

The channel of a resting connection now ends it at the first byte. Bytes that come along with the answer closed the connection before as well; both now write `bytes after an answer`. The answer before them was whole, so that they are no evidence against the server.

--- a/godwitknot/mesh/channels.py
+++ b/godwitknot/mesh/channels.py
@@ -40,6 +40,8 @@
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task | None = None
         self._paused = False
+        # Set while nothing may arrive; told of bytes, which end the connection.
+        self.surplus_listener: Callable[[], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task of an accepted connection."""
@@ -50,6 +52,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Keep bytes until they are read."""
+        if self.surplus_listener is not None:
+            self._ended = True
+            self.abort()
+            self.surplus_listener()
+            return
         self._buffer += data
         if len(self._buffer) > _READ_AHEAD_BYTES and not self._paused:
             self._paused = True
@@ -88,6 +95,11 @@
         """Whether the connection broke instead of being closed."""
         return self._error is not None
 
+    @property
+    def has_input(self) -> bool:
+        """Whether bytes have arrived that are not yet read."""
+        return bool(self._buffer)
+
     @property
     def is_quiet(self) -> bool:
         """Whether it is open and no unread byte has arrived."""
--- a/godwitknot/mesh/httpclient.py
+++ b/godwitknot/mesh/httpclient.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import collections
+import functools
 import time
+from collections.abc import Callable
 
 from godwitknot.errors import ConnectionCutError, ProtocolError
 from godwitknot.mesh.channels import open_channel
@@ -32,6 +34,8 @@
         self._idle_seconds = idle_seconds
         self._answer_bytes = answer_bytes
         self._idle: dict[Address, collections.deque] = {}
+        # Told of connections closed for bytes that belong to no request.
+        self.surplus_listeners: list[Callable[[Address], None]] = []
 
     async def call(
         self,
@@ -78,6 +82,7 @@
         kept = self._idle.get(address)
         while kept:
             side, since = kept.pop()
+            side.channel.surplus_listener = None
             side.rested = time.monotonic() - since
             if side.channel.is_quiet and side.rested <= most:
                 return side
@@ -88,9 +93,13 @@
     def give_back(self, address: Address, side: ClientSide) -> None:
         """Keep a connection for the next request, if it can take one."""
         kept = self._idle.setdefault(address, collections.deque())
+        note_surplus = functools.partial(self._note_surplus, address)
+        if side.has_surplus:
+            note_surplus()
         if not side.recycle() or len(kept) >= _MOST_IDLE:
             side.channel.close()
             return
+        side.channel.surplus_listener = note_surplus
         kept.append((side, time.monotonic()))
 
     def close_idle(self, address: Address) -> None:
@@ -98,6 +107,10 @@
         for side, _ in self._idle.pop(address, ()):
             side.channel.close()
 
+    def _note_surplus(self, address: Address) -> None:
+        for listener in self.surplus_listeners:
+            listener(address)
+
 
 def _with_host(message: Message, address: Address) -> Message:
     fields = [('Host', str(address)), *message.fields]
--- a/godwitknot/mesh/httpwire.py
+++ b/godwitknot/mesh/httpwire.py
@@ -299,6 +299,11 @@
         if rest:
             self._parser.receive_data(rest)
 
+    @property
+    def has_surplus(self) -> bool:
+        """Whether bytes have arrived that are not part of the response."""
+        return bool(self._parser.trailing_data[0] or self.channel.has_input)
+
     def recycle(self) -> bool:
         """Prepare for another request; ``False`` if it must be closed."""
         done = self._parser.our_state is h11.DONE
--- a/godwitknot/mesh/sidecar.py
+++ b/godwitknot/mesh/sidecar.py
@@ -24,6 +24,7 @@
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.vitals import Vitals
 from godwitknot.outcomes import Code, Outcome, RefusalError
+from godwitknot.units import Address
 
 _MISDIRECTED = 421
 # A server's own answer at the deadline that it was given.
@@ -52,6 +53,7 @@
         self._vitals = vitals
         self._dialect = dialect
         self._client = client
+        client.surplus_listeners.append(self._note_surplus)
         self._reuse = ReusePolicy(runtime.clock)
         self._clock = runtime.clock
         self._log = runtime.log
@@ -247,6 +249,10 @@
             detail=detail,
         )
 
+    def _note_surplus(self, address: Address) -> None:
+        """Log it; no evidence, since the answer before was whole."""
+        self._log.write('bytes after an answer', server=self._server.server_id)
+
     def _note_cut(
         self,
         ticket: Ticket,
--- a/tests/godwitknot/mesh/conftest.py
+++ b/tests/godwitknot/mesh/conftest.py
@@ -16,13 +16,31 @@
 
 
 @pytest.fixture
-def log(clock):
+def log_pipe():
     reader, writer = os.pipe()
-    yield EventLog('node-1', clock, writer)
+    os.set_blocking(reader, False)
+    yield reader, writer
     os.close(reader)
     os.close(writer)
 
 
+@pytest.fixture
+def log(clock, log_pipe):
+    return EventLog('node-1', clock, log_pipe[1])
+
+
+@pytest.fixture
+def logged(log, log_pipe):
+    def read_log():
+        log.flush()
+        try:
+            return os.read(log_pipe[0], 65536).decode()
+        except BlockingIOError:
+            return ''
+
+    return read_log
+
+
 @pytest.fixture
 def bounds():
     return Bounds(
--- a/tests/godwitknot/mesh/test_sidecar.py
+++ b/tests/godwitknot/mesh/test_sidecar.py
@@ -1,6 +1,7 @@
 """What the sidecar takes as evidence against the local server."""
 
 import asyncio
+import contextlib
 import random
 import socket
 import struct
@@ -51,6 +52,28 @@
         writer.transport.abort()
 
 
+class FloodingServer:
+    """Sends bytes without end after each answer.
+
+    :param pause: seconds between the answer and the flood.
+    """
+
+    def __init__(self, pause):
+        self.pause = pause
+        self.flooding = 0
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(_ANSWER)
+        await asyncio.sleep(self.pause)
+        self.flooding += 1
+        with contextlib.suppress(OSError):
+            while True:
+                writer.write(b'x' * 65536)
+                await writer.drain()
+        self.flooding -= 1
+
+
 class PlainDialect:
     """Reads no header fields."""
 
@@ -129,3 +152,15 @@
     sidecar, ends = asyncio.run(run_rested(server, build, 4))
     bad = [each.bad for each in sidecar.gate._vitals._outcomes]
     assert sum(bad) == 2
+
+
+@pytest.mark.parametrize('pause', [0, 0.05], ids=['at once', 'at rest'])
+def test_connection_with_bytes_after_the_answer_is_closed(build, logged, pause):
+    """A kept connection stayed open, with the bytes, until its next use."""
+    server = FloodingServer(pause)
+    sidecar, ends = asyncio.run(run_rested(server, build, 1))
+    assert [each.status for each in ends] == [200]
+    assert not server.flooding
+    assert 'bytes after an answer' in logged()
+    # The answer before them was good.
+    assert not any(each.bad for each in sidecar.gate._vitals._outcomes)
