Test endless answers to health checks and of the store

Tests of what held already: all floods to calls of HttpClient, an endless health check after a restart of the node, a store that floods each call, and a request that another server answers.

The test of endless answers on all slots measured how long heartbeats waited and how long the requests took. It now bounds the processor time of the node by the same second, since the event loop can be held up no longer than that. A request that is late still fails the test, as 504.

--- a/bench/meshfleet.py
+++ b/bench/meshfleet.py
@@ -72,6 +72,13 @@
         status = pathlib.Path(f'/proc/{self.process.pid}/status').read_text()
         return int(status.partition('VmHWM:')[2].split()[0]) / 1024
 
+    def processor_seconds(self):
+        """Give the processor time that the node has used so far."""
+        stat = pathlib.Path(f'/proc/{self.process.pid}/stat').read_text()
+        # Fields 14 and 15, counted from behind the name of the program.
+        user, system = stat.rpartition(')')[2].split()[11:13]
+        return (int(user) + int(system)) / os.sysconf('SC_CLK_TCK')
+
     def stop(self):
         if self.process is not None and self.process.poll() is None:
             self.process.kill()
--- a/standins/endless.py
+++ b/standins/endless.py
@@ -1,6 +1,8 @@
 """Bytes without end that a faulty server sends instead of an answer."""
 
+import io
 from collections.abc import Iterator
+from http.server import BaseHTTPRequestHandler
 
 _BLOCK_BYTES = 65536
 _FIELDS = (
@@ -44,3 +46,17 @@
     block = repeated * max(1, _BLOCK_BYTES // len(repeated))
     while True:
         yield block
+
+
+def send_flood(
+    handler: BaseHTTPRequestHandler,
+    name: str,
+    attempt_id: str = '',
+) -> None:
+    """Send an endless answer until the caller closes."""
+    try:
+        for block in flood(name, attempt_id):
+            handler.wfile.write(block)
+    except OSError:
+        # The caller has closed; the handler flushes what it wrote.
+        handler.wfile = io.BytesIO()
--- a/standins/metadata.py
+++ b/standins/metadata.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from standins.endless import send_flood
+
 _MOST_ROWS = 500
 _MILLISECONDS = 1000
 
@@ -22,12 +24,14 @@
     :param lose_answers: share of writes that are done and not answered.
     :param slow: seconds before each answer.
     :param refused: caller's addresses that are turned away.
+    :param endless: send this flood until the caller closes.
     """
 
     down: bool = False
     lose_answers: float = 0
     slow: float = 0
     refused: set[str] = attrs.field(factory=set)
+    endless: str = ''
 
 
 class MetadataStore:
@@ -170,7 +174,9 @@
         asked = {'part': ''}
         for name, texts in parse_qs(parts.query).items():
             asked[name] = texts[0]
-        if self._is_refused():
+        if self.store.faults.endless:
+            self._flood()
+        elif self._is_refused():
             self._reply(503, {})
         elif parts.path == '/api/rows-get':
             self._reply(*self.store.read(asked))
@@ -183,6 +189,9 @@
         """Serve transactions."""
         length = int(self.headers.get('Content-Length', 0))
         change = json.loads(self.rfile.read(length))
+        if self.store.faults.endless:
+            self._flood()
+            return
         if self._is_refused():
             self._reply(503, {})
             return
@@ -195,6 +204,11 @@
     def log_message(self, *args: object) -> None:
         """Print nothing."""
 
+    def _flood(self) -> None:
+        self.store.calls += 1
+        self.close_connection = True
+        send_flood(self, self.store.faults.endless)
+
     def _is_refused(self) -> bool:
         faults = self.store.faults
         self.store.calls += 1
--- /dev/null
+++ b/tests/godwitknot/mesh/test_httpclient.py
@@ -0,0 +1,58 @@
+"""Calls of the store and of health checks end, whatever comes back."""
+
+import asyncio
+import time
+
+import pytest
+
+from godwitknot.errors import ProtocolError
+from godwitknot.mesh.httpclient import HttpClient
+from godwitknot.mesh.model import Message
+from godwitknot.units import parse_address
+from standins.endless import FLOODS
+from standins.meshserver import MeshServer
+
+
+@pytest.fixture
+def server():
+    server = MeshServer('i-1', 'booking')
+    server.faults.endless_health = True
+    yield server
+    server.stop()
+
+
+async def call(server):
+    client = HttpClient(1)
+    message = Message('GET', '/health', [], b'')
+    answer = await client.call(parse_address(server.listens_at), message, 5)
+    # A connection with bytes after the answer is closed by the event loop.
+    await asyncio.sleep(0.1)
+    return answer
+
+
+def wait_for_close(server):
+    end = time.monotonic() + 2
+    while server.flooding:
+        assert time.monotonic() < end
+        time.sleep(0.01)
+
+
+@pytest.mark.parametrize(
+    'name', sorted(set(FLOODS) - {'after-answer', 'other-answers'})
+)
+def test_call_with_an_endless_answer_fails_before_its_timeout(server, name):
+    """Guards against calls that read until their timeout."""
+    server.faults.endless = name
+    with pytest.raises(ProtocolError):
+        asyncio.run(call(server))
+    wait_for_close(server)
+
+
+@pytest.mark.parametrize(
+    ('name', 'body'), [('after-answer', b'ok'), ('other-answers', b'no')]
+)
+def test_call_ends_with_the_first_answer(server, name, body):
+    """Bytes after it belong to no call, and end the connection."""
+    server.faults.endless = name
+    assert asyncio.run(call(server)).body == body
+    wait_for_close(server)
