--- a/bench/meshfleet.py
+++ b/bench/meshfleet.py
@@ -67,6 +67,18 @@
         text = (self.fleet.folder / f'{self.name}.log').read_text()
         return [json.loads(line) for line in text.splitlines() if line]
 
+    def peak_megabytes(self):
+        """Give the most resident memory that the node had so far."""
+        status = pathlib.Path(f'/proc/{self.process.pid}/status').read_text()
+        return int(status.partition('VmHWM:')[2].split()[0]) / 1024
+
+    def processor_seconds(self):
+        """Give the processor time that the node has used so far."""
+        stat = pathlib.Path(f'/proc/{self.process.pid}/stat').read_text()
+        # Fields 14 and 15, counted from behind the name of the program.
+        user, system = stat.rpartition(')')[2].split()[11:13]
+        return (int(user) + int(system)) / os.sysconf('SC_CLK_TCK')
+
     def stop(self):
         if self.process is not None and self.process.poll() is None:
             self.process.kill()
--- a/godwitknot/mesh/httpclient.py
+++ b/godwitknot/mesh/httpclient.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import collections
+import functools
 import time
+from collections.abc import Callable
 
 from godwitknot.errors import ConnectionCutError, ProtocolError
 from godwitknot.mesh.channels import open_channel
-from godwitknot.mesh.httpwire import ClientSide
+from godwitknot.mesh.httpwire import MAX_ANSWER_BYTES, ClientSide
 from godwitknot.mesh.model import Answer, Message
 from godwitknot.units import Address
 
@@ -19,13 +21,21 @@
 class HttpClient:
     """Sends requests, reusing connections that are idle."""
 
-    def __init__(self, idle_seconds: float) -> None:
+    def __init__(
+        self,
+        idle_seconds: float,
+        answer_bytes: int = MAX_ANSWER_BYTES,
+    ) -> None:
         """Start without connections.
 
         :param idle_seconds: longest time that a connection is kept idle.
+        :param answer_bytes: largest response, with its head and framing.
         """
         self._idle_seconds = idle_seconds
+        self._answer_bytes = answer_bytes
         self._idle: dict[Address, collections.deque] = {}
+        # Told of connections closed for bytes that belong to no request.
+        self.surplus_listeners: list[Callable[[Address], None]] = []
 
     async def call(
         self,
@@ -72,18 +82,24 @@
         kept = self._idle.get(address)
         while kept:
             side, since = kept.pop()
+            side.channel.surplus_listener = None
             side.rested = time.monotonic() - since
             if side.channel.is_quiet and side.rested <= most:
                 return side
             side.channel.close()
-        return ClientSide(await open_channel(address, _CONNECT_SECONDS))
+        channel = await open_channel(address, _CONNECT_SECONDS)
+        return ClientSide(channel, self._answer_bytes)
 
     def give_back(self, address: Address, side: ClientSide) -> None:
         """Keep a connection for the next request, if it can take one."""
         kept = self._idle.setdefault(address, collections.deque())
+        note_surplus = functools.partial(self._note_surplus, address)
+        if side.has_surplus:
+            note_surplus()
         if not side.recycle() or len(kept) >= _MOST_IDLE:
             side.channel.close()
             return
+        side.channel.surplus_listener = note_surplus
         kept.append((side, time.monotonic()))
 
     def close_idle(self, address: Address) -> None:
@@ -91,6 +107,10 @@
         for side, _ in self._idle.pop(address, ()):
             side.channel.close()
 
+    def _note_surplus(self, address: Address) -> None:
+        for listener in self.surplus_listeners:
+            listener(address)
+
 
 def _with_host(message: Message, address: Address) -> Message:
     fields = [('Host', str(address)), *message.fields]
--- a/godwitknot/mesh/httpwire.py
+++ b/godwitknot/mesh/httpwire.py
@@ -9,9 +9,17 @@
 from godwitknot.mesh.channels import Channel
 from godwitknot.mesh.model import Answer, Fields, Message
 
-# Bounds what one response takes of the memory of a node.
-MAX_ANSWER_BYTES = 33554432
+# Largest response of a server, with its head and framing. Bodies have a few
+# hundred kilobytes; 16 slots at this bound take 64 MiB of the 300 of a node.
+MAX_ANSWER_BYTES = 4194304
 _HEAD_BYTES = 65536
+# Informational responses before the final one. Servers send one or two; each
+# costs 10 us to parse, so that a flood of them would hold up the event loop.
+_MOST_INFORMATIONAL = 16
+# Pieces of the body of a response, as chunks or as they arrive. Bodies have a
+# few hundred kilobytes, and each piece costs 10 us, so that a flood of short
+# chunks would hold up the event loop.
+_MOST_PARTS = 8192
 _BODY_TOO_LARGE = 413
 _HEAD_TOO_LARGE = 431
 _CHARSET = 'latin-1'
@@ -204,11 +212,21 @@
     :ivar rested: seconds that it was idle before the current request.
     """
 
-    def __init__(self, channel: Channel) -> None:
-        """Start on a new connection."""
+    def __init__(
+        self,
+        channel: Channel,
+        answer_bytes: int = MAX_ANSWER_BYTES,
+    ) -> None:
+        """Start on a new connection.
+
+        :param answer_bytes: largest response, with its head and framing.
+        """
         self.channel = channel
+        self._answer_bytes = answer_bytes
         self.started = False
         self.rested = float(0)
+        # Bytes of the current response, with head and framing.
+        self._received = 0
         self._parser = _client_parser()
 
     def send(self, message: Message) -> None:
@@ -243,23 +261,27 @@
         :raises ProtocolError: if it is no HTTP response, or encoded.
         :raises ConnectionCutError: if it ended early.
         """
-        head = await self._next()
-        while isinstance(head, h11.InformationalResponse):
-            head = await self._next()
-        if not isinstance(head, h11.Response):
-            raise ConnectionCutError('no response')
+        self._received = 0
+        head = await self._read_head()
         parts: list[bytes] = []
-        size = 0
         while True:
             event = await self._next()
             if not isinstance(event, h11.Data):
                 break
-            size += len(event.data)
-            if size > MAX_ANSWER_BYTES:
-                raise ProtocolError('response too large')
+            if len(parts) == _MOST_PARTS:
+                raise ProtocolError('response in too many parts')
             parts.append(bytes(event.data))
         return Answer(head.status_code, _decode(head.headers), b''.join(parts))
 
+    async def _read_head(self) -> h11.Response:
+        for _ in range(_MOST_INFORMATIONAL + 1):
+            head = await self._next()
+            if isinstance(head, h11.Response):
+                return head
+            if not isinstance(head, h11.InformationalResponse):
+                raise ConnectionCutError('no response')
+        raise ProtocolError('too many informational responses')
+
     @property
     def heard_nothing(self) -> bool:
         """Whether no byte of the response has arrived."""
@@ -277,6 +299,11 @@
         if rest:
             self._parser.receive_data(rest)
 
+    @property
+    def has_surplus(self) -> bool:
+        """Whether bytes have arrived that are not part of the response."""
+        return bool(self._parser.trailing_data[0] or self.channel.has_input)
+
     def recycle(self) -> bool:
         """Prepare for another request; ``False`` if it must be closed."""
         done = self._parser.our_state is h11.DONE
@@ -300,6 +327,9 @@
                 return event
             data = await self.channel.receive()
             ended = not data
+            self._received += len(data)
+            if self._received > self._answer_bytes:
+                raise ProtocolError('response too large')
             try:
                 self._parser.receive_data(data)
             except h11.RemoteProtocolError as error:
--- a/tests/godwitknot/mesh/test_httpwire.py
+++ b/tests/godwitknot/mesh/test_httpwire.py
@@ -1,12 +1,14 @@
 """Responses that end early are told apart from malformed ones."""
 
 import asyncio
+import itertools
 
 import pytest
 
 from godwitknot.errors import ConnectionCutError, ProtocolError
-from godwitknot.mesh.httpwire import ClientSide
+from godwitknot.mesh.httpwire import MAX_ANSWER_BYTES, ClientSide
 from godwitknot.mesh.model import Message
+from standins.endless import flood
 
 
 class ScriptedChannel:
@@ -22,8 +24,29 @@
         return self.pieces.pop(0)
 
 
+class FloodedChannel:
+    """Gives an endless answer, and fails the test if much of it is read."""
+
+    def __init__(self, name, most):
+        self.blocks = flood(name, 'a1')
+        self.left = most
+
+    def write(self, data):
+        """Send nowhere."""
+
+    async def receive(self):
+        assert self.left > 0, 'read on and on'
+        block = next(self.blocks)
+        self.left -= len(block)
+        return block
+
+
 def read(*pieces):
-    side = ClientSide(ScriptedChannel(*pieces))
+    return read_from(ScriptedChannel(*pieces))
+
+
+def read_from(channel):
+    side = ClientSide(channel)
     side.send(Message('GET', '/x', [('Host', 'h')], b''))
     return asyncio.run(side.read())
 
@@ -52,3 +75,48 @@
 def test_response_without_length_ends_with_its_connection():
     answer = read(b'HTTP/1.1 200 OK\r\n\r\nabc')
     assert answer.body == b'abc'
+
+
+@pytest.mark.parametrize(
+    'name',
+    [
+        'garbage',
+        'garbage-lines',
+        'header-line',
+        'headers',
+        'short-headers',
+        'informational',
+        'chunk-line',
+        'trailer',
+    ],
+)
+def test_endless_head_or_line_is_given_up(name):
+    """A server kept a node busy with informational responses without end."""
+    with pytest.raises(ProtocolError):
+        read_from(FloodedChannel(name, 262144))
+
+
+def test_some_informational_responses_may_come_first():
+    hint = b'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'
+    answer = read(hint * 8, b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+    assert answer.body == b'ok'
+
+
+def test_endless_short_chunks_are_given_up():
+    """Each chunk costs time, so that 4 MiB of them held up the event loop."""
+    with pytest.raises(ProtocolError):
+        read_from(FloodedChannel('short-chunks', 262144))
+
+
+def test_endless_framing_is_given_up():
+    """Only the body counted, which extensions of chunks outweigh at will."""
+    with pytest.raises(ProtocolError):
+        read_from(FloodedChannel('chunk-extensions', 2 * MAX_ANSWER_BYTES))
+
+
+def test_download_of_a_megabyte_is_read_whole():
+    """Guards against a bound on endless bodies that cuts real ones."""
+    head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+    chunk = b'400\r\n%s\r\n' % (b'x' * 1024)
+    answer = read(head, *itertools.repeat(chunk, 1024), b'0\r\n\r\n')
+    assert len(answer.body) == 1048576
--- /dev/null
+++ b/tests/godwitknot/mesh/test_mesh_endless.py
@@ -0,0 +1,138 @@
+"""Nodes as processes beside a server that sends bytes without end."""
+
+import contextlib
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from bench.meshfleet import Fleet, wait_until
+
+# Of the stand-in, so that the server has no slot free of a flood.
+SLOTS = 4
+# Most resident memory beyond that of a node at rest. A process above 300 MB
+# is killed, and a node beside a server of 16 slots has four times the floods.
+MOST_MEGABYTES = 50
+# Heartbeats must be acknowledged within a second, so the event loop must not be
+# held up for longer. Processor time bounds that on a busy machine as well.
+MOST_SECONDS = 1
+
+
+@pytest.fixture
+def build(tmp_path):
+    fleet = Fleet(tmp_path)
+    with contextlib.ExitStack() as stack:
+        stack.callback(fleet.stop)
+
+        def build_fleet(count):
+            for _ in range(count):
+                fleet.add('booking')
+            fleet.start()
+            wait_until(lambda: all(map(is_served, fleet.machines)))
+            return fleet
+
+        yield build_fleet
+
+
+def is_served(machine):
+    return send(machine, 'GET', f'probe-{time.monotonic()}').status == 200
+
+
+def send(machine, method, attempt_id):
+    path = '/browse/1' if method == 'GET' else '/book/1'
+    return machine.send(path, attempt_id, method)[0]
+
+
+def logs(machine, name, **fields):
+    wanted = {'event': name, **fields}
+    return any(wanted.items() <= each.items() for each in machine.events())
+
+
+def know_each_other(first, second):
+    """Tell whether each may send requests to the other's server."""
+    return all(
+        logs(machine, 'member changed', peer=other.name, state='ready')
+        for machine, other in ((first, second), (second, first))
+    )
+
+
+def fill_slots(machine):
+    """Send as many requests at once as the server has slots."""
+    with ThreadPoolExecutor(SLOTS) as pool:
+        return list(
+            pool.map(
+                lambda number: send(machine, 'POST', f'a-{number}').status,
+                range(SLOTS),
+            )
+        )
+
+
+@pytest.mark.parametrize(
+    'name',
+    [
+        'garbage',
+        'other-answers',
+        'informational',
+        'chunk-extensions',
+        'body-to-close',
+        'short-chunks',
+    ],
+)
+def test_node_outlasts_endless_answers_on_all_slots(build, name):
+    """Guards against floods that hold up heartbeats or fill the memory."""
+    machine = build(1).machines[0]
+    resting = machine.peak_megabytes()
+    used = machine.processor_seconds()
+    machine.server.faults.endless = name
+    statuses = fill_slots(machine)
+    wait_until(lambda: not machine.server.flooding, 3)
+    assert machine.processor_seconds() - used < MOST_SECONDS
+    # A request that arrives after the ejection has not run.
+    assert set(statuses) <= {502, 503}
+    assert statuses.count(502) >= 2
+    assert machine.peak_megabytes() - resting < MOST_MEGABYTES
+    wait_until(lambda: logs(machine, 'run failed'), 2)
+    wait_until(lambda: logs(machine, 'server ejected'), 2)
+
+
+def test_request_is_answered_by_another_server(build):
+    """What may be repeated does not wait for the end of a flood."""
+    first, second = build(2).machines
+    wait_until(lambda: know_each_other(first, second))
+    for number in range(15):
+        for machine in (first, second):
+            send(machine, 'GET', f'earn-{machine.name}-{number}')
+    first.server.faults.endless = 'chunks'
+    assert send(first, 'GET', 'a-1').status == 200
+    wait_until(lambda: second.server.runs[-1].attempt_id == 'a-1', 1)
+    wait_until(lambda: logs(first, 'run failed'), 2)
+
+
+def test_node_outlasts_endless_answers_of_the_store(build):
+    """Requests and heartbeats go on with what the node knows."""
+    fleet = build(1)
+    machine = fleet.machines[0]
+    fleet.store.faults.endless = 'chunks'
+    # A change of the server's record is written to the store.
+    machine.server.announce(machine.control, slots=8)
+    used = machine.processor_seconds()
+    wait_until(lambda: logs(machine, 'store lost'))
+    assert send(machine, 'GET', 'a-1').status == 200
+    assert machine.processor_seconds() - used < MOST_SECONDS
+    assert machine.peak_megabytes() < 150
+
+
+def test_health_check_with_an_endless_answer_fails(build):
+    """A restarted node asks its server, which may send anything."""
+    machine = build(2).machines[0]
+    machine.server.faults.endless = 'chunks'
+    machine.server.faults.endless_health = True
+    machine.process.kill()
+    machine.process.wait()
+    machine.start()
+    wait_until(lambda: logs(machine, 'health check failed'))
+    wait_until(lambda: not machine.server.flooding, 1)
+    machine.server.faults.endless_health = False
+    machine.server.faults.endless = ''
+    assert machine.server.announce(machine.control) == 200
+    wait_until(lambda: is_served(machine))
