Share the slots of a queue among priorities

Cause: the queue at a server was in strict order of priority.

Change: smooth weighted round robin over the priorities that wait. A waiting request counts for two thirds of one of the next more urgent priority, and the more urgent priority gets at least twice the slots. Within a priority the nearest deadline is still first.

Ruled out: the budget of repeats and waits at silent servers.

--- a/godwitknot/mesh/gate.py
+++ b/godwitknot/mesh/gate.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import collections
-import heapq
-import itertools
 from collections.abc import Callable
 
 import attrs
@@ -12,6 +10,7 @@
 from godwitknot.mesh.budget import RepeatBudget
 from godwitknot.mesh.localserver import LocalServer
 from godwitknot.mesh.messages import Load, Offer, Refused
+from godwitknot.mesh.slotqueue import SlotQueue, Ticket
 from godwitknot.mesh.vitals import Vitals
 from godwitknot.outcomes import Code, RefusalError
 
@@ -33,22 +32,6 @@
 _CLOSED_SECONDS = 1.0
 
 
-@attrs.define(eq=False)
-class Ticket:
-    """A place on the server, or in its queue.
-
-    :param offer: the request.
-    :param deadline: of the final answer, on the node's clock.
-    :param began: when its slot was granted, on the node's clock.
-    """
-
-    offer: Offer
-    granted: asyncio.Future
-    deadline: float
-    began: float = 0
-    counted_hung: bool = False
-
-
 @attrs.frozen
 class _CutShort:
     """A run that was taken off the server before it answered."""
@@ -59,7 +42,7 @@
 
 
 class Gate:
-    """Grants slots of the local server, most urgent request first."""
+    """Grants slots of the local server and lets a few requests wait."""
 
     def __init__(
         self,
@@ -83,8 +66,7 @@
         self._cut_short: collections.deque[_CutShort] = collections.deque(
             maxlen=_MOST_CUT_SHORT
         )
-        self._queue: list[tuple[int, float, int, Ticket]] = []
-        self._order = itertools.count()
+        self._queue = SlotQueue()
         # Set while the node ends and must not begin more work.
         self.closing = False
 
@@ -95,7 +77,7 @@
 
     def load(self) -> Load:
         """Give the present load."""
-        return Load(len(self._running), self._waiting(), self._server.slots)
+        return Load(len(self._running), len(self._queue), self._server.slots)
 
     def check_open(self, offer: Offer) -> None:
         """Refuse a request that the server must not get now.
@@ -135,8 +117,7 @@
             return ticket
         if note_queued is not None:
             note_queued()
-        entry = (offer.priority, deadline, next(self._order), ticket)
-        heapq.heappush(self._queue, entry)
+        self._queue.push(ticket)
         try:
             async with asyncio.timeout(offer.max_wait):
                 await ticket.granted
@@ -169,7 +150,7 @@
 
     def expected_wait(self) -> float:
         """Give the seconds until a new request would get its slot."""
-        ahead = len(self._running) + self._waiting() + 1 - self._server.slots
+        ahead = len(self._running) + len(self._queue) + 1 - self._server.slots
         rounds = max(0, ahead) / max(1, self._server.slots)
         return max(_LEAST_RETRY_SECONDS, rounds * self._usual_run())
 
@@ -183,12 +164,10 @@
 
     def refuse_all(self) -> None:
         """Refuse every request in the queue, since the server closes."""
-        waiting, self._queue = self._queue, []
-        for *_, ticket in waiting:
-            if not ticket.granted.done():
-                ticket.granted.set_exception(
-                    RefusalError(Code.DRAINING, retry_after=_CLOSED_SECONDS)
-                )
+        for ticket in self._queue.clear():
+            ticket.granted.set_exception(
+                RefusalError(Code.DRAINING, retry_after=_CLOSED_SECONDS)
+            )
 
     def repeats_running(self) -> float:
         """Give the likelihood that a call comes from a repeated run.
@@ -313,7 +292,7 @@
 
     def _has_room(self) -> bool:
         free = self._server.slots - len(self._running)
-        return free > 0 and not self._waiting()
+        return free > 0 and not len(self._queue)
 
     def _check_room(self, offer: Offer) -> None:
         if self._has_room():
@@ -322,9 +301,6 @@
         if offer.max_wait <= 0 or wait > offer.max_wait:
             raise RefusalError(Code.QUEUE_FULL, retry_after=wait)
 
-    def _waiting(self) -> int:
-        return sum(not ticket.granted.done() for *_, ticket in self._queue)
-
     def _grant(self, ticket: Ticket) -> None:
         self._running.add(ticket)
         ticket.began = self._clock.now()
@@ -334,10 +310,10 @@
             ticket.granted.set_result(None)
 
     def _serve_queue(self) -> None:
-        while self._queue and len(self._running) < self._server.slots:
-            *_, ticket = heapq.heappop(self._queue)
-            if ticket.granted.done():
-                continue
+        while len(self._running) < self._server.slots:
+            ticket = self._queue.pop()
+            if ticket is None:
+                return
             try:
                 self._check_granted(ticket.offer)
             except RefusalError as refusal:
--- a/tests/godwitknot/mesh/test_gate.py
+++ b/tests/godwitknot/mesh/test_gate.py
@@ -14,6 +14,8 @@
 from godwitknot.units import Address
 
 SLOTS = 2
+# Slots that go round among the priorities that wait.
+SHARED_SLOTS = 4
 
 
 def make_offer(*, max_wait=0, priority=1, repeatable=True, **changes):
@@ -122,6 +124,30 @@
     assert asyncio.run(scenario()) == [1, 2]
 
 
+def test_less_urgent_request_gets_a_slot_beside_urgent_ones(gate):
+    """In a burst, lookups got none while bookings kept arriving."""
+
+    async def scenario():
+        running = [await gate.admit(make_offer()) for _ in range(SLOTS)]
+        lookup = asyncio.ensure_future(
+            gate.admit(make_offer(max_wait=9, priority=2))
+        )
+        waiting = {lookup}
+        for _ in range(SHARED_SLOTS):
+            # One booking arrives for each slot that becomes free.
+            offer = make_offer(max_wait=9)
+            waiting.add(asyncio.ensure_future(gate.admit(offer)))
+            await asyncio.sleep(0)
+            gate.release(running.pop())
+            done, waiting = await asyncio.wait(
+                waiting, return_when=asyncio.FIRST_COMPLETED
+            )
+            running += [task.result() for task in done]
+        return lookup.done()
+
+    assert asyncio.run(scenario())
+
+
 def test_cancelled_request_leaves_the_queue(gate):
     """A caller that left must not get a slot half a second later."""
 
