Let a setting allow larger responses of a server

The bound of 4 MiB on a response is 8 times the largest one on the users' sites (540 kB), but could not be changed for services with larger downloads. [answers] largest-bytes sets it. The settings of a node beside the platform's are now read into one type.

Tests: test_larger_answers_can_be_allowed, test_settings_have_defaults.

--- a/godwitknot/mesh/model.py
+++ b/godwitknot/mesh/model.py
@@ -140,6 +140,21 @@
     bounds: Bounds
 
 
+@attrs.frozen
+class NodeSettings:
+    """Settings of a node beside those of the platform.
+
+    :param metrics_port: where counters and histograms are served.
+    :param answer_bytes: largest response of the server, with its framing.
+    :param relay_listener: where to listen for other nodes, if that is not
+        the address that they are told.
+    """
+
+    metrics_port: int
+    answer_bytes: int
+    relay_listener: Address | None = None
+
+
 class ServerState(enum.Enum):
     """What a server said of itself."""
 
--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -32,7 +32,12 @@
 from godwitknot.mesh.knowledge import ConfigurationHolder, StoreSync
 from godwitknot.mesh.localserver import LocalServer
 from godwitknot.mesh.membership import Directory, Member
-from godwitknot.mesh.model import Message, Placement, ServerState
+from godwitknot.mesh.model import (
+    Message,
+    NodeSettings,
+    Placement,
+    ServerState,
+)
 from godwitknot.mesh.ports import Dialect, MetadataStore
 from godwitknot.mesh.relay import RelayClient, RelayServer
 from godwitknot.mesh.runtime import Runtime
@@ -64,22 +69,17 @@
         placement: Placement,
         dialect: Dialect,
         store: MetadataStore,
-        metrics_port: int,
+        settings: NodeSettings,
         read_placement: Callable[[], Placement],
-        relay_listener: Address | None = None,
     ) -> None:
         """Build all parts; nothing listens before :meth:`run`.
 
-        :param metrics_port: where counters are served.
-        :param read_placement: reads the settings anew.
-        :param relay_listener: where to listen for other nodes, if that is
-            not the address that they are told.
+        :param read_placement: reads the platform's settings anew.
         """
         self._placement = placement
         self._dialect = dialect
-        self._metrics_port = metrics_port
+        self._settings = settings
         self._read_placement = read_placement
-        self._relay_listener = relay_listener or placement.relay
         clock = SystemClock()
         self._clock = clock
         self._log = EventLog(placement.node, clock)
@@ -106,7 +106,9 @@
         self._gate = Gate(
             self._server, self._vitals, budget, self._shutdown, self._clock
         )
-        self._client = HttpClient(USUAL_REST_SECONDS)
+        self._client = HttpClient(
+            USUAL_REST_SECONDS, self._settings.answer_bytes
+        )
         self._sidecar = Sidecar(
             self._server,
             self._gate,
@@ -194,13 +196,14 @@
     async def _listen(self) -> None:
         placement = self._placement
         readiness = ReadinessDesk(self._dialect, self._is_ready)
-        metrics = Address(placement.host, self._metrics_port)
+        relay = self._settings.relay_listener or placement.relay
+        metrics = Address(placement.host, self._settings.metrics_port)
         services: list[tuple[Address, Serve]] = [
             (
                 placement.announcements,
                 SmallServer(self._announcements.handle).serve,
             ),
-            (self._relay_listener, self._relay_server.serve),
+            (relay, self._relay_server.serve),
             (placement.ingress, self._entry.serve),
             (placement.readiness, SmallServer(readiness.handle).serve),
             (metrics, SmallServer(MetricsDesk(self._telemetry).handle).serve),
--- a/godwitknot/mesh/program.py
+++ b/godwitknot/mesh/program.py
@@ -6,12 +6,13 @@
 import sys
 
 from godwitknot.mesh.httpclient import HttpClient
-from godwitknot.mesh.model import Placement
+from godwitknot.mesh.httpwire import MAX_ANSWER_BYTES
+from godwitknot.mesh.model import NodeSettings, Placement
 from godwitknot.mesh.node import MeshNode
 from godwitknot.platform.dialect import PlatformDialect
 from godwitknot.platform.settings import read_placement, settings_path
 from godwitknot.platform.store import PlatformStore
-from godwitknot.units import Address, parse_address
+from godwitknot.units import parse_address
 
 # The store keeps idle connections at least this long.
 _STORE_IDLE_SECONDS = 20.0
@@ -25,16 +26,24 @@
     return read_placement(text)
 
 
-def _read_listener(own: configparser.ConfigParser) -> Address | None:
-    """Give the address to listen on for other nodes, if it is set.
+def read_settings(text: str) -> NodeSettings:
+    """Read the settings of a node beside those of the platform.
 
-    It differs from the announced one where a relay stands in between.
+    :param text: in INI format.
+    :raises configparser.Error: if it is no INI file, or lacks a setting.
+    :raises ValueError: if a number is none.
     """
-    place = own.get('relay', 'listen', fallback='')
-    return parse_address(place) if place else None
+    own = configparser.ConfigParser()
+    own.read_string(text)
+    listener = own.get('relay', 'listen', fallback='')
+    return NodeSettings(
+        own.getint('metrics', 'port'),
+        own.getint('answers', 'largest-bytes', fallback=MAX_ANSWER_BYTES),
+        parse_address(listener) if listener else None,
+    )
 
 
-async def _run(own: configparser.ConfigParser) -> None:
+async def _run(settings: NodeSettings) -> None:
     placement = _read_placement()
     client = HttpClient(_STORE_IDLE_SECONDS, _STORE_ANSWER_BYTES)
     store = PlatformStore(client, placement.store)
@@ -42,15 +51,13 @@
         placement,
         PlatformDialect(),
         store,
-        own.getint('metrics', 'port'),
+        settings,
         _read_placement,
-        _read_listener(own),
     )
     await node.run()
 
 
 def main() -> None:
     """Run a node until SIGTERM; the argument names its own settings."""
-    own = configparser.ConfigParser()
-    own.read_string(pathlib.Path(sys.argv[1]).read_text(encoding='utf-8'))
-    asyncio.run(_run(own))
+    text = pathlib.Path(sys.argv[1]).read_text(encoding='utf-8')
+    asyncio.run(_run(read_settings(text)))
--- a/tests/godwitknot/mesh/test_program.py
+++ b/tests/godwitknot/mesh/test_program.py
@@ -1,6 +1,10 @@
 import subprocess
 import sys
 
+from godwitknot.mesh.model import NodeSettings
+from godwitknot.mesh.program import read_settings
+from godwitknot.units import Address
+
 # Stands for the long import of the program.
 SCRIPT = """
 import os, runpy, signal, sys, types
@@ -11,6 +15,22 @@
 """
 
 
+def test_settings_have_defaults():
+    settings = read_settings('[metrics]\nport = 7661\n')
+    assert settings == NodeSettings(7661, 4 * 1024 * 1024, None)
+
+
+def test_larger_answers_can_be_allowed():
+    """Guards against downloads that no setting lets through."""
+    settings = read_settings(
+        '[metrics]\nport = 7661\n'
+        '[answers]\nlargest-bytes = 9000000\n'
+        '[relay]\nlisten = 10.0.0.1:7660\n'
+    )
+    assert settings.answer_bytes == 9000000
+    assert settings.relay_listener == Address('10.0.0.1', 7660)
+
+
 def test_reload_while_the_program_loads_does_not_end_it():
     """Guards against a node that ends by itself when told to reload."""
     done = subprocess.run(
