Give each request that is not run a time to come back

Change: a job keeps the time that a server told last, or 0.5 s, and each refusal as not run bears it.

Conclusion: kept, since callers are owed the time.

--- a/godwitknot/mesh/job.py
+++ b/godwitknot/mesh/job.py
@@ -17,7 +17,7 @@
 _QUEUE_SHARE = 0.6
 # Part of the objective that must be left for a second send.
 _LEAST_LEFT_SHARE = 0.15
-# Callers come back after this long when there is no server at all.
+# Callers come back after this long when no server has told a time.
 _NO_SERVER_SECONDS = 0.5
 
 
@@ -38,6 +38,8 @@
         room.
     :ivar queued_at: nodes that it asked for a place in the queue.
     :ivar sends: that may have reached a server.
+    :ivar retry_after: seconds until its caller may come back, as a server
+        told last.
     :ivar fallback: the answer for the caller if no better one comes.
     """
 
@@ -58,6 +60,7 @@
     hedge_after: float = 0
     sends: int = 0
     last: RefusalError | None = None
+    retry_after: float = _NO_SERVER_SECONDS
     may_have_run: bool = False
     fallback: Answer | None = None
 
@@ -102,6 +105,8 @@
             and may have run.
         """
         self.last = error
+        if error.retry_after is not None:
+            self.retry_after = error.retry_after
         if error.outcome is not Outcome.NOT_RUN:
             self.excluded.add(address)
             self.may_have_run = True
@@ -123,16 +128,16 @@
         """Give the refusal for the caller, after all attempts."""
         last = self.last
         if last is None:
-            return RefusalError(Code.NO_SERVER, retry_after=_NO_SERVER_SECONDS)
+            return RefusalError(Code.NO_SERVER, retry_after=self.retry_after)
         if self.may_have_run:
             code = last.code
             if last.outcome is Outcome.NOT_RUN:
                 code = Code.CONNECTION_LOST
             return RefusalError(code, Outcome.MAY_HAVE_RUN)
-        return RefusalError(last.code, Outcome.NOT_RUN, last.retry_after)
+        return RefusalError(last.code, Outcome.NOT_RUN, self.retry_after)
 
     def conclude_late(self) -> RefusalError:
         """Give the refusal for the caller at the deadline."""
         if self.may_have_run:
             return RefusalError(Code.DEADLINE_PASSED, Outcome.MAY_HAVE_RUN)
-        return RefusalError(Code.QUEUE_FULL, retry_after=_NO_SERVER_SECONDS)
+        return RefusalError(Code.QUEUE_FULL, retry_after=self.retry_after)
--- a/tests/godwitknot/mesh/test_mesh_dispatch.py
+++ b/tests/godwitknot/mesh/test_mesh_dispatch.py
@@ -196,6 +196,25 @@
     assert relay.offers[-1].max_wait > 0
 
 
+@pytest.mark.parametrize('code', [Code.RETRY_BUDGET, Code.WRONG_INCARNATION])
+def test_request_that_is_not_run_gets_a_time_to_come_back(
+    dispatcher, clock, relay, code
+):
+    """Refusals for the retry budget told the caller no time at all."""
+    full = RefusalError(Code.QUEUE_FULL, retry_after=0.3, relayed=True)
+    refused = RefusalError(code, relayed=True)
+    relay.replies = dict.fromkeys(('s2', 's3', 's4'), refused)
+    with pytest.raises(RefusalError) as caught:
+        dispatch(dispatcher, make_job(clock, RouteKind.IDEMPOTENT))
+    assert caught.value.outcome is Outcome.NOT_RUN
+    assert caught.value.retry_after > 0
+    job = make_job(clock, RouteKind.IDEMPOTENT)
+    address = Address('10.0.0.2', 1)
+    job.note_refusal(address, full)
+    job.note_refusal(address, refused)
+    assert job.conclude().retry_after == full.retry_after
+
+
 def test_second_send_is_offered_again_after_refusals(
     dispatcher, clock, relay, monkeypatch
 ):
