Move the questions to the local server out of the node

node.py had grown to 407 lines and held both the assembly of a node and its health and crash checks. ServerChecks now asks the local server; nothing else changes, and the tests of the mesh pass as before.

--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -9,9 +9,7 @@
 from godwitknot.clock import SystemClock
 from godwitknot.errors import (
     ConnectionCutError,
-    ConnectionFailedError,
     PlatformFormatError,
-    ProtocolError,
 )
 from godwitknot.health.crashes import CrashLedger
 from godwitknot.mesh.announcements import (
@@ -21,7 +19,8 @@
     SmallServer,
 )
 from godwitknot.mesh.budget import RepeatBudget
-from godwitknot.mesh.channels import Channel, listen, open_channel
+from godwitknot.mesh.channels import Channel, listen
+from godwitknot.mesh.checks import ServerChecks
 from godwitknot.mesh.choice import Chooser
 from godwitknot.mesh.dispatch import Dispatcher
 from godwitknot.mesh.entry import Entry
@@ -32,12 +31,7 @@
 from godwitknot.mesh.knowledge import ConfigurationHolder, StoreSync
 from godwitknot.mesh.localserver import LocalServer
 from godwitknot.mesh.membership import Directory, Member
-from godwitknot.mesh.model import (
-    Message,
-    NodeSettings,
-    Placement,
-    ServerState,
-)
+from godwitknot.mesh.model import NodeSettings, Placement, ServerState
 from godwitknot.mesh.ports import Dialect, MetadataStore
 from godwitknot.mesh.relay import RelayClient, RelayServer
 from godwitknot.mesh.runtime import Runtime
@@ -49,9 +43,6 @@
 from godwitknot.units import Address
 
 _MILLISECONDS = 1000
-_OK = 200
-_HEALTH_SECONDS = 1.0
-_CRASH_CHECK_SECONDS = 0.3
 _STOP_POLL_SECONDS = 0.1
 # Requests that are read just before the exit are refused in this time.
 _REFUSAL_SECONDS = 0.05
@@ -127,6 +118,9 @@
         """Build what the node knows of others, and how it learns."""
         self._directory = Directory(self._first_record())
         self._holder = ConfigurationHolder(self._dialect, self._log)
+        self._checks = ServerChecks(
+            self._server, self._holder, self._dialect, self._client, runtime
+        )
         self._crashes = CrashLedger(self._clock)
         self._relay = RelayClient()
         self._chooser = Chooser(
@@ -315,31 +309,7 @@
         self._gate.sharing = len(servers)
 
     async def _prove(self) -> None:
-        """Ask the local server whether it is there and stays."""
-        configuration = self._holder.current
-        if configuration is None:
-            return
-        path = configuration.health_paths.get(self._server.service)
-        if path is None:
-            return
-        message = Message('GET', path, [], b'')
-        self._telemetry.count('health_checks')
-        try:
-            answer = await self._client.call(
-                self._placement.server, message, _HEALTH_SECONDS
-            )
-        except (
-            ConnectionCutError,
-            ConnectionFailedError,
-            ProtocolError,
-            TimeoutError,
-        ) as error:
-            self._log.write('health check failed', detail=repr(error))
-            return
-        facts = self._dialect.read_answer(answer.fields)
-        if answer.status != _OK:
-            self._log.write('health check failed', status=answer.status)
-        elif self._server.note_healthy(facts.server_id):
+        if await self._checks.prove():
             self._note_server()
 
     def _check_crash(self, fingerprints: tuple[int, ...]) -> None:
@@ -347,14 +317,8 @@
 
     async def _confirm_crash(self, fingerprints: tuple[int, ...]) -> None:
         """Report a crash if the server no longer takes connections."""
-        try:
-            channel = await open_channel(
-                self._placement.server, _CRASH_CHECK_SECONDS
-            )
-        except ConnectionFailedError:
+        if not await self._checks.takes_connections():
             self._spreader.report_crash(fingerprints)
-            return
-        channel.close()
 
     def _reload(self) -> None:
         try:
