--- a/tests/godwitknot/mesh/conftest.py
+++ b/tests/godwitknot/mesh/conftest.py
@@ -1,9 +1,12 @@
 """Fixtures of the mesh tests."""
 
+import contextlib
 import os
+import time
 
 import pytest
 
+from bench.meshfleet import Fleet, wait_until
 from godwitknot.clock import ManualClock
 from godwitknot.mesh.events import EventLog
 from godwitknot.mesh.model import Bounds, Placement
@@ -67,3 +70,37 @@
         store=Address('127.0.0.1', 8),
         bounds=bounds,
     )
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    """Nodes as processes that know and serve each other's services."""
+    fleet = Fleet(tmp_path)
+    with contextlib.ExitStack() as stack:
+        stack.callback(fleet.stop)
+        for service in ('booking', 'booking', 'documents'):
+            fleet.add(service)
+        fleet.start()
+        wait_until(lambda: _is_served(fleet))
+        yield fleet
+
+
+def _is_served(fleet):
+    statuses = [
+        machine.send(path, f'probe-{time.monotonic()}')[0].status
+        for machine in fleet.machines
+        for path in ('/browse/x', '/docs/x')
+    ]
+    return set(statuses) == {200} and _know_all(fleet)
+
+
+def _know_all(fleet):
+    """Tell whether each node knows the server of each other as ready."""
+    ready = {machine.name: set() for machine in fleet.machines}
+    for machine in fleet.machines:
+        for event in machine.events():
+            if event['event'] == 'member changed':
+                if event['state'] == 'ready':
+                    ready[machine.name].add(event['peer'])
+    others = len(fleet.machines) - 1
+    return all(len(peers) == others for peers in ready.values())
--- a/tests/godwitknot/mesh/test_mesh_fleet.py
+++ b/tests/godwitknot/mesh/test_mesh_fleet.py
@@ -1,46 +1,10 @@
 """The whole path as processes, before stand-ins of the platform."""
 
-import contextlib
 import signal
 import socket
 import time
 
-import pytest
-
-from bench.meshfleet import HOST, Fleet, make_route, wait_until
-
-
-@pytest.fixture
-def fleet(tmp_path):
-    fleet = Fleet(tmp_path)
-    with contextlib.ExitStack() as stack:
-        stack.callback(fleet.stop)
-        for service in ('booking', 'booking', 'documents'):
-            fleet.add(service)
-        fleet.start()
-        wait_until(lambda: _is_served(fleet))
-        yield fleet
-
-
-def _is_served(fleet):
-    statuses = [
-        machine.send(path, f'probe-{time.monotonic()}')[0].status
-        for machine in fleet.machines
-        for path in ('/browse/x', '/docs/x')
-    ]
-    return set(statuses) == {200} and _know_all(fleet)
-
-
-def _know_all(fleet):
-    """Tell whether each node knows the server of each other as ready."""
-    ready = {machine.name: set() for machine in fleet.machines}
-    for machine in fleet.machines:
-        for event in machine.events():
-            if event['event'] == 'member changed':
-                if event['state'] == 'ready':
-                    ready[machine.name].add(event['peer'])
-    others = len(fleet.machines) - 1
-    return all(len(peers) == others for peers in ready.values())
+from bench.meshfleet import HOST, make_route, wait_until
 
 
 def only(found):
--- a/tests/godwitknot/mesh/test_node.py
+++ b/tests/godwitknot/mesh/test_node.py
@@ -3,13 +3,12 @@
 import contextlib
 import signal
 import threading
-import time
 from http.client import HTTPException
 
 import pytest
 
 from bench.faultsoak.callers import Connections
-from bench.meshfleet import Fleet, make_route, wait_until
+from bench.meshfleet import make_route, wait_until
 
 GRACE_SECONDS = 6.0
 WORK_SECONDS = 0.4
@@ -47,27 +46,6 @@
                 self.statuses[attempt_id] = answer[0]
 
 
-@pytest.fixture
-def fleet(tmp_path):
-    fleet = Fleet(tmp_path)
-    with contextlib.ExitStack() as stack:
-        stack.callback(fleet.stop)
-        for service in ('booking', 'booking', 'documents'):
-            fleet.add(service)
-        fleet.start()
-        wait_until(
-            lambda: (
-                {
-                    machine.send(path, f'probe-{time.monotonic()}')[0].status
-                    for machine in fleet.machines
-                    for path in ('/browse/x', '/docs/x')
-                }
-                == {200}
-            )
-        )
-        yield fleet
-
-
 def list_runs(fleet):
     return [run for each in fleet.machines for run in each.server.runs]
 
