Log how far an offer was when its sender left, and observe loop delays

`sender left` now gives the seconds since the offer arrived and since its slot was granted, and `loop_delay_seconds` is a histogram of how late the process wakes up for its digests. No decision changes.

--- a/godwitknot/mesh/noderelay.py
+++ b/godwitknot/mesh/noderelay.py
@@ -77,14 +77,22 @@
 
     async def _serve_offer(self, link: FrameChannel, offer: Offer) -> None:
         self.active += 1
-        handling = asyncio.ensure_future(self._handle_offer(link, offer))
+        progress = _OfferProgress(time.monotonic())
+        handling = asyncio.ensure_future(
+            self._handle_offer(link, offer, progress)
+        )
         closing = asyncio.ensure_future(_wait_for_close(link))
         try:
             await asyncio.wait(
                 (handling, closing), return_when=asyncio.FIRST_COMPLETED
             )
             if not handling.done():
-                self._log.write('sender left', request=offer.attempt_id)
+                self._log.write(
+                    'sender left',
+                    request=offer.attempt_id,
+                    seconds=progress.seconds_since(progress.received_at),
+                    granted=progress.seconds_since(progress.granted_at),
+                )
                 handling.cancel()
             await asyncio.wait((handling,))
             if not handling.cancelled() and handling.exception() is not None:
@@ -93,10 +101,12 @@
             closing.cancel()
             self.active -= 1
 
-    async def _handle_offer(self, link: FrameChannel, offer: Offer) -> None:
+    async def _handle_offer(
+        self, link: FrameChannel, offer: Offer, progress: '_OfferProgress'
+    ) -> None:
         admission = self._sidecar.admission
         try:
-            response = await self._run(link, offer)
+            response = await self._run(link, offer, progress)
         except RefusalError as error:
             refusal = admission.build_refusal(error, offer)
             self._log.write(
@@ -112,7 +122,9 @@
         link.send(frames.encode_answer(response, admission.current_load()))
         await link.channel.drain()
 
-    async def _run(self, link: FrameChannel, offer: Offer) -> HttpResponse:
+    async def _run(
+        self, link: FrameChannel, offer: Offer, progress: '_OfferProgress'
+    ) -> HttpResponse:
         admission = self._sidecar.admission
         reservation = await admission.admit(
             offer,
@@ -124,6 +136,7 @@
             link.send(
                 frames.encode_load(Kind.GRANTED, admission.current_load())
             )
+            progress.granted_at = time.monotonic()
             if offer.two_phase:
                 body = await _receive_commit(link)
                 reservation.offer = attrs.evolve(offer, body=body)
@@ -136,6 +149,20 @@
         return await self._sidecar.run(reservation)
 
 
+@attrs.define(eq=False)
+class _OfferProgress:
+    """Times of one offer at its sidecar, on the monotonic clock."""
+
+    received_at: float
+    granted_at: float | None = None
+
+    def seconds_since(self, moment: float | None) -> float | None:
+        """Return the seconds since a moment; ``None`` if it has not come."""
+        if moment is None:
+            return None
+        return round(time.monotonic() - moment, 4)
+
+
 async def _receive_commit(link: FrameChannel) -> bytes:
     """Return the body that is sent with the commit.
 
--- a/godwitknot/mesh/peergossip.py
+++ b/godwitknot/mesh/peergossip.py
@@ -224,7 +224,7 @@
 
     async def _exchange_digests(self) -> None:
         while True:
-            await asyncio.sleep(
+            await self._sleep(
                 _DIGEST_INTERVAL_SECONDS * (0.5 + self._rng.random())
             )
             for address in self._list_nodes_to_probe():
@@ -236,6 +236,13 @@
             for peer in self._sample(peers, 1 - other, other):
                 await self._exchange(peer.address)
 
+    async def _sleep(self, seconds: float) -> None:
+        """Sleep, and record by how much this process was held up."""
+        loop = asyncio.get_running_loop()
+        due = loop.time() + seconds
+        await asyncio.sleep(seconds)
+        self._telemetry.observe('loop_delay_seconds', loop.time() - due)
+
     def _list_nodes_to_probe(self) -> list[Address]:
         """Return the nodes to contact until they are reachable again.
 
