Reproduce runs that are given up because a frame is late

In a fleet of five processes with 0.45 s of delay between them, 6 of 6 lookups at a node that got SIGTERM are answered 502.

--- a/tests/godwitknot/mesh/test_node.py
+++ b/tests/godwitknot/mesh/test_node.py
@@ -8,12 +8,15 @@
 import pytest
 
 from bench.faultsoak.callers import ConnectionPool
+from bench.faultsoak.fleet import SoakFleet
 from bench.meshfleet import make_route, wait_until
 
 GRACE_SECONDS = 6.0
 WORK_SECONDS = 0.4
 # Requests with the shortest deadline are accepted until just before the exit.
 SECONDS_LEFT = (0.6, 1.2, 3.0)
+# Delay of each frame between nodes, as on a link that is full of other data.
+FRAME_DELAY_SECONDS = 0.45
 
 
 class PersistentCaller(threading.Thread):
@@ -112,3 +115,37 @@
     booked = {run.attempt_id for run in runs if run.method == 'POST'}
     assert not refused & booked
     assert not list_unfinished(stopping)
+
+
+@pytest.fixture
+def slow_fleet(tmp_path):
+    """Five node processes whose frames to each other are late."""
+    fleet = SoakFleet(tmp_path)
+    with contextlib.ExitStack() as stack:
+        stack.callback(fleet.stop)
+        fleet.start()
+        for machine in fleet.machines:
+            machine.relay_path.delay = FRAME_DELAY_SECONDS
+        yield fleet
+
+
+def test_stop_gives_up_no_run_behind_a_slow_link(slow_fleet):
+    """Guards against giving up runs whose frames are late at a stop."""
+    stopping = slow_fleet.machines[-1]
+    stopping.process.send_signal(signal.SIGTERM)
+    statuses = {}
+
+    def look_up(attempt_id):
+        response, _ = stopping.send('/browse/1', attempt_id)
+        statuses[attempt_id] = response.status
+
+    callers = [
+        threading.Thread(target=look_up, args=(f'a-{number}',), daemon=True)
+        for number in range(6)
+    ]
+    for caller in callers:
+        caller.start()
+    for caller in callers:
+        caller.join()
+    assert list(statuses.values()) == [200 for _ in callers]
+    assert stopping.process.wait(GRACE_SECONDS) == 0
