Let attempts go on when a frame of the other node is late

The ingress waited 0.35 s and a round trip for the first frame of a sidecar and then closed the connection, which cut the run; after two such attempts the route allowed no third.

The limit now ends only an exchange that waits for a commit, which proves that the request has not run. Any other attempt goes on until its connection, its caller or its deadline ends. Its node is avoided at once as before, and the request is sent to another server within the attempts of its route; the first response wins. A late reply makes the node reachable again. The sends of a request and their hedging move from the dispatcher to `attempts`; the unused event `granted` goes.

--- a/godwitknot/mesh/dispatcher.py
+++ b/godwitknot/mesh/dispatcher.py
@@ -2,8 +2,12 @@
 
 import asyncio
 
-import attrs
-
+from godwitknot.mesh.attempts import (
+    Attempt,
+    find_next_hedge,
+    list_wakers,
+    reopen_hedges,
+)
 from godwitknot.mesh.messages import Offer
 from godwitknot.mesh.model import SERVER_ERROR, HttpResponse, Placement
 from godwitknot.mesh.noderelay import Exchange, RelayClient
@@ -13,10 +17,6 @@
 from godwitknot.mesh.serverselector import ServerSelector, Target
 from godwitknot.outcomes import Code, RefusalError
 
-# Share of the objective after which a repeatable request is also sent to
-# another server, so that the second response can still arrive in time.
-_HEDGE_SHARE = 0.5
-_MIN_HEDGE_SECONDS = 0.1
 # Delay after a round of refusals, about the time until a slot becomes free.
 _HEDGE_RETRY_SECONDS = 0.2
 # The deadline given to the server is this much earlier, so that its own
@@ -27,17 +27,6 @@
 _LINK_CODES = frozenset((Code.LINK_DOWN, Code.LINK_LOST))
 
 
-@attrs.define(eq=False)
-class _Attempt:
-    """One send of a request; ``hedged`` once another one has been started."""
-
-    target: Target
-    exchange: Exchange
-    task: asyncio.Task
-    started: float
-    hedged: bool = False
-
-
 class Dispatcher:
     """Finds a server for each request and returns the final response."""
 
@@ -69,7 +58,7 @@
 
         :raises RefusalError: if there is none, with the known outcome.
         """
-        attempts: list[_Attempt] = []
+        attempts: list[Attempt] = []
         try:
             return await self._run(context, attempts)
         except RefusalError:
@@ -82,40 +71,42 @@
                 self._selector.record_ended(attempt.target, None)
 
     async def _run(
-        self, context: RequestContext, attempts: list[_Attempt]
+        self, context: RequestContext, attempts: list[Attempt]
     ) -> HttpResponse:
         while True:
             if not attempts:
                 self._start_attempt(context, attempts)
-            now = self._clock.now()
-            timeout = (
-                min(context.deadline, self._next_hedge(context, attempts)) - now
-            )
-            tasks = [attempt.task for attempt in attempts]
+            wake_at = min(context.deadline, find_next_hedge(context, attempts))
+            timeout = wake_at - self._clock.now()
             done, _ = await asyncio.wait(
-                tasks,
+                list_wakers(attempts),
                 timeout=max(0, timeout),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            for attempt in [each for each in attempts if each.task in done]:
+            ended = [each for each in attempts if each.task in done]
+            for attempt in ended:
                 attempts.remove(attempt)
                 response = self._handle_result(context, attempt)
                 if response is not None:
                     return response
             if attempts:
                 self._check_deadline(context, attempts)
-                if done:
+                if ended:
                     # The next hedged send may go to another server.
-                    self._reopen_hedge(attempts)
+                    reopen_hedges(attempts)
+                self._check_overdue(context, attempts)
                 self._hedge(context, attempts)
 
     def _handle_result(
-        self, context: RequestContext, attempt: _Attempt
+        self, context: RequestContext, attempt: Attempt
     ) -> HttpResponse | None:
         """Handle the end of an attempt; return ``None`` to continue."""
         target, exchange = attempt.target, attempt.exchange
         error = attempt.task.exception()
         self._selector.record_ended(target, exchange.load)
+        replied = error is None or getattr(error, 'relayed', False)
+        if attempt.avoided and replied:
+            self._selector.mark_reachable(target.member.address)
         if error is None:
             response = attempt.task.result()
             context.may_have_run = True
@@ -132,7 +123,7 @@
     def _handle_refusal(
         self,
         context: RequestContext,
-        attempt: _Attempt,
+        attempt: Attempt,
         error: RefusalError,
     ) -> None:
         target = attempt.target
@@ -154,8 +145,33 @@
         if error.code is Code.SERVER_SHED:
             self._selector.avoid(target, _SHED_AVOID_SECONDS)
 
+    def _check_overdue(
+        self, context: RequestContext, attempts: list[Attempt]
+    ) -> None:
+        """Avoid nodes whose frames are late.
+
+        Their attempts go on: a server may be at work on the request, and a
+        full link delays frames as well as a node that is gone.
+        """
+        now = self._clock.now()
+        for attempt in attempts:
+            if attempt.avoided or not attempt.exchange.overdue.done():
+                continue
+            attempt.avoided = True
+            member = attempt.target.member
+            self._selector.mark_unreachable(attempt.target)
+            self._relay.close_idle(member.address)
+            self._telemetry.count('replies_overdue')
+            self._log.write(
+                'reply overdue',
+                request=context.attempt_id,
+                peer=member.node,
+                server=member.server_id,
+                seconds=round(now - attempt.started, 4),
+            )
+
     def _start_attempt(
-        self, context: RequestContext, attempts: list[_Attempt]
+        self, context: RequestContext, attempts: list[Attempt]
     ) -> None:
         """Start an attempt.
 
@@ -207,7 +223,7 @@
         context: RequestContext,
         target: Target,
         max_wait: float,
-        attempts: list[_Attempt],
+        attempts: list[Attempt],
     ) -> None:
         context.sends += 1
         left = context.deadline - self._clock.now()
@@ -231,7 +247,7 @@
             left=round(left, 3),
         )
         attempts.append(
-            _Attempt(
+            Attempt(
                 target,
                 exchange,
                 asyncio.ensure_future(work),
@@ -281,7 +297,6 @@
         admission = self._sidecar.admission
         try:
             reservation = await admission.admit(exchange.offer)
-            exchange.granted.set()
             exchange.committed = True
             return await self._sidecar.run(reservation)
         except RefusalError as error:
@@ -289,27 +304,9 @@
             exchange.avoid = refusal.avoid
             raise
 
-    def _next_hedge(
-        self, context: RequestContext, attempts: list[_Attempt]
-    ) -> float:
-        """Return the time of the next hedged send."""
-        if not context.repeatable or not context.may_send_again:
-            return context.deadline
-        waiting = [each for each in attempts if not each.hedged]
-        if not waiting:
-            return context.deadline
-        share = _HEDGE_SHARE * context.route.objective
-        delay = max(_MIN_HEDGE_SECONDS, share)
-        earliest = min(each.started for each in waiting) + delay
-        return max(earliest, context.hedge_after)
-
-    def _reopen_hedge(self, attempts: list[_Attempt]) -> None:
-        for attempt in attempts:
-            attempt.hedged = False
-
-    def _hedge(self, context: RequestContext, attempts: list[_Attempt]) -> None:
+    def _hedge(self, context: RequestContext, attempts: list[Attempt]) -> None:
         now = self._clock.now()
-        if now < self._next_hedge(context, attempts):
+        if now < find_next_hedge(context, attempts):
             return
         if not context.is_worth_sending(now):
             context.hedge_after = context.deadline
@@ -329,7 +326,7 @@
     def _choose_hedge(
         self,
         context: RequestContext,
-        attempts: list[_Attempt],
+        attempts: list[Attempt],
     ) -> Target | None:
         """Return a server for a hedged send, if one may have capacity."""
         if not context.may_offer_again:
@@ -344,7 +341,7 @@
         )
 
     def _check_deadline(
-        self, context: RequestContext, attempts: list[_Attempt]
+        self, context: RequestContext, attempts: list[Attempt]
     ) -> None:
         if self._clock.now() < context.deadline:
             return
--- a/godwitknot/mesh/noderelay.py
+++ b/godwitknot/mesh/noderelay.py
@@ -26,7 +26,7 @@
 # apart, and a node may be delayed by a tenth of a second.
 _COMMIT_TIMEOUT_SECONDS = 1.0
 _CONNECT_TIMEOUT_SECONDS = 0.35
-# Until the first frame of the sidecar, in addition to the round trip.
+# Until the first frame of the sidecar is due, in addition to the round trip.
 _FIRST_FRAME_SECONDS = 0.35
 # In addition to the time that the request may wait in the queue.
 _QUEUE_MARGIN_SECONDS = 0.3
@@ -187,16 +187,37 @@
 class Exchange:
     """One offer to another node and its progress.
 
-    :ivar granted: set once the request may be on the server.
     :ivar load: as last reported by the sidecar.
     :ivar avoid: seconds without requests to the server, as the sidecar asked.
+    :ivar overdue: done once a frame of the sidecar is late. The request may
+        be running by then.
     """
 
     offer: Offer
-    granted: asyncio.Event = attrs.field(factory=asyncio.Event)
     committed: bool = False
     load: Load | None = None
     avoid: float = 0
+    overdue: asyncio.Future = attrs.field(init=False)
+    _timer: asyncio.TimerHandle | None = None
+
+    def __attrs_post_init__(self) -> None:
+        """Create the future in the running event loop."""
+        self.overdue = asyncio.get_running_loop().create_future()
+
+    def expect_frame(self, seconds: float) -> None:
+        """Start the time limit for the next frame."""
+        self.stop_timer()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(seconds, self._mark_overdue)
+
+    def stop_timer(self) -> None:
+        """Wait for the next frame without a time limit."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _mark_overdue(self) -> None:
+        if not self.overdue.done():
+            self.overdue.set_result(None)
 
 
 class RelayClient:
@@ -238,6 +259,8 @@
         except asyncio.CancelledError:
             link.channel.abort()
             raise
+        finally:
+            exchange.stop_timer()
         self._release(address, link)
         return response
 
@@ -321,26 +344,40 @@
     ) -> HttpResponse:
         offer = exchange.offer
         link.send(frames.encode_offer(offer))
-        async with asyncio.timeout(round_trip + _FIRST_FRAME_SECONDS) as limit:
+        async with asyncio.timeout(None) as limit:
+            _expect_frame(exchange, limit, round_trip + _FIRST_FRAME_SECONDS)
             while True:
                 kind, content = await link.receive()
                 if kind is Kind.QUEUED:
                     exchange.load = content
-                    now = asyncio.get_running_loop().time()
-                    limit.reschedule(
-                        now + offer.max_wait + _QUEUE_MARGIN_SECONDS
+                    _expect_frame(
+                        exchange, limit, offer.max_wait + _QUEUE_MARGIN_SECONDS
                     )
                 elif kind is Kind.GRANTED:
                     exchange.load = content
                     if offer.needs_commit:
                         exchange.committed = True
                         link.send(frames.encode_commit(offer.body))
-                    exchange.granted.set()
+                    exchange.stop_timer()
                     limit.reschedule(None)
                 else:
                     return _conclude(exchange, kind, content)
 
 
+def _expect_frame(
+    exchange: Exchange, limit: asyncio.Timeout, seconds: float
+) -> None:
+    """Set the time limit for the next frame.
+
+    It ends only an exchange that waits for a commit. Any other request may be
+    running by then, and breaking it off would waste the run.
+    """
+    if exchange.offer.needs_commit:
+        limit.reschedule(asyncio.get_running_loop().time() + seconds)
+    else:
+        exchange.expect_frame(seconds)
+
+
 def _conclude(exchange: Exchange, kind: Kind, content: object) -> HttpResponse:
     if kind is Kind.ANSWER:
         response, exchange.load = content
--- a/tests/godwitknot/mesh/test_dispatcher.py
+++ b/tests/godwitknot/mesh/test_dispatcher.py
@@ -66,7 +66,6 @@
         if isinstance(reply, RefusalError):
             raise reply
         if reply is None:
-            exchange.granted.set()
             exchange.committed = True
             return HttpResponse(200, [], b'done')
         return reply
