--- a/standins/faultylink.py
+++ b/standins/faultylink.py
@@ -1,6 +1,6 @@
 """A network link with faults: a relay that drops, delays or resets traffic.
 
-It can drop one direction, as a one-way partition does, or all traffic of the
+It can also have a limited bandwidth, which its connections share. It can drop one direction, as a one-way partition does, or all traffic of the
 TCP connections that are open while new ones work, as a middlebox does that
 lost its connection table. It relays TCP and UDP of one port to one target.
 """
@@ -21,6 +21,10 @@
 _CHUNK_BYTES = 65536
 _MAX_DATAGRAM_BYTES = 65535
 _BACKLOG = 128
+# On a link of limited bandwidth, a chunk takes at most this long, so that the
+# connections take turns.
+_CHUNK_SECONDS = 0.02
+_MIN_CHUNK_BYTES = 256
 # With a linger time of zero, closing a socket sends a reset.
 _ZERO_LINGER = struct.pack('ii', 1, 0)
 
@@ -39,6 +43,22 @@
     reset: bool = False
 
 
+class _Pacer:
+    """Spaces the chunks that all connections send in one direction."""
+
+    def __init__(self) -> None:
+        self._free_at = float(0)
+        self._lock = threading.Lock()
+
+    def wait(self, size: int, bytes_per_second: float) -> None:
+        """Wait until the link has carried a chunk."""
+        with self._lock:
+            start = max(time.monotonic(), self._free_at)
+            self._free_at = start + size / bytes_per_second
+            end = self._free_at
+        time.sleep(max(0, end - time.monotonic()))
+
+
 class FaultyLink:
     """Relays one port to a target, with faults that can be switched on."""
 
@@ -53,8 +73,12 @@
         self.cut_backward = False
         # Seconds by which each chunk of a TCP connection is delayed.
         self.delay = float(0)
+        # Bandwidth of each direction of all TCP connections; 0 is unlimited.
+        self.bytes_per_second = float(0)
         self.address = address
         self._target = target
+        self._forward_pacer = _Pacer()
+        self._backward_pacer = _Pacer()
         self._connections: list[_Connection] = []
         self._lock = threading.Lock()
         self._upstream_sockets: dict[tuple, socket.socket] = {}
@@ -112,11 +136,11 @@
         forward = source is connection.client
         try:
             while True:
-                content = source.recv(_CHUNK_BYTES)
+                content = source.recv(self._get_chunk_bytes())
                 dropped = self.cut_forward if forward else self.cut_backward
                 if not content:
                     break
-                time.sleep(self.delay)
+                self._wait_for_link(len(content), forward=forward)
                 if not (connection.blackholed or dropped):
                     destination.sendall(content)
         except OSError:
@@ -128,6 +152,20 @@
         if not connection.blackholed:
             _close_write(destination)
 
+    def _get_chunk_bytes(self) -> int:
+        if not self.bytes_per_second:
+            return _CHUNK_BYTES
+        size = int(self.bytes_per_second * _CHUNK_SECONDS)
+        return min(_CHUNK_BYTES, max(_MIN_CHUNK_BYTES, size))
+
+    def _wait_for_link(self, size: int, *, forward: bool) -> None:
+        """Wait as long as a chunk of a TCP connection is under way."""
+        time.sleep(self.delay)
+        rate = self.bytes_per_second
+        if rate:
+            pacer = self._forward_pacer if forward else self._backward_pacer
+            pacer.wait(size, rate)
+
     def _discard(self, connection: _Connection) -> None:
         with self._lock:
             if connection in self._connections:
