Count and log copies of the configuration

In the incident, nodes sent each other 11 to 17 MB a second, and the record does not tell how much of it was configuration, nor how much was given up on the way. Counters now cover copies and bytes sent to nodes, received from nodes, received from the store, and given up; a log line with the bytes received so far follows a copy that did not arrive whole. A failed call of the store without any byte stays one line per outage. No other behavior changes.

--- a/godwitknot/errors.py
+++ b/godwitknot/errors.py
@@ -118,7 +118,18 @@
 
 
 class StoreDownError(StoreError):
-    """The store did not accept the request; nothing was written."""
+    """The store did not accept the request; nothing was written.
+
+    ``received_bytes`` is the size of a response that did not arrive whole.
+    """
+
+    def __init__(self, message: str = '', received_bytes: int = 0) -> None:
+        """Create the error.
+
+        :param message: description of the failure.
+        """
+        super().__init__(message)
+        self.received_bytes = received_bytes
 
 
 class LostAnswerError(StoreError):
--- a/godwitknot/mesh/channels.py
+++ b/godwitknot/mesh/channels.py
@@ -43,6 +43,8 @@
         # Set while no bytes may arrive. Bytes that do end the connection, and
         # the listener is called.
         self.unexpected_data_listener: Callable[[], None] | None = None
+        # Called with the number of bytes that have arrived.
+        self.data_listener: Callable[[int], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task of an accepted connection."""
@@ -61,6 +63,8 @@
             self.abort()
             self.unexpected_data_listener()
             return
+        if self.data_listener is not None:
+            self.data_listener(len(data))
         self._buffer += data
         if len(self._buffer) > _READ_AHEAD_BYTES and not self._paused:
             self._paused = True
--- a/godwitknot/mesh/httpclient.py
+++ b/godwitknot/mesh/httpclient.py
@@ -10,6 +10,7 @@
 from godwitknot.mesh.channels import open_channel
 from godwitknot.mesh.httpconnection import MAX_RESPONSE_BYTES, ClientConnection
 from godwitknot.mesh.model import HttpRequest, HttpResponse
+from godwitknot.mesh.transfers import Transfer
 from godwitknot.units import Address
 
 # Idle connections that are kept to one address.
@@ -46,20 +47,37 @@
     ) -> HttpResponse:
         """Send a request and read the complete response.
 
+        :param timeout: seconds, for the whole call.
+        :raises ConnectionFailedError: if nothing was sent.
+        :raises ConnectionCutError: if the connection ended early.
+        :raises ProtocolError: if the response is malformed.
+        :raises TimeoutError: if the call takes too long.
+        """
+        return await self.fetch(address, http_request, Transfer(timeout))
+
+    async def fetch(
+        self,
+        address: Address,
+        http_request: HttpRequest,
+        transfer: Transfer,
+    ) -> HttpResponse:
+        """Send a request and read a response that may be large.
+
         A request on a reused connection is never repeated here, since it may
         have been executed.
 
-        :param timeout: seconds, for the whole call.
+        :param transfer: limits the time and follows the progress.
         :raises ConnectionFailedError: if nothing was sent.
         :raises ConnectionCutError: if the connection ended early.
         :raises ProtocolError: if the response is malformed.
         :raises TimeoutError: if the call takes too long.
         """
-        async with asyncio.timeout(timeout):
+        async with transfer.limit_time():
             connection = await self.acquire_connection(address)
             try:
-                connection.send(_with_host(http_request, address))
-                response = await connection.read()
+                with transfer.watch(connection.channel):
+                    connection.send(_with_host(http_request, address))
+                    response = await connection.read()
             except (ConnectionCutError, ProtocolError):
                 connection.channel.abort()
                 raise
--- a/godwitknot/mesh/noderelay.py
+++ b/godwitknot/mesh/noderelay.py
@@ -19,6 +19,7 @@
 from godwitknot.mesh.messages import Kind, Load, Offer, Refusal
 from godwitknot.mesh.model import HttpResponse
 from godwitknot.mesh.serverproxy import Sidecar
+from godwitknot.mesh.transfers import Transfer
 from godwitknot.outcomes import Code, Outcome, RefusalError
 from godwitknot.units import Address
 
@@ -218,19 +219,20 @@
         self,
         address: Address,
         frame: bytes,
-        timeout: float,
+        transfer: Transfer,
     ) -> tuple[Kind, object] | None:
         """Send a gossip frame and return the reply.
 
-        :param timeout: seconds.
+        :param transfer: limits the time and follows the progress.
         :returns: ``None`` if the node cannot be reached.
         """
         try:
-            async with asyncio.timeout(timeout):
+            async with transfer.limit_time():
                 link = await self._acquire(address)
                 try:
-                    link.send(frame)
-                    reply = await link.receive()
+                    with transfer.watch(link.channel):
+                        link.send(frame)
+                        reply = await link.receive()
                 except BaseException:
                     link.channel.abort()
                     raise
--- a/godwitknot/mesh/peergossip.py
+++ b/godwitknot/mesh/peergossip.py
@@ -11,12 +11,14 @@
 from godwitknot.errors import ProtocolError
 from godwitknot.health.crashes import CrashTracker
 from godwitknot.mesh import frames
+from godwitknot.mesh.configurationcopies import ConfigurationCopies
 from godwitknot.mesh.memberdirectory import Crash, Directory, Member
 from godwitknot.mesh.messages import Digest, DigestReply, Kind, Rumor
 from godwitknot.mesh.noderelay import RelayClient
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.serverselector import ServerSelector
 from godwitknot.mesh.storesync import ConfigurationHolder
+from godwitknot.mesh.transfers import Transfer
 from godwitknot.units import Address
 
 # Number of peers that receive a rumor, in the same and in other failure
@@ -61,6 +63,7 @@
         """
         self._directory = directory
         self._holder = holder
+        self._copies = ConfigurationCopies(holder, runtime)
         self._selector = selector
         self._crashes = crashes
         self._relay = relay
@@ -195,7 +198,7 @@
         if not (differing or newer):
             return frames.encode_same()
         members = self._directory.list_bucket_members(differing)
-        source = self._holder.current.source if newer else b''
+        source = self._copies.take_copy() if newer else b''
         digest_reply = DigestReply(members, differing, source)
         return frames.encode_digest_reply(digest_reply)
 
@@ -266,8 +269,10 @@
             self._holder.version,
         )
         frame = frames.encode_digest(digest)
-        reply = await self._send(address, frame)
+        transfer = Transfer(_CALL_TIMEOUT_SECONDS)
+        reply = await self._send(address, frame, transfer)
         if reply is None:
+            self._copies.report_failed_transfer(address, transfer)
             return
         kind, content = reply
         if kind is not Kind.KNOWLEDGE:
@@ -278,7 +283,7 @@
         }
         self.merge_members(list(content.members), 'digest')
         if content.configuration:
-            self._holder.adopt(content.configuration, 'peer')
+            self._copies.adopt_copy(content.configuration)
         newer_members = tuple(
             each
             for each in self._directory.list_bucket_members(content.buckets)
@@ -298,8 +303,10 @@
         self,
         address: Address,
         frame: bytes,
+        transfer: Transfer | None = None,
     ) -> tuple[Kind, object] | None:
-        reply = await self._relay.call(address, frame, _CALL_TIMEOUT_SECONDS)
+        transfer = transfer or Transfer(_CALL_TIMEOUT_SECONDS)
+        reply = await self._relay.call(address, frame, transfer)
         if reply is None:
             self._telemetry.count('news_undelivered')
             return None
--- a/godwitknot/mesh/storesync.py
+++ b/godwitknot/mesh/storesync.py
@@ -11,6 +11,7 @@
     PlatformFormatError,
     ProtocolError,
     RowChangedError,
+    StoreDownError,
     StoreError,
 )
 from godwitknot.mesh import frames
@@ -19,6 +20,7 @@
 from godwitknot.mesh.memberdirectory import Directory, Member
 from godwitknot.mesh.model import FleetConfiguration
 from godwitknot.mesh.runtime import Runtime
+from godwitknot.mesh.transfers import report_abandoned_copy
 
 _MEMBER_TABLE = 'members'
 # Long-poll timeout of a feed without changes; the store allows up to 30 s.
@@ -92,6 +94,7 @@
         self._holder = holder
         self._directory = directory
         self._merge_members = merge_members
+        self._runtime = runtime
         self._log = runtime.log
         self._telemetry = runtime.telemetry
         self._rng = runtime.rng
@@ -117,16 +120,35 @@
 
     async def _follow_configuration(self) -> None:
         async def read(after: int | None) -> Page:
-            if after is None:
-                return await self._store.read_configuration()
-            return await self._store.watch_configuration(
-                after, _FEED_TIMEOUT_SECONDS
-            )
+            try:
+                if after is None:
+                    return await self._store.read_configuration()
+                return await self._store.watch_configuration(
+                    after, _FEED_TIMEOUT_SECONDS
+                )
+            except StoreDownError as error:
+                self._report_abandoned_copy(error)
+                raise
 
         async for page in self._follow('configuration', read):
             for row in page.rows:
                 if row.content is not None:
-                    self._holder.adopt(row.content, 'store')
+                    self._adopt_configuration(row.content)
+
+    def _adopt_configuration(self, content: bytes) -> None:
+        self._telemetry.count('configuration_copies_from_store')
+        self._telemetry.count('configuration_bytes_from_store', len(content))
+        self._holder.adopt(content, 'store')
+
+    def _report_abandoned_copy(self, error: StoreDownError) -> None:
+        # Each failed poll of a store that is down would be a line otherwise.
+        if error.received_bytes:
+            report_abandoned_copy(
+                self._runtime,
+                'store',
+                error.received_bytes,
+                detail=str(error),
+            )
 
     async def _follow_members(self) -> None:
         async def read(after: int | None) -> Page:
--- a/godwitknot/platform/store.py
+++ b/godwitknot/platform/store.py
@@ -18,6 +18,7 @@
 from godwitknot.mesh.httpclient import HttpClient
 from godwitknot.mesh.interfaces import MetadataStore, Page, Row
 from godwitknot.mesh.model import HttpRequest, HttpResponse
+from godwitknot.mesh.transfers import Transfer
 from godwitknot.platform import names
 from godwitknot.units import Address
 
@@ -157,14 +158,15 @@
     ) -> HttpResponse:
         query = urllib.parse.urlencode(parameters)
         request = HttpRequest('GET', f'{path}?{query}', [], b'')
+        transfer = Transfer(wait + _CALL_TIMEOUT_SECONDS)
         try:
-            return await self._client.call(
-                self._address, request, wait + _CALL_TIMEOUT_SECONDS
-            )
+            return await self._client.fetch(self._address, request, transfer)
         except (ConnectionFailedError, ConnectionCutError) as error:
-            raise StoreDownError(str(error)) from error
+            raise StoreDownError(str(error), transfer.received_bytes) from error
         except (ProtocolError, TimeoutError) as error:
-            raise StoreDownError(repr(error)) from error
+            raise StoreDownError(
+                repr(error), transfer.received_bytes
+            ) from error
 
 
 def _check(response: HttpResponse) -> Mapping:
--- /dev/null
+++ b/tests/godwitknot/mesh/test_storesync.py
@@ -0,0 +1,90 @@
+"""Copies of the configuration from the store are counted."""
+
+import asyncio
+import random
+
+import attrs
+import pytest
+
+from godwitknot.errors import StoreDownError
+from godwitknot.mesh.interfaces import MetadataStore, Page, Row
+from godwitknot.mesh.memberdirectory import Directory
+from godwitknot.mesh.runtime import Runtime
+from godwitknot.mesh.storesync import ConfigurationHolder, StoreSync
+from godwitknot.mesh.telemetry import Telemetry
+from test_memberdirectory import LOCAL
+
+
+@attrs.frozen
+class Configuration:
+    version: int
+    source: bytes
+
+
+class NumberDialect:
+    """Reads a configuration that consists of its version."""
+
+    def read_configuration(self, source):
+        return Configuration(int(source), source)
+
+
+class ScriptedStore(MetadataStore):
+    """Fails one read of the configuration, then returns it."""
+
+    def __init__(self):
+        self.failures = [StoreDownError('TimeoutError()', 5000)]
+
+    async def read_table(self, table):
+        return await self._wait_forever()
+
+    async def read_configuration(self):
+        if self.failures:
+            raise self.failures.pop()
+        return Page((Row('config', b'0009', 1),), 1)
+
+    async def watch_table(self, table, after, wait):
+        return await self._wait_forever()
+
+    async def watch_configuration(self, after, wait):
+        return await self._wait_forever()
+
+    async def write_row(self, table, key, content, expected):
+        return await self._wait_forever()
+
+    async def _wait_forever(self):
+        await asyncio.Event().wait()
+
+
+@pytest.fixture
+def runtime(clock, log):
+    return Runtime(clock, log, Telemetry(), random.Random(1))
+
+
+def test_partial_and_whole_copies_are_counted(runtime, log, logged):
+    """Guards against wasted traffic that no metric or log line shows."""
+
+    async def scenario():
+        holder = ConfigurationHolder(NumberDialect(), log)
+        adopted = asyncio.Event()
+        holder.listeners.append(adopted.set)
+        sync = StoreSync(
+            ScriptedStore(),
+            holder,
+            Directory(LOCAL),
+            lambda members, origin: None,
+            runtime,
+        )
+        tasks = sync.start()
+        await asyncio.wait_for(adopted.wait(), 5)
+        for task in tasks:
+            task.cancel()
+        return logged()
+
+    lines = asyncio.run(scenario())
+    assert '"event":"configuration copy given up","origin":"store"' in lines
+    assert '"received_bytes":5000' in lines
+    text = runtime.telemetry.render().decode()
+    assert 'godwitknot_configuration_copies_given_up_total 1.0' in text
+    assert 'godwitknot_configuration_bytes_given_up_total 5000.0' in text
+    assert 'godwitknot_configuration_copies_from_store_total 1.0' in text
+    assert 'godwitknot_configuration_bytes_from_store_total 4.0' in text
