Fetch the configuration from one node at a time

Each rumor or digest of a newer version started a fetch of its own, and the reply to each periodic digest carried the configuration too, so that several copies of one version shared the link of a node and were given up together.

A node now keeps the announcements and asks one announcer after the other. Periodic digests ask for the version only: the digest has a field to omit the copy, and the reply has a field for the version. Nodes of the release before send neither field and keep their behavior.

--- a/godwitknot/mesh/frames.py
+++ b/godwitknot/mesh/frames.py
@@ -202,6 +202,7 @@
             'sender': str(digest.sender),
             'buckets': list(digest.buckets),
             'version': digest.version,
+            'omitConfiguration': digest.omit_configuration,
         },
     )
 
@@ -214,6 +215,7 @@
             'members': [pack_member(member) for member in reply.members],
             'buckets': list(reply.buckets),
             'configuration': reply.configuration,
+            'version': reply.version,
         },
     )
 
@@ -362,7 +364,10 @@
 
 def _unpack_digest(entry: typing.Any) -> Digest:
     return Digest(
-        _unpack_address(entry.sender), tuple(entry.buckets), entry.version
+        _unpack_address(entry.sender),
+        tuple(entry.buckets),
+        entry.version,
+        entry.omitConfiguration,
     )
 
 
@@ -371,6 +376,7 @@
         _unpack_members(entry.members),
         tuple(entry.buckets),
         bytes(entry.configuration),
+        entry.version,
     )
 
 
--- a/godwitknot/mesh/mesh.capnp
+++ b/godwitknot/mesh/mesh.capnp
@@ -87,12 +87,15 @@
   unused @1 :UInt64;       # formerly one hash over all members
   version @2 :Int64;       # of the sender's configuration
   buckets @3 :List(UInt64); # hash over the members of each bucket
+  omitConfiguration @4 :Bool; # the reply is to carry its version only
 }
 
 struct Knowledge {
   members @0 :List(Member);
-  configuration @1 :Data;  # empty unless newer than that of the digest
+  configuration @1 :Data;  # empty unless newer than that of the digest, and
+                           # if the digest omits it
   buckets @2 :List(UInt16); # buckets that differ; members lists their records
+  version @3 :Int64;       # of the sender's configuration
 }
 
 struct Frame {
--- a/godwitknot/mesh/messages.py
+++ b/godwitknot/mesh/messages.py
@@ -123,11 +123,14 @@
     :param sender: relay address of the sender.
     :param buckets: one hash over the members of each bucket.
     :param version: of the sender's configuration.
+    :param omit_configuration: whether the reply is to carry the version of a
+        newer configuration only.
     """
 
     sender: Address
     buckets: tuple[int, ...]
     version: int
+    omit_configuration: bool = False
 
 
 @attrs.frozen
@@ -137,9 +140,12 @@
     :param members: all members in the buckets that differ.
     :param buckets: numbers of the buckets that differ.
     :param configuration: encoded, empty unless it is newer than the version
-        in the digest.
+        in the digest and is not to be omitted.
+    :param version: of the replying node's configuration; older nodes do not
+        send it.
     """
 
     members: tuple[Member, ...]
     buckets: tuple[int, ...]
     configuration: bytes = attrs.field(repr=False)
+    version: int = 0
--- a/godwitknot/mesh/peergossip.py
+++ b/godwitknot/mesh/peergossip.py
@@ -12,6 +12,7 @@
 from godwitknot.health.crashes import CrashTracker
 from godwitknot.mesh import frames
 from godwitknot.mesh.configurationcopies import ConfigurationCopies
+from godwitknot.mesh.configurationfetcher import ConfigurationFetcher
 from godwitknot.mesh.memberdirectory import Crash, Directory, Member
 from godwitknot.mesh.messages import Digest, DigestReply, Kind, Rumor
 from godwitknot.mesh.noderelay import RelayClient
@@ -32,9 +33,6 @@
 _BATCH_SECONDS = 0.02
 _DIGEST_INTERVAL_SECONDS = 1.0
 _CALL_TIMEOUT_SECONDS = 1.0
-# The store notifies each node of a new configuration. A node pulls it from a
-# peer only if that takes longer than this.
-_PULL_DELAY_SECONDS = 0.5
 _MAX_PROBED_NODES = 3
 # A node that closed its connections restarts within seconds, or its machine
 # is replaced and the node never replies again.
@@ -64,6 +62,7 @@
         self._directory = directory
         self._holder = holder
         self._copies = ConfigurationCopies(holder, runtime)
+        self._fetcher = ConfigurationFetcher(holder, self._fetch_configuration)
         self._selector = selector
         self._crashes = crashes
         self._relay = relay
@@ -163,8 +162,7 @@
         self.merge_members(list(rumor.members), 'rumor')
         for crash in rumor.crashes:
             self._record_crash(crash)
-        if rumor.version > self._holder.version:
-            self._spawn(self._pull_configuration(rumor.sender, rumor.version))
+        self._fetcher.announce(rumor.sender, rumor.version)
 
     def _record_crash(self, crash: Crash) -> None:
         key = (crash.node, crash.server_id, crash.fingerprints)
@@ -193,13 +191,16 @@
         self._selector.mark_reachable(digest.sender)
         differing = self._directory.find_differing_buckets(digest.buckets)
         newer = self._holder.version > digest.version
-        if digest.version > self._holder.version:
-            self._spawn(self._pull_configuration(digest.sender, digest.version))
+        self._fetcher.announce(digest.sender, digest.version)
         if not (differing or newer):
             return frames.encode_same()
         members = self._directory.list_bucket_members(differing)
-        source = self._copies.take_copy() if newer else b''
-        digest_reply = DigestReply(members, differing, source)
+        source = b''
+        if newer and not digest.omit_configuration:
+            source = self._copies.take_copy()
+        digest_reply = DigestReply(
+            members, differing, source, self._holder.version
+        )
         return frames.encode_digest_reply(digest_reply)
 
     async def _push_changes(self) -> None:
@@ -262,19 +263,44 @@
         return list(dict.fromkeys(probed))
 
     async def _exchange(self, address: Address) -> None:
-        """Compare digests with another node and exchange what differs."""
-        digest = Digest(
-            self._directory.local_member.address,
-            self._directory.hash_buckets(),
-            self._holder.version,
-        )
-        frame = frames.encode_digest(digest)
+        """Compare digests with another node and exchange what differs.
+
+        A newer configuration is fetched afterwards.
+        """
+        digest = self._make_digest(omit_configuration=True)
+        reply = await self._send(address, frames.encode_digest(digest))
+        if reply is None:
+            return
+        kind, content = reply
+        await self._apply_digest_reply(address, kind, content)
+        if kind is Kind.KNOWLEDGE:
+            self._fetcher.announce(address, content.version)
+
+    async def _fetch_configuration(self, address: Address) -> None:
+        digest = self._make_digest(omit_configuration=False)
         transfer = Transfer(_CALL_TIMEOUT_SECONDS)
-        reply = await self._send(address, frame, transfer)
+        reply = await self._send(
+            address, frames.encode_digest(digest), transfer
+        )
         if reply is None:
             self._copies.report_failed_transfer(address, transfer)
             return
-        kind, content = reply
+        await self._apply_digest_reply(address, *reply)
+
+    def _make_digest(self, *, omit_configuration: bool) -> Digest:
+        return Digest(
+            self._directory.local_member.address,
+            self._directory.hash_buckets(),
+            self._holder.version,
+            omit_configuration,
+        )
+
+    async def _apply_digest_reply(
+        self,
+        address: Address,
+        kind: Kind,
+        content: DigestReply | None,
+    ) -> None:
         if kind is not Kind.KNOWLEDGE:
             return
         self.synchronized = True
@@ -294,11 +320,6 @@
             rumor = Rumor(local, newer_members, (), self._holder.version)
             await self._send(address, frames.encode_rumor(rumor))
 
-    async def _pull_configuration(self, address: Address, version: int) -> None:
-        await asyncio.sleep(_PULL_DELAY_SECONDS)
-        if self._holder.version < version:
-            await self._exchange(address)
-
     async def _send(
         self,
         address: Address,
--- a/tests/godwitknot/mesh/test_frames.py
+++ b/tests/godwitknot/mesh/test_frames.py
@@ -8,7 +8,7 @@
 
 from godwitknot.errors import ProtocolError
 from godwitknot.mesh import frames
-from godwitknot.mesh.messages import Kind
+from godwitknot.mesh.messages import Digest, DigestReply, Kind
 from test_admissioncontrol import make_offer
 from test_memberdirectory import LOCAL
 
@@ -51,3 +51,14 @@
 def test_unreadable_row_names_no_server():
     with pytest.raises(ProtocolError):
         frames.decode_member(b'')
+
+
+def test_digest_and_its_reply_survive_encoding():
+    """Guards against fields that one side sends and the other ignores."""
+    digest = Digest(LOCAL.address, (1, 2), 7, omit_configuration=True)
+    reply = DigestReply((LOCAL,), (3,), b'copy', 9)
+    encoded = frames.encode_digest(digest), frames.encode_digest_reply(reply)
+    assert [frames.decode(frame) for frame in encoded] == [
+        (Kind.DIGEST, digest),
+        (Kind.KNOWLEDGE, reply),
+    ]
--- a/tests/godwitknot/mesh/test_storesync.py
+++ b/tests/godwitknot/mesh/test_storesync.py
@@ -6,7 +6,7 @@
 import attrs
 import pytest
 
-from godwitknot.errors import StoreDownError
+from godwitknot.errors import PlatformFormatError, StoreDownError
 from godwitknot.mesh.interfaces import MetadataStore, Page, Row
 from godwitknot.mesh.memberdirectory import Directory
 from godwitknot.mesh.runtime import Runtime
@@ -25,7 +25,10 @@
     """Reads a configuration that consists of its version."""
 
     def read_configuration(self, source):
-        return Configuration(int(source), source)
+        try:
+            return Configuration(int(source), source)
+        except ValueError as error:
+            raise PlatformFormatError(str(error)) from error
 
 
 class ScriptedStore(MetadataStore):
