--- a/godwitknot/mesh/peergossip.py
+++ b/godwitknot/mesh/peergossip.py
@@ -7,12 +7,12 @@
 import asyncio
 from collections.abc import Callable
 
-from godwitknot.control.messages import CrashReport
 from godwitknot.errors import ProtocolError
 from godwitknot.health.crashes import CrashTracker
 from godwitknot.mesh import frames
 from godwitknot.mesh.configurationcopies import ConfigurationCopies
 from godwitknot.mesh.configurationfetcher import ConfigurationFetcher
+from godwitknot.mesh.crashreports import CrashReports
 from godwitknot.mesh.memberdirectory import Crash, Directory, Member
 from godwitknot.mesh.messages import Digest, DigestReply, Kind, Rumor
 from godwitknot.mesh.noderelay import RelayClient
@@ -64,15 +64,14 @@
         self._copies = ConfigurationCopies(holder, runtime)
         self._fetcher = ConfigurationFetcher(holder, self._fetch_configuration)
         self._selector = selector
-        self._crashes = crashes
+        self._crash_reports = CrashReports(crashes, runtime.log)
         self._relay = relay
         self._clock = runtime.clock
         self._log = runtime.log
         self._telemetry = runtime.telemetry
         self._rng = runtime.rng
         self._pending_members: dict[Address, Member] = {}
-        self._pending_crashes: dict[tuple, Crash] = {}
-        self._seen_crashes: set[tuple] = set()
+        self._pending_crashes: list[Crash] = []
         # Nodes that closed their connections, and until when to probe them.
         self._restarting: dict[Address, float] = {}
         # Called with records that an earlier run of this node left behind.
@@ -165,27 +164,9 @@
         self._fetcher.announce(rumor.sender, rumor.version)
 
     def _record_crash(self, crash: Crash) -> None:
-        key = (crash.node, crash.server_id, crash.fingerprints)
-        if key in self._seen_crashes:
-            return
-        self._seen_crashes.add(key)
-        self._pending_crashes[key] = crash
-        self._push_requested.set()
-        self._log.write(
-            'server crashed',
-            server=crash.server_id,
-            peer=crash.node,
-            in_flight=len(crash.fingerprints),
-        )
-        self._crashes.record_crash(
-            CrashReport(
-                crash.service,
-                crash.node,
-                crash.server_id,
-                0,
-                crash.fingerprints,
-            )
-        )
+        if self._crash_reports.record(crash):
+            self._pending_crashes.append(crash)
+            self._push_requested.set()
 
     def _reply_to_digest(self, digest: Digest) -> bytes:
         self._selector.mark_reachable(digest.sender)
@@ -210,7 +191,7 @@
             await asyncio.sleep(_BATCH_SECONDS)
             self._push_requested.clear()
             members = tuple(self._pending_members.values())
-            crashes = tuple(self._pending_crashes.values())
+            crashes = tuple(self._pending_crashes)
             self._pending_members.clear()
             self._pending_crashes.clear()
             if not (members or crashes or self._holder.version > version):
