Compress copies of the configuration between nodes

A copy was sent as the operator writes it. A digest now says whether its sender can decompress a copy, and the reply says whether it is compressed, so that nodes of the release before get and send plain ones.

--- a/godwitknot/mesh/frames.py
+++ b/godwitknot/mesh/frames.py
@@ -203,6 +203,7 @@
             'buckets': list(digest.buckets),
             'version': digest.version,
             'omitConfiguration': digest.omit_configuration,
+            'acceptCompressed': digest.accept_compressed,
         },
     )
 
@@ -216,6 +217,7 @@
             'buckets': list(reply.buckets),
             'configuration': reply.configuration,
             'version': reply.version,
+            'compressed': reply.compressed,
         },
     )
 
@@ -368,6 +370,7 @@
         tuple(entry.buckets),
         entry.version,
         entry.omitConfiguration,
+        entry.acceptCompressed,
     )
 
 
@@ -377,6 +380,7 @@
         tuple(entry.buckets),
         bytes(entry.configuration),
         entry.version,
+        entry.compressed,
     )
 
 
--- a/godwitknot/mesh/mesh.capnp
+++ b/godwitknot/mesh/mesh.capnp
@@ -88,6 +88,7 @@
   version @2 :Int64;       # of the sender's configuration
   buckets @3 :List(UInt64); # hash over the members of each bucket
   omitConfiguration @4 :Bool; # the reply is to carry its version only
+  acceptCompressed @5 :Bool; # the reply may carry a compressed configuration
 }
 
 struct Knowledge {
@@ -96,6 +97,7 @@
                            # if the digest omits it
   buckets @2 :List(UInt16); # buckets that differ; members lists their records
   version @3 :Int64;       # of the sender's configuration
+  compressed @4 :Bool;     # whether configuration is in the zlib format
 }
 
 struct Frame {
--- a/godwitknot/mesh/messages.py
+++ b/godwitknot/mesh/messages.py
@@ -125,12 +125,15 @@
     :param version: of the sender's configuration.
     :param omit_configuration: whether the reply is to carry the version of a
         newer configuration only.
+    :param accept_compressed: whether the sender can decompress a
+        configuration.
     """
 
     sender: Address
     buckets: tuple[int, ...]
     version: int
     omit_configuration: bool = False
+    accept_compressed: bool = False
 
 
 @attrs.frozen
@@ -143,9 +146,11 @@
         in the digest and is not to be omitted.
     :param version: of the replying node's configuration; older nodes do not
         send it.
+    :param compressed: whether the configuration is compressed.
     """
 
     members: tuple[Member, ...]
     buckets: tuple[int, ...]
     configuration: bytes = attrs.field(repr=False)
     version: int = 0
+    compressed: bool = False
--- a/godwitknot/mesh/peergossip.py
+++ b/godwitknot/mesh/peergossip.py
@@ -176,11 +176,9 @@
         if not (differing or newer):
             return frames.encode_same()
         members = self._directory.list_bucket_members(differing)
-        source = b''
-        if newer and not digest.omit_configuration:
-            source = self._copies.take_copy()
+        copy, compressed = self._copies.take_copy(digest)
         digest_reply = DigestReply(
-            members, differing, source, self._holder.version
+            members, differing, copy, self._holder.version, compressed
         )
         return frames.encode_digest_reply(digest_reply)
 
@@ -274,6 +272,7 @@
             self._directory.hash_buckets(),
             self._holder.version,
             omit_configuration,
+            accept_compressed=True,
         )
 
     async def _apply_digest_reply(
@@ -289,8 +288,7 @@
             each.address: each.record_version for each in content.members
         }
         self.merge_members(list(content.members), 'digest')
-        if content.configuration:
-            self._copies.adopt_copy(content.configuration)
+        self._copies.adopt_copy(content)
         newer_members = tuple(
             each
             for each in self._directory.list_bucket_members(content.buckets)
--- a/tests/godwitknot/mesh/test_configurationfetcher.py
+++ b/tests/godwitknot/mesh/test_configurationfetcher.py
@@ -43,6 +43,10 @@
     def copies_sent(self):
         return self._read('configuration_copies_sent')
 
+    @property
+    def bytes_sent(self):
+        return self._read('configuration_bytes_sent')
+
     def _read(self, name):
         for line in self._telemetry.render().decode().splitlines():
             if line.startswith(f'godwitknot_{name}_total '):
@@ -184,6 +188,22 @@
     assert asyncio.run(scenario()).copies_sent == 1
 
 
+def test_nodes_of_this_release_exchange_compressed_copies(build, relay):
+    """Guards against a negotiation that always ends with a plain copy."""
+    source = b'9'.rjust(10_000)
+
+    async def scenario():
+        node, peer = build(1, 5), build(2, 0)
+        peer.holder.adopt(source, 'store')
+        announce(node, 2, 9)
+        await asyncio.sleep(SETTLED_SECONDS)
+        return node, peer
+
+    node, peer = asyncio.run(scenario())
+    assert node.holder.current.source == source
+    assert 0 < peer.bytes_sent < len(source) / 10
+
+
 def test_digest_of_an_older_node_gets_a_copy(build):
     """Guards against older nodes that get no configuration from newer ones."""
 
--- a/tests/godwitknot/mesh/test_frames.py
+++ b/tests/godwitknot/mesh/test_frames.py
@@ -55,8 +55,14 @@
 
 def test_digest_and_its_reply_survive_encoding():
     """Guards against fields that one side sends and the other ignores."""
-    digest = Digest(LOCAL.address, (1, 2), 7, omit_configuration=True)
-    reply = DigestReply((LOCAL,), (3,), b'copy', 9)
+    digest = Digest(
+        LOCAL.address,
+        (1, 2),
+        7,
+        omit_configuration=True,
+        accept_compressed=True,
+    )
+    reply = DigestReply((LOCAL,), (3,), b'copy', 9, compressed=True)
     encoded = frames.encode_digest(digest), frames.encode_digest_reply(reply)
     assert [frames.decode(frame) for frame in encoded] == [
         (Kind.DIGEST, digest),
