--- a/godwitknot/mesh/peergossip.py
+++ b/godwitknot/mesh/peergossip.py
@@ -16,6 +16,7 @@
 from godwitknot.mesh.memberdirectory import Crash, Directory, Member
 from godwitknot.mesh.messages import Digest, DigestReply, Kind, Rumor
 from godwitknot.mesh.noderelay import RelayClient
+from godwitknot.mesh.restartingnodes import RestartingNodes
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.serverselector import ServerSelector
 from godwitknot.mesh.storesync import ConfigurationHolder
@@ -34,9 +35,6 @@
 _DIGEST_INTERVAL_SECONDS = 1.0
 _CALL_TIMEOUT_SECONDS = 1.0
 _MAX_PROBED_NODES = 3
-# A node that closed its connections restarts within seconds, or its machine
-# is replaced and the node never replies again.
-_RESTART_TIMEOUT_SECONDS = 30.0
 
 
 class PeerGossip:
@@ -66,14 +64,12 @@
         self._selector = selector
         self._crash_reports = CrashReports(crashes, runtime.log)
         self._relay = relay
-        self._clock = runtime.clock
         self._log = runtime.log
         self._telemetry = runtime.telemetry
         self._rng = runtime.rng
         self._pending_members: dict[Address, Member] = {}
         self._pending_crashes: list[Crash] = []
-        # Nodes that closed their connections, and until when to probe them.
-        self._restarting: dict[Address, float] = {}
+        self._restarting = RestartingNodes(directory, relay, runtime.clock)
         # Called with records that an earlier run of this node left behind.
         self.previous_record_listeners: list[Callable[[Member], None]] = []
         self._push_requested = asyncio.Event()
@@ -225,20 +221,8 @@
         A node that restarts while the store is down has no records. It
         becomes ready only once a ready node sends it a digest.
         """
-        now = self._clock.now()
-        closed = set(self._relay.remove_closed())
-        zone = self._directory.local_member.zone
-        for peer in self._directory.list_peers():
-            # Nodes of other failure domains are probed by those next to them.
-            if peer.address in closed and peer.zone == zone:
-                self._restarting[peer.address] = now + _RESTART_TIMEOUT_SECONDS
-        self._restarting = {
-            address: end
-            for address, end in self._restarting.items()
-            if now < end
-        }
         probed = list(self._selector.unreachable)[:_MAX_PROBED_NODES]
-        probed += list(self._restarting)[:_MAX_PROBED_NODES]
+        probed += self._restarting.list_nodes()[:_MAX_PROBED_NODES]
         return list(dict.fromkeys(probed))
 
     async def _exchange(self, address: Address) -> None:
@@ -311,7 +295,7 @@
             self._telemetry.count('news_undelivered')
             return None
         self._selector.mark_reachable(address)
-        self._restarting.pop(address, None)
+        self._restarting.remove(address)
         return reply
 
     def _list_rumor_peers(self) -> list[Member]:
