Give up the body of a request on silence

A sidecar that had granted a slot waited 1 s for the whole body, however fast it arrived, and refused the request afterwards. It now waits while data arrives, at most for the time that the caller has left.

A body of 300,000 bytes over a link of 100 KB/s was refused before (test_body_arrives_over_a_narrow_link: 'RefusalError: link-lost, not-run'). It arrives after the change, and one that takes longer than the caller's time still frees the slot.

--- a/godwitknot/mesh/noderelay.py
+++ b/godwitknot/mesh/noderelay.py
@@ -126,7 +126,7 @@
                 frames.encode_load(Kind.GRANTED, admission.current_load())
             )
             if offer.two_phase:
-                body = await _receive_commit(link)
+                body = await _receive_commit(link, offer.seconds_left)
                 reservation.offer = attrs.evolve(offer, body=body)
             # After a pause of this process, the sender may have left.
             if link.channel.ended:
@@ -137,14 +137,21 @@
         return await self._sidecar.run(reservation)
 
 
-async def _receive_commit(link: FrameChannel) -> bytes:
+async def _receive_commit(link: FrameChannel, max_seconds: float) -> bytes:
     """Return the body that is sent with the commit.
 
+    :param max_seconds: longest time for a body that is under way.
     :raises RefusalError: not run, if no commit arrives.
     """
+    transfer = Transfer(
+        _COMMIT_TIMEOUT_SECONDS,
+        silence_seconds=_COMMIT_TIMEOUT_SECONDS,
+        max_seconds=max_seconds,
+    )
     try:
-        async with asyncio.timeout(_COMMIT_TIMEOUT_SECONDS):
-            kind, body = await link.receive()
+        async with transfer.limit_time():
+            with transfer.watch(link.channel):
+                kind, body = await link.receive()
     except TimeoutError:
         raise RefusalError(Code.LINK_LOST) from None
     if kind is not Kind.COMMIT:
