Split the client of the relay from its server

The exchanges that a node begins with others are now in relayclient; noderelay keeps what it does for others.

--- a/godwitknot/mesh/attempts.py
+++ b/godwitknot/mesh/attempts.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from godwitknot.mesh.noderelay import Exchange
+from godwitknot.mesh.relayclient import Exchange
 from godwitknot.mesh.requestcontext import RequestContext
 from godwitknot.mesh.serverselector import Target
 
--- a/godwitknot/mesh/dispatcher.py
+++ b/godwitknot/mesh/dispatcher.py
@@ -10,7 +10,7 @@
 )
 from godwitknot.mesh.messages import Offer
 from godwitknot.mesh.model import SERVER_ERROR, HttpResponse, Placement
-from godwitknot.mesh.noderelay import Exchange, RelayClient
+from godwitknot.mesh.relayclient import Exchange, RelayClient
 from godwitknot.mesh.requestcontext import RequestContext
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.serverproxy import Sidecar
--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -26,8 +26,9 @@
 from godwitknot.mesh.localserver import LocalServer
 from godwitknot.mesh.memberdirectory import Directory, Member
 from godwitknot.mesh.model import NodeSettings, Placement, ServerState
-from godwitknot.mesh.noderelay import RelayClient, RelayServer
+from godwitknot.mesh.noderelay import RelayServer
 from godwitknot.mesh.peergossip import PeerGossip
+from godwitknot.mesh.relayclient import RelayClient
 from godwitknot.mesh.retrybudget import RetryBudget
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.serverchecks import ServerChecks
--- a/godwitknot/mesh/noderelay.py
+++ b/godwitknot/mesh/noderelay.py
@@ -1,39 +1,25 @@
-"""Relays requests between nodes, to the sidecar of another server."""
+"""Receives requests that other nodes relay to the local server."""
 
 import asyncio
-import collections
 import time
 from collections.abc import Callable
 
 import attrs
 
-from godwitknot.errors import (
-    ConnectionCutError,
-    ConnectionFailedError,
-    ProtocolError,
-)
+from godwitknot.errors import ConnectionCutError, ProtocolError
 from godwitknot.mesh import frames
-from godwitknot.mesh.channels import Channel, open_channel
+from godwitknot.mesh.channels import Channel
 from godwitknot.mesh.events import EventLog
 from godwitknot.mesh.frames import FrameChannel
-from godwitknot.mesh.messages import Kind, Load, Offer, Refusal
+from godwitknot.mesh.messages import Kind, Offer
 from godwitknot.mesh.model import HttpResponse
 from godwitknot.mesh.serverproxy import Sidecar
 from godwitknot.mesh.transfers import Transfer
-from godwitknot.outcomes import Code, Outcome, RefusalError
-from godwitknot.units import Address
+from godwitknot.outcomes import Code, RefusalError
 
 # A sender commits one round trip after its slot is granted. Regions are 60 ms
 # apart, and a node may be delayed by a tenth of a second.
 _COMMIT_TIMEOUT_SECONDS = 1.0
-_CONNECT_TIMEOUT_SECONDS = 0.35
-# Until the first frame of the sidecar is due, in addition to the round trip.
-_FIRST_FRAME_SECONDS = 0.35
-# In addition to the time that the request may wait in the queue.
-_QUEUE_MARGIN_SECONDS = 0.3
-# How many idle connections to one node are kept, and for how long.
-_MAX_IDLE_CONNECTIONS = 8
-_MAX_IDLE_SECONDS = 20.0
 
 GossipHandler = Callable[[Kind, object], bytes | None]
 
@@ -189,221 +175,3 @@
 async def _wait_for_close(link: FrameChannel) -> None:
     """Return when the sender has closed the connection."""
     await link.channel.wait_for_end()
-
-
-@attrs.define(eq=False)
-class Exchange:
-    """One offer to another node and its progress.
-
-    :ivar load: as last reported by the sidecar.
-    :ivar avoid: seconds without requests to the server, as the sidecar asked.
-    :ivar overdue: done once a frame of the sidecar is late. The request may
-        be running by then.
-    """
-
-    offer: Offer
-    committed: bool = False
-    load: Load | None = None
-    avoid: float = 0
-    overdue: asyncio.Future = attrs.field(init=False)
-    _timer: asyncio.TimerHandle | None = None
-
-    def __attrs_post_init__(self) -> None:
-        """Create the future in the running event loop."""
-        self.overdue = asyncio.get_running_loop().create_future()
-
-    def expect_frame(self, seconds: float) -> None:
-        """Start the time limit for the next frame."""
-        self.stop_timer()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(seconds, self._mark_overdue)
-
-    def stop_timer(self) -> None:
-        """Wait for the next frame without a time limit."""
-        if self._timer is not None:
-            self._timer.cancel()
-
-    def _mark_overdue(self) -> None:
-        if not self.overdue.done():
-            self.overdue.set_result(None)
-
-
-class RelayClient:
-    """Offers requests to other nodes over persistent connections."""
-
-    def __init__(self) -> None:
-        """Create a client without connections."""
-        self._idle: dict[Address, collections.deque] = {}
-
-    async def run(
-        self,
-        address: Address,
-        round_trip: float,
-        exchange: Exchange,
-    ) -> HttpResponse:
-        """Offer a request and return the response.
-
-        Cancelling closes the connection. The sidecar then removes the request
-        from its queue, or aborts it on the server if it is repeatable.
-
-        :param round_trip: expected seconds to the node and back.
-        :raises RefusalError: with the known outcome.
-        """
-        link = await self._acquire(address)
-        try:
-            response = await self._exchange(link, round_trip, exchange)
-        except RefusalError as error:
-            if error.relayed and link.is_idle:
-                self._release(address, link)
-            else:
-                link.channel.abort()
-            raise
-        except (ConnectionCutError, ProtocolError) as error:
-            link.channel.abort()
-            raise _build_link_refusal(exchange, Code.LINK_LOST) from error
-        except TimeoutError as error:
-            link.channel.abort()
-            raise _build_link_refusal(exchange, Code.LINK_DOWN) from error
-        except asyncio.CancelledError:
-            link.channel.abort()
-            raise
-        finally:
-            exchange.stop_timer()
-        self._release(address, link)
-        return response
-
-    async def call(
-        self,
-        address: Address,
-        frame: bytes,
-        transfer: Transfer,
-    ) -> tuple[Kind, object] | None:
-        """Send a gossip frame and return the reply.
-
-        :param transfer: limits the time and follows the progress.
-        :returns: ``None`` if the node cannot be reached.
-        """
-        try:
-            async with transfer.limit_time():
-                link = await self._acquire(address)
-                try:
-                    with transfer.watch(link.channel):
-                        link.send(frame)
-                        reply = await link.receive()
-                except BaseException:
-                    link.channel.abort()
-                    raise
-        except (
-            ConnectionCutError,
-            ProtocolError,
-            RefusalError,
-            TimeoutError,
-        ):
-            # The calling code logs and counts what was not delivered.
-            return None
-        self._release(address, link)
-        return reply
-
-    async def _acquire(self, address: Address) -> FrameChannel:
-        idle = self._idle.get(address)
-        while idle:
-            link, since = idle.pop()
-            if link.is_idle and time.monotonic() - since < _MAX_IDLE_SECONDS:
-                return link
-            link.channel.close()
-        try:
-            return FrameChannel(
-                await open_channel(address, _CONNECT_TIMEOUT_SECONDS)
-            )
-        except ConnectionFailedError as error:
-            raise RefusalError(Code.LINK_DOWN) from error
-
-    def _release(self, address: Address, link: FrameChannel) -> None:
-        idle = self._idle.setdefault(address, collections.deque())
-        if len(idle) >= _MAX_IDLE_CONNECTIONS or not link.is_idle:
-            link.channel.close()
-            return
-        idle.append((link, time.monotonic()))
-
-    def remove_closed(self) -> list[Address]:
-        """Remove idle connections closed by their nodes; return the nodes.
-
-        A node keeps the connections of others open until it ends.
-        """
-        closed = []
-        for address, idle in self._idle.items():
-            ended = [each for each in idle if each[0].channel.ended]
-            for each in ended:
-                idle.remove(each)
-                each[0].channel.close()
-            if ended:
-                closed.append(address)
-        return closed
-
-    def close_idle(self, address: Address) -> None:
-        """Close the idle connections to a node that does not answer."""
-        for link, _ in self._idle.pop(address, ()):
-            link.channel.close()
-
-    async def _exchange(
-        self,
-        link: FrameChannel,
-        round_trip: float,
-        exchange: Exchange,
-    ) -> HttpResponse:
-        offer = exchange.offer
-        link.send(frames.encode_offer(offer))
-        async with asyncio.timeout(None) as limit:
-            _expect_frame(exchange, limit, round_trip + _FIRST_FRAME_SECONDS)
-            while True:
-                kind, content = await link.receive()
-                if kind is Kind.QUEUED:
-                    exchange.load = content
-                    _expect_frame(
-                        exchange, limit, offer.max_wait + _QUEUE_MARGIN_SECONDS
-                    )
-                elif kind is Kind.GRANTED:
-                    exchange.load = content
-                    if offer.needs_commit:
-                        exchange.committed = True
-                        link.send(frames.encode_commit(offer.body))
-                    exchange.stop_timer()
-                    limit.reschedule(None)
-                else:
-                    return _conclude(exchange, kind, content)
-
-
-def _expect_frame(
-    exchange: Exchange, limit: asyncio.Timeout, seconds: float
-) -> None:
-    """Set the time limit for the next frame.
-
-    It ends only an exchange that waits for a commit. Any other request may be
-    running by then, and breaking it off would waste the run.
-    """
-    if exchange.offer.needs_commit:
-        limit.reschedule(asyncio.get_running_loop().time() + seconds)
-    else:
-        exchange.expect_frame(seconds)
-
-
-def _conclude(exchange: Exchange, kind: Kind, content: object) -> HttpResponse:
-    if kind is Kind.ANSWER:
-        response, exchange.load = content
-        return response
-    if kind is Kind.REFUSAL:
-        refusal: Refusal = content
-        exchange.load = refusal.load
-        exchange.avoid = refusal.avoid
-        raise refusal.error
-    raise ProtocolError(f'unexpected {kind}')
-
-
-def _build_link_refusal(exchange: Exchange, code: Code) -> RefusalError:
-    """Return the known outcome after the link failed.
-
-    A sidecar never runs a request that waits for a commit without one.
-    """
-    if exchange.committed or not exchange.offer.needs_commit:
-        return RefusalError(code, Outcome.MAY_HAVE_RUN)
-    return RefusalError(code)
--- a/godwitknot/mesh/peergossip.py
+++ b/godwitknot/mesh/peergossip.py
@@ -15,7 +15,7 @@
 from godwitknot.mesh.crashreports import CrashReports
 from godwitknot.mesh.memberdirectory import Crash, Directory, Member
 from godwitknot.mesh.messages import Digest, DigestReply, Kind, Rumor
-from godwitknot.mesh.noderelay import RelayClient
+from godwitknot.mesh.relayclient import RelayClient
 from godwitknot.mesh.restartingnodes import RestartingNodes
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.serverselector import ServerSelector
--- a/godwitknot/mesh/restartingnodes.py
+++ b/godwitknot/mesh/restartingnodes.py
@@ -2,7 +2,7 @@
 
 from godwitknot.clock import Clock
 from godwitknot.mesh.memberdirectory import Directory
-from godwitknot.mesh.noderelay import RelayClient
+from godwitknot.mesh.relayclient import RelayClient
 from godwitknot.units import Address
 
 # A node that closed its connections restarts within seconds, or its machine
--- a/tests/godwitknot/mesh/test_attempts.py
+++ b/tests/godwitknot/mesh/test_attempts.py
@@ -24,7 +24,7 @@
     RouteKind,
     Share,
 )
-from godwitknot.mesh.noderelay import RelayClient
+from godwitknot.mesh.relayclient import RelayClient
 from godwitknot.mesh.requestcontext import RequestContext
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.serverselector import ServerSelector
--- a/tests/godwitknot/mesh/test_noderelay.py
+++ b/tests/godwitknot/mesh/test_noderelay.py
@@ -8,7 +8,8 @@
 from godwitknot.mesh.channels import listen
 from godwitknot.mesh.messages import Load
 from godwitknot.mesh.model import HttpResponse
-from godwitknot.mesh.noderelay import Exchange, RelayClient, RelayServer
+from godwitknot.mesh.noderelay import RelayServer
+from godwitknot.mesh.relayclient import Exchange, RelayClient
 from godwitknot.outcomes import Code, RefusalError
 from standins.faultylink import FaultyLink
 from standins.ports import reserve_addresses
--- a/tests/godwitknot/mesh/test_transfers.py
+++ b/tests/godwitknot/mesh/test_transfers.py
@@ -12,7 +12,8 @@
 from godwitknot.mesh.memberdirectory import Directory
 from godwitknot.mesh.messages import Kind, Rumor
 from godwitknot.mesh.model import HttpRequest
-from godwitknot.mesh.noderelay import RelayClient, RelayServer
+from godwitknot.mesh.noderelay import RelayServer
+from godwitknot.mesh.relayclient import RelayClient
 from godwitknot.mesh.peergossip import PeerGossip
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.serverselector import ServerSelector
