Pace a narrow link in pieces

A relay thread that had asked for a chunk before the limit was set held the link for the whole chunk, up to 64 KB, also after the limit was gone, and a cut did not drop the rest of a chunk. A chunk is now sent in pieces with the bandwidth and the faults of each time. test_link_is_fast_again_at_once failed before ('TimeoutError: timed out' after 5 s without data).

--- a/standins/faultylink.py
+++ b/standins/faultylink.py
@@ -21,10 +21,10 @@
 _CHUNK_BYTES = 65536
 _MAX_DATAGRAM_BYTES = 65535
 _BACKLOG = 128
-# On a link of limited bandwidth, a chunk takes at most this long, so that the
+# On a link of limited bandwidth, a piece takes about this long, so that the
 # connections take turns.
-_CHUNK_SECONDS = 0.02
-_MIN_CHUNK_BYTES = 256
+_PIECE_SECONDS = 0.02
+_MIN_PIECE_BYTES = 64
 # With a linger time of zero, closing a socket sends a reset.
 _ZERO_LINGER = struct.pack('ii', 1, 0)
 
@@ -44,14 +44,14 @@
 
 
 class _Pacer:
-    """Spaces the chunks that all connections send in one direction."""
+    """Spaces the pieces that all connections send in one direction."""
 
     def __init__(self) -> None:
         self._free_at = float(0)
         self._lock = threading.Lock()
 
     def wait(self, size: int, bytes_per_second: float) -> None:
-        """Wait until the link has carried a chunk."""
+        """Wait until the link has carried a piece."""
         with self._lock:
             start = max(time.monotonic(), self._free_at)
             self._free_at = start + size / bytes_per_second
@@ -136,13 +136,13 @@
         forward = source is connection.client
         try:
             while True:
-                content = source.recv(self._get_chunk_bytes())
-                dropped = self.cut_forward if forward else self.cut_backward
+                content = source.recv(_CHUNK_BYTES)
                 if not content:
                     break
-                self._wait_for_link(len(content), forward=forward)
-                if not (connection.blackholed or dropped):
-                    destination.sendall(content)
+                dropped = self._is_cut(forward=forward)
+                time.sleep(self.delay)
+                if not dropped:
+                    self._send(connection, destination, content)
         except OSError:
             self._discard(connection)
         if connection.reset:
@@ -152,19 +152,30 @@
         if not connection.blackholed:
             _close_write(destination)
 
-    def _get_chunk_bytes(self) -> int:
-        if not self.bytes_per_second:
-            return _CHUNK_BYTES
-        size = int(self.bytes_per_second * _CHUNK_SECONDS)
-        return min(_CHUNK_BYTES, max(_MIN_CHUNK_BYTES, size))
-
-    def _wait_for_link(self, size: int, *, forward: bool) -> None:
-        """Wait as long as a chunk of a TCP connection is under way."""
-        time.sleep(self.delay)
-        rate = self.bytes_per_second
-        if rate:
-            pacer = self._forward_pacer if forward else self._backward_pacer
-            pacer.wait(size, rate)
+    def _is_cut(self, *, forward: bool) -> bool:
+        return self.cut_forward if forward else self.cut_backward
+
+    def _send(
+        self,
+        connection: _Connection,
+        destination: socket.socket,
+        content: bytes,
+    ) -> None:
+        """Send in pieces, at the bandwidth and with the faults of each time."""
+        forward = destination is connection.upstream
+        pacer = self._forward_pacer if forward else self._backward_pacer
+        while content:
+            rate = self.bytes_per_second
+            size = len(content)
+            if rate:
+                size = max(_MIN_PIECE_BYTES, int(rate * _PIECE_SECONDS))
+                pacer.wait(min(size, len(content)), rate)
+                if self._is_cut(forward=forward):
+                    return
+            if connection.blackholed:
+                return
+            destination.sendall(content[:size])
+            content = content[size:]
 
     def _discard(self, connection: _Connection) -> None:
         with self._lock:
--- a/tests/standins/test_faultylink.py
+++ b/tests/standins/test_faultylink.py
@@ -25,6 +25,7 @@
             except OSError:
                 return
             with connection:
+                connection.recv(1)
                 connection.sendall(CONTENT)
 
     threading.Thread(target=send_content, daemon=True).start()
@@ -34,9 +35,11 @@
     server.close()
 
 
-def read_all(link):
+def read_all(link, pause=0):
     parts = []
     with socket.create_connection(link.address.pair, timeout=5) as connection:
+        time.sleep(pause)
+        connection.sendall(b'x')
         while True:
             part = connection.recv(65536)
             if not part:
@@ -63,3 +66,12 @@
         reading.join()
     seconds = time.monotonic() - started
     assert seconds > 3 * len(CONTENT) / BYTES_PER_SECOND
+
+
+def test_link_is_fast_again_at_once(link):
+    """Guards against a fault whose effect goes on after its end."""
+    for at, rate in ((0.2, 2000), (1, 0)):
+        threading.Timer(at, setattr, (link, 'bytes_per_second', rate)).start()
+    started = time.monotonic()
+    assert read_all(link, pause=0.5) == CONTENT
+    assert time.monotonic() - started < 4
