--- a/godwitknot/mesh/peergossip.py
+++ b/godwitknot/mesh/peergossip.py
@@ -34,7 +34,8 @@
 _BATCH_SECONDS = 0.02
 _DIGEST_INTERVAL_SECONDS = 1.0
 _CALL_TIMEOUT_SECONDS = 1.0
-# A node that falls behind asks others again, so that these may be short.
+# Longest times of replies that arrive slowly; other peers may be faster. A copy
+# of the configuration is larger than the records.
 _MAX_EXCHANGE_SECONDS = 3.0
 _MAX_COPY_SECONDS = 10.0
 _MAX_PROBED_NODES = 3
