--- a/bench/faultsoak/faults.py
+++ b/bench/faultsoak/faults.py
@@ -111,6 +111,16 @@
     path.delay = 0
 
 
+def narrow_link(
+    fleet: SoakFleet, machine: SoakMachine, rng: random.Random
+) -> None:
+    """Limit the bandwidth of a path, which its connections share."""
+    path = rng.choice(machine.paths)
+    path.bytes_per_second = rng.uniform(3000, 30_000)
+    _sleep_random(rng)
+    path.bytes_per_second = 0
+
+
 def store_down(
     fleet: SoakFleet, machine: SoakMachine, rng: random.Random
 ) -> None:
@@ -223,8 +233,9 @@
     server_fails,
     server_answers_twice,
 )
-# Runs in a separate lane, so that the random draws of the other lanes stay
+# These run in separate lanes, so that the random draws of the other lanes stay
 # the same for each seed.
+LINKS = (narrow_link,)
 STOPS = (stop_together,)
 PLANNED = (
     stop_node,
--- a/bench/faultsoak/script.py
+++ b/bench/faultsoak/script.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from bench.faultsoak.faults import PLANNED, STOPS, UNPLANNED
+from bench.faultsoak.faults import LINKS, PLANNED, STOPS, UNPLANNED
 from bench.faultsoak.fleet import SoakFleet
 
 _MAX_GAP_SECONDS = 0.6
@@ -38,8 +38,8 @@
         self._seed = seed
 
     def run_all_events(self, seconds: float) -> None:
-        """Run planned and unplanned events in three lanes."""
-        self._run_lanes(seconds, [UNPLANNED, UNPLANNED, PLANNED])
+        """Run planned and unplanned events in four lanes."""
+        self._run_lanes(seconds, [UNPLANNED, UNPLANNED, PLANNED, LINKS])
 
     def run_planned_events(self, seconds: float) -> None:
         """Run planned events only, in three lanes."""
