--- a/godwitknot/mesh/admissioncontrol.py
+++ b/godwitknot/mesh/admissioncontrol.py
@@ -143,6 +143,14 @@
             reservation.granted.cancel()
         self._serve_queue()
 
+    def start_run(self, reservation: SlotReservation) -> None:
+        """Start the run of a request whose body has arrived.
+
+        The time until then says nothing about the server.
+        """
+        reservation.awaits_body = False
+        reservation.granted_at = self._clock.now()
+
     def record_aborted_run(self, reservation: SlotReservation) -> None:
         """Record a run that was cancelled on the server without a response.
 
@@ -197,7 +205,7 @@
     def record_hung_runs(self) -> None:
         """Record each run past the hung threshold as a failure, once."""
         now = self._clock.now()
-        for reservation in self._running:
+        for reservation in self._runs_on_server():
             if reservation.granted_at and not reservation.counted_as_hung:
                 limit = self._health.hung_threshold_seconds(
                     reservation.offer.objective
@@ -295,7 +303,7 @@
         last_success = self._health.last_success_began
         ages = [
             (now - reservation.granted_at, reservation.offer.objective)
-            for reservation in self._running
+            for reservation in self._runs_on_server()
             if reservation.granted_at > last_success
         ]
         ages += [
@@ -310,6 +318,9 @@
             > threshold
         )
 
+    def _runs_on_server(self) -> list[SlotReservation]:
+        return [each for each in self._running if not each.awaits_body]
+
     def _has_room(self) -> bool:
         free = self._server.slots - len(self._running)
         return free > 0 and not len(self._queue)
--- a/godwitknot/mesh/noderelay.py
+++ b/godwitknot/mesh/noderelay.py
@@ -125,8 +125,10 @@
             )
             progress.granted_at = time.monotonic()
             if offer.two_phase:
+                reservation.awaits_body = True
                 body = await _receive_commit(link, offer.seconds_left)
                 reservation.offer = attrs.evolve(offer, body=body)
+                admission.start_run(reservation)
             # After a pause of this process, the sender may have left.
             if link.channel.ended:
                 raise RefusalError(Code.CANCELLED)
--- a/godwitknot/mesh/slotqueue.py
+++ b/godwitknot/mesh/slotqueue.py
@@ -20,7 +20,9 @@
 
     :param offer: the request.
     :param deadline: of the final response, on the node's clock.
-    :param granted_at: when its slot was granted, on the node's clock.
+    :param granted_at: when its slot was granted, or its body had arrived, on
+        the node's clock.
+    :ivar awaits_body: whether it holds a slot, but is not yet on the server.
     """
 
     offer: Offer
@@ -28,6 +30,7 @@
     deadline: float
     granted_at: float = 0
     counted_as_hung: bool = False
+    awaits_body: bool = False
 
 
 @attrs.define
--- a/tests/godwitknot/mesh/test_admissioncontrol.py
+++ b/tests/godwitknot/mesh/test_admissioncontrol.py
@@ -314,6 +314,23 @@
     assert admission._is_suspect()
 
 
+def test_body_under_way_raises_no_suspicion(admission, health, clock):
+    """Guards against the ejection of a server for the time that bodies take."""
+
+    async def scenario():
+        booking = make_offer(repeatable=False)
+        reservation = await admission.admit(booking)
+        reservation.awaits_body = True
+        clock.advance(60)
+        admission.record_hung_runs()
+        assert not health.ejection_seconds_left('z1')
+        await admission.admit(booking)
+        admission.start_run(reservation)
+        assert reservation.granted_at == clock.now()
+
+    asyncio.run(scenario())
+
+
 def test_runs_that_began_before_the_last_good_one_raise_no_suspicion(
     admission, health, clock
 ):
--- a/tests/godwitknot/mesh/test_noderelay.py
+++ b/tests/godwitknot/mesh/test_noderelay.py
@@ -29,6 +29,9 @@
     async def admit(self, offer, notify):
         return types.SimpleNamespace(offer=offer)
 
+    def start_run(self, reservation):
+        """Keeps no times."""
+
     def release(self, reservation):
         self.released = True
 
