--- a/standins/metadatastore.py
+++ b/standins/metadatastore.py
@@ -1,10 +1,12 @@
 """Stand-in of the metadata store of the platform, with injected faults."""
 
 import base64
+import collections
 import json
 import random
 import threading
 import time
+from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
@@ -14,6 +16,22 @@
 
 _MAX_ROWS_PER_READ = 500
 _MS_PER_SECOND = 1000
+# Each transaction adds a copy; older ones are dropped.
+_MAX_COPIES = 2000
+
+
+@attrs.frozen
+class _Copy:
+    """The state of the store after a transaction.
+
+    :param at: monotonic seconds.
+    """
+
+    at: float
+    version: int
+    rows: dict[tuple[str, str, str], dict]
+    history: tuple[dict, ...]
+    dropped_version: int
 
 
 @attrs.define
@@ -42,12 +60,17 @@
         """Create an empty store without faults."""
         self.faults = StoreFaults()
         self.request_count = 0
+        self.epoch = 1
+        self.changed = threading.Condition()
         self._rows: dict[tuple[str, str, str], dict] = {}
         self._history: list[dict] = []
         self._dropped_version = 0
         self._version = 0
-        self._changed = threading.Condition()
         self._rng = random.Random(1)
+        self._copies: collections.deque[_Copy] = collections.deque(
+            maxlen=_MAX_COPIES
+        )
+        self._add_copy()
 
     def put(self, table: str, key: str, content: bytes) -> int:
         """Write a row as the operator does.
@@ -65,17 +88,34 @@
 
     def drop_history(self) -> None:
         """Drop the change history, so that feeds have to start over."""
-        with self._changed:
+        with self.changed:
             self._history.clear()
             self._dropped_version = self._version
 
+    def restore(self, seconds: float) -> None:
+        """Go back to the state of some seconds ago and end all open feeds.
+
+        Versions that were given out since then are given out again.
+        """
+        with self.changed:
+            moment = time.monotonic() - seconds
+            while len(self._copies) > 1 and self._copies[-1].at > moment:
+                self._copies.pop()
+            latest = self._copies[-1]
+            self._rows = dict(latest.rows)
+            self._history = list(latest.history)
+            self._version = latest.version
+            self._dropped_version = latest.dropped_version
+            self.epoch += 1
+            self.changed.notify_all()
+
     def transact(self, change: dict) -> tuple[int, dict]:
         """Apply all writes and deletes if the expected versions match.
 
         :returns: HTTP status and body; 412 with the conflicting rows if a
             version does not match.
         """
-        with self._changed:
+        with self.changed:
             conflicts = [
                 entry
                 for entry in change.get('expect', ())
@@ -102,7 +142,8 @@
                         'tombstone': True,
                     }
                 )
-            self._changed.notify_all()
+            self._add_copy()
+            self.changed.notify_all()
             return 200, self._add_version_and_time({})
 
     def read(self, parameters: dict) -> tuple[int, dict]:
@@ -111,7 +152,7 @@
         :returns: HTTP status and body.
         """
         start = parameters.get('from', '')
-        with self._changed:
+        with self.changed:
             rows = sorted(
                 (
                     row
@@ -130,16 +171,24 @@
         """Wait for changes of a table after a version.
 
         :returns: HTTP status and body; 410 if the history no longer goes
-            back to that version.
+            back to that version, or has not reached it.
+        :raises ConnectionAbortedError: if the store was restored meanwhile.
         """
         after = int(parameters['after'])
         timeout = int(parameters['wait_ms']) / _MS_PER_SECOND
-        with self._changed:
-            if after < self._dropped_version:
+        with self.changed:
+            if not self._dropped_version <= after <= self._version:
                 return 410, {}
-            self._changed.wait_for(
-                lambda: self._list_changes(parameters['table'], after), timeout
+            epoch = self.epoch
+            self.changed.wait_for(
+                lambda: (
+                    self.epoch != epoch
+                    or self._list_changes(parameters['table'], after)
+                ),
+                timeout,
             )
+            if self.epoch != epoch:
+                raise ConnectionAbortedError('store restored')
             if after < self._dropped_version:
                 return 410, {}
             rows = self._list_changes(parameters['table'], after)
@@ -156,6 +205,17 @@
             if row['table'] == table and row['row_version'] > after
         ]
 
+    def _add_copy(self) -> None:
+        self._copies.append(
+            _Copy(
+                time.monotonic(),
+                self._version,
+                dict(self._rows),
+                tuple(self._history),
+                self._dropped_version,
+            )
+        )
+
     def _get_version(self, entry: dict) -> int:
         return self._rows.get(_get_row_id(entry), {}).get('row_version', 0)
 
@@ -192,9 +252,9 @@
         elif self._delay_and_check_refusal():
             self._respond(503, {})
         elif url.path == '/api/rows-get':
-            self._respond(*self.store.read(parameters))
+            self._answer(self.store.read, parameters)
         elif url.path == '/api/rows-feed':
-            self._respond(*self.store.read_feed(parameters))
+            self._answer(self.store.read_feed, parameters)
         else:
             self._respond(404, {})
 
@@ -208,11 +268,13 @@
         if self._delay_and_check_refusal():
             self._respond(503, {})
             return
-        status, fields = self.store.transact(change)
+        with self.store.changed:
+            status, fields = self.store.transact(change)
+            epoch = self.store.epoch
         if self.store.draw_lost_response():
             self.close_connection = True
             return
-        self._respond(status, fields)
+        self._respond(status, fields, epoch)
 
     def log_message(self, *args: object) -> None:
         """Discard the log line."""
@@ -228,9 +290,22 @@
         time.sleep(faults.slow)
         return faults.down or self.client_address[0] in faults.refused
 
-    def _respond(self, status: int, fields: dict) -> None:
+    def _answer(
+        self, operation: Callable[[dict], tuple[int, dict]], parameters: dict
+    ) -> None:
+        # The lock is held, so that the response has the epoch in which it
+        # was read; feeds release it while they wait.
+        with self.store.changed:
+            status, fields = operation(parameters)
+            epoch = self.store.epoch
+        self._respond(status, fields, epoch)
+
+    def _respond(
+        self, status: int, fields: dict, epoch: int | None = None
+    ) -> None:
         body = json.dumps(fields).encode()
         self.send_response(status)
+        self.send_header('Store-Era', str(epoch or self.store.epoch))
         self.send_header('Content-Length', str(len(body)))
         self.end_headers()
         self.wfile.write(body)
