Show a restored store in the log and the metrics

The client of the store decodes the epoch of each response, also of a failed one; the node logs and counts a restore once.

--- a/godwitknot/mesh/interfaces.py
+++ b/godwitknot/mesh/interfaces.py
@@ -1,6 +1,7 @@
 """Abstract classes that decouple a mesh node from the platform."""
 
 import abc
+from collections.abc import Callable
 
 import attrs
 
@@ -84,14 +85,39 @@
     """Rows read at one version of the store.
 
     :param version: newest version of the store; feeds continue after it.
+    :param epoch: of the store when the rows were read, 0 if unknown.
     """
 
     rows: tuple[Row, ...]
     version: int
+    epoch: int = 0
+
+
+@attrs.frozen
+class WriteReceipt:
+    """An acknowledged write.
+
+    :param version: of the written row.
+    :param epoch: of the store when the row was written, 0 if unknown.
+    """
+
+    version: int
+    epoch: int = 0
 
 
 class MetadataStore(abc.ABC):
-    """The platform's store: versioned rows and change feeds."""
+    """The platform's store: versioned rows and change feeds.
+
+    The store may be restored from an older copy. It then loses the latest
+    rows and assigns their versions again, so that a version identifies a row
+    only within one epoch. Each restore raises the epoch.
+
+    :ivar epoch_listeners: called with the epoch of each response.
+    """
+
+    def __init__(self) -> None:
+        """Create a store without listeners."""
+        self.epoch_listeners: list[Callable[[int], None]] = []
 
     @abc.abstractmethod
     async def read_table(self, table: str) -> Page:
@@ -136,11 +162,11 @@
         key: str,
         content: bytes,
         expected: int,
-    ) -> int:
+    ) -> WriteReceipt:
         """Write a row if it still has the expected version.
 
         :param expected: version of the row, 0 if the row must not exist.
-        :returns: the new version.
+        :returns: the new version and its epoch.
         :raises RowChangedError: if the row has another version.
         :raises StoreDownError: if the row was not written.
         :raises LostAnswerError: if the row may have been written.
--- a/godwitknot/mesh/storesync.py
+++ b/godwitknot/mesh/storesync.py
@@ -19,6 +19,7 @@
 from godwitknot.mesh.memberdirectory import Directory, Member
 from godwitknot.mesh.model import FleetConfiguration
 from godwitknot.mesh.runtime import Runtime
+from godwitknot.mesh.storeepoch import EpochTracker
 
 _MEMBER_TABLE = 'members'
 # Long-poll timeout of a feed without changes; the store allows up to 30 s.
@@ -95,6 +96,8 @@
         self._log = runtime.log
         self._telemetry = runtime.telemetry
         self._rng = runtime.rng
+        self._epoch = EpochTracker(runtime)
+        store.epoch_listeners.append(self._epoch.observe)
         self._stored_versions: dict[str, int] = {}
         self._write_requested = asyncio.Event()
         self._connected = True
@@ -160,7 +163,9 @@
             try:
                 page = await read(after)
             except HistoryLostError:
-                self._log.write('feed history lost', table=table)
+                self._log.write(
+                    'feed history lost', table=table, epoch=self._epoch.current
+                )
                 after = None
                 continue
             except StoreError as error:
@@ -195,7 +200,7 @@
                 continue
             key = str(member.address)
             try:
-                version = await self._store.write_row(
+                receipt = await self._store.write_row(
                     _MEMBER_TABLE,
                     key,
                     frames.encode_member(member),
@@ -210,7 +215,7 @@
                 backoff = await self._back_off(error, backoff)
                 continue
             backoff = self._mark_connected()
-            self._stored_versions[key] = version
+            self._stored_versions[key] = receipt.version
             written = member
 
     async def _back_off(self, error: StoreError, backoff: float) -> float:
@@ -230,5 +235,5 @@
         """Log a regained store; return the initial backoff."""
         if not self._connected:
             self._connected = True
-            self._log.write('store regained')
+            self._log.write('store regained', epoch=self._epoch.current)
         return _INITIAL_BACKOFF_SECONDS
--- a/godwitknot/operators/requesttrace.py
+++ b/godwitknot/operators/requesttrace.py
@@ -29,6 +29,7 @@
         'settings reloaded',
         'store lost',
         'store regained',
+        'store restored',
         'trial failed',
     ),
 )
--- a/godwitknot/platform/names.py
+++ b/godwitknot/platform/names.py
@@ -12,6 +12,8 @@
 NOT_EXECUTED = 'Godwitknot-Not-Executed'
 CALLER_SERVICE = 'Godwitknot-Caller-Service'
 SERVER_ID = 'Godwitknot-Instance-Id'
+# Number of the store's restores from a copy; part of all of its responses.
+STORE_EPOCH = 'Store-Era'
 
 READY_PATH = '/api/ready'
 RPC_PATH = '/api/rpc'
--- a/godwitknot/platform/store.py
+++ b/godwitknot/platform/store.py
@@ -16,7 +16,12 @@
     StoreError,
 )
 from godwitknot.mesh.httpclient import HttpClient
-from godwitknot.mesh.interfaces import MetadataStore, Page, Row
+from godwitknot.mesh.interfaces import (
+    MetadataStore,
+    Page,
+    Row,
+    WriteReceipt,
+)
 from godwitknot.mesh.model import HttpRequest, HttpResponse
 from godwitknot.platform import names
 from godwitknot.units import Address
@@ -42,6 +47,7 @@
         :param client: HTTP client for all calls.
         :param address: of the store.
         """
+        super().__init__()
         self._client = client
         self._address = address
 
@@ -51,12 +57,16 @@
         :raises StoreError: if the read failed.
         """
         rows: list[Row] = []
+        epochs: set[int] = set()
         start = ''
         while True:
             page, more = await self._read_rows(table, start)
             rows.extend(page.rows)
+            epochs.add(page.epoch)
             if not more or not page.rows:
-                return Page(tuple(rows), page.version)
+                # The lowest epoch tells callers that the store was restored
+                # between two pages.
+                return Page(tuple(rows), page.version, min(epochs))
             # The start of the range is inclusive: this is the smallest key
             # after the last one.
             start = f'{page.rows[-1].key}\0'
@@ -88,7 +98,7 @@
         response = await self._get('/api/rows-feed', parameters, wait)
         if response.status == _GONE:
             raise HistoryLostError(f'no history of {table} after {after}')
-        return _decode_page(_check(response))
+        return _decode_page(response)
 
     async def watch_configuration(self, after: int, wait: float) -> Page:
         """Wait for a change of the operator's configuration.
@@ -108,11 +118,11 @@
         key: str,
         content: bytes,
         expected: int,
-    ) -> int:
+    ) -> WriteReceipt:
         """Write a row if it still has the expected version.
 
         :param expected: version of the row, 0 if the row must not exist.
-        :returns: the new version.
+        :returns: the new version and its epoch.
         :raises RowChangedError: if the row has another version.
         :raises StoreDownError: if the row was not written.
         :raises LostAnswerError: if the row may have been written.
@@ -128,9 +138,7 @@
         fields = [('Content-Type', 'application/json')]
         request = HttpRequest('POST', '/api/rows-tx', fields, body)
         try:
-            response = await self._client.call(
-                self._address, request, _CALL_TIMEOUT_SECONDS
-            )
+            response = await self._call(request, _CALL_TIMEOUT_SECONDS)
         except ConnectionFailedError as error:
             raise StoreDownError(str(error)) from error
         except (ConnectionCutError, ProtocolError, TimeoutError) as error:
@@ -140,14 +148,16 @@
             raise RowChangedError(current[0].version if current else 0)
         if response.status in _NOT_EXECUTED_STATUSES:
             raise StoreDownError(f'store returned status {response.status}')
-        return int(_check(response)['row_version'])
+        version = int(_check(response)['row_version'])
+        return WriteReceipt(version, _decode_epoch(response))
 
     async def _read_rows(self, table: str, start: str) -> tuple[Page, bool]:
         parameters = {'table': table, 'part': '', 'limit': _PAGE_ROWS}
         if start:
             parameters['from'] = start
-        fields = _check(await self._get('/api/rows-get', parameters, 0))
-        return _decode_page(fields), bool(fields.get('has_more'))
+        response = await self._get('/api/rows-get', parameters, 0)
+        has_more = bool(_check(response).get('has_more'))
+        return _decode_page(response), has_more
 
     async def _get(
         self,
@@ -158,14 +168,27 @@
         query = urllib.parse.urlencode(parameters)
         request = HttpRequest('GET', f'{path}?{query}', [], b'')
         try:
-            return await self._client.call(
-                self._address, request, wait + _CALL_TIMEOUT_SECONDS
-            )
+            return await self._call(request, wait + _CALL_TIMEOUT_SECONDS)
         except (ConnectionFailedError, ConnectionCutError) as error:
             raise StoreDownError(str(error)) from error
         except (ProtocolError, TimeoutError) as error:
             raise StoreDownError(repr(error)) from error
 
+    async def _call(self, request: HttpRequest, timeout: float) -> HttpResponse:
+        response = await self._client.call(self._address, request, timeout)
+        epoch = _decode_epoch(response)
+        for listener in self.epoch_listeners:
+            listener(epoch)
+        return response
+
+
+def _decode_epoch(response: HttpResponse) -> int:
+    """Return the epoch of a response, 0 if it has none."""
+    for name, text in response.fields:
+        if name.lower() == names.STORE_EPOCH.lower() and text.isdecimal():
+            return int(text)
+    return 0
+
 
 def _check(response: HttpResponse) -> Mapping:
     if response.status != _OK:
@@ -183,9 +206,14 @@
     return fields
 
 
-def _decode_page(fields: Mapping) -> Page:
+def _decode_page(response: HttpResponse) -> Page:
+    fields = _check(response)
     try:
-        return Page(_decode_rows(fields), int(fields['row_version']))
+        return Page(
+            _decode_rows(fields),
+            int(fields['row_version']),
+            _decode_epoch(response),
+        )
     except (KeyError, TypeError, ValueError) as error:
         raise StoreError(f'malformed store response: {error!r}') from error
 
@@ -213,4 +241,4 @@
 
 def _select_configuration(page: Page) -> Page:
     rows = [row for row in page.rows if row.key == names.CONFIGURATION_KEY]
-    return Page(tuple(rows), page.version)
+    return Page(tuple(rows), page.version, page.epoch)
