Log a restored store that has an older configuration

A node never took an older configuration, and the requests of test_route_is_kept_while_the_store_is_older were served without this change too. But nothing told an operator that the store is behind; the node now logs it once for each restore. Without the change the two tests failed with 'assert 0 == 1' for the number of lines; with it they pass.

--- a/godwitknot/mesh/storesync.py
+++ b/godwitknot/mesh/storesync.py
@@ -60,11 +60,23 @@
         :param origin: source of the configuration, for the log.
         :returns: whether it was activated.
         """
+        received = self.read(source)
+        return received is not None and self.activate(received, origin)
+
+    def read(self, source: bytes) -> FleetConfiguration | None:
+        """Decode a configuration, ``None`` if it is malformed."""
         try:
-            received = self._dialect.read_configuration(source)
+            return self._dialect.read_configuration(source)
         except PlatformFormatError as error:
             self._log.write('configuration unreadable', detail=str(error))
-            return False
+        return None
+
+    def activate(self, received: FleetConfiguration, origin: str) -> bool:
+        """Activate a configuration if it is newer.
+
+        :param origin: source of the configuration, for the log.
+        :returns: whether it was activated.
+        """
         if received.version <= self.version:
             return False
         self._log.write(
@@ -105,6 +117,8 @@
         self._record = StoredRecord(str(directory.local_member.address))
         self._epoch.listeners.append(self._record.forget)
         store.epoch_listeners.append(self._epoch.observe)
+        # Epoch in which an outdated configuration was logged last.
+        self._outdated_epoch = -1
         self._write_requested = asyncio.Event()
         self._connected = True
         self.members_loaded = False
@@ -133,7 +147,23 @@
         async for page, _ in self._follow('configuration', read):
             for row in page.rows:
                 if row.content is not None:
-                    self._holder.adopt(row.content, 'store')
+                    self._apply_configuration(row.content)
+
+    def _apply_configuration(self, source: bytes) -> None:
+        """Activate the configuration of the store, unless it is outdated."""
+        received = self._holder.read(source)
+        if received is None:
+            return
+        is_outdated = received.version < self._holder.version
+        if is_outdated and self._outdated_epoch != self._epoch.current:
+            self._outdated_epoch = self._epoch.current
+            self._log.write(
+                'stored configuration outdated',
+                version=received.version,
+                active=self._holder.version,
+                epoch=self._epoch.current,
+            )
+        self._holder.activate(received, 'store')
 
     async def _follow_members(self) -> None:
         async def read(after: int | None, wait: float) -> Page:
--- a/tests/godwitknot/mesh/test_restored_store.py
+++ b/tests/godwitknot/mesh/test_restored_store.py
@@ -73,6 +73,17 @@
     assert not serves(fleet.machines[0], '/later/1')
 
 
+def test_route_is_kept_while_the_store_is_older(copied):
+    fleet, moment = copied
+    restore(fleet, moment)
+    end = time.monotonic() + APPLY_SECONDS
+    while time.monotonic() < end:
+        assert all_serve(fleet, '/later/1')
+    events = [each['event'] for each in fleet.machines[0].events()]
+    assert events.count('store restored') == 1
+    assert events.count('stored configuration outdated') == 1
+
+
 def test_node_started_after_a_restore_gets_the_newer_configuration(copied):
     """Guards against a node that keeps the older one of the store."""
     fleet, moment = copied
--- a/tests/godwitknot/mesh/test_storesync.py
+++ b/tests/godwitknot/mesh/test_storesync.py
@@ -383,6 +383,24 @@
     run(scenario)
 
 
+def test_older_configuration_of_a_restored_store_is_logged_once(run, logged):
+    """Guards against an older configuration that a restore puts in force."""
+
+    async def scenario(node):
+        (await node.store.take('configuration')).answer(Page((), 20, 2))
+        (await node.store.take('configuration')).answer(configured(4, 15, 2))
+        (await node.store.take('configuration')).answer(configured(5, 16, 2))
+        (await node.store.take('configuration')).answer(configured(6, 17, 2))
+        (await node.store.take('configuration')).answer(configured(7, 18, 2))
+        await node.store.take('configuration')
+        assert node.holder.version == 7
+
+    run(scenario)
+    lines = logged()
+    assert lines.count('"event":"stored configuration outdated"') == 1
+    assert '"version":4,"active":6,"epoch":2' in lines
+
+
 def test_unreadable_configuration_is_not_taken(run):
     """Guards against an invalid configuration in a restored store."""
 
