Tell a restarted node that its server left if only others know it

Cause: the record of the next run of a node replaced the one that said that its server had left, and a restore dropped that record from the store. Three heartbeats in order then proved the server although it had left. Change: nodes keep the departure of an earlier run and put it in their replies to digests of that node until it reports the departure itself, or has another server.

--- a/godwitknot/mesh/localserver.py
+++ b/godwitknot/mesh/localserver.py
@@ -19,7 +19,6 @@
 # here, cannot have announced its departure to another process. This is the
 # highest sequence number that counts as a first heartbeat.
 _MAX_FIRST_SEQUENCE = 2
-_DEPARTING_STATES = frozenset((ServerState.DRAINING, ServerState.GONE))
 
 
 @attrs.define
@@ -122,7 +121,7 @@
         """
         if not member.server_id:
             return
-        if member.state not in _DEPARTING_STATES:
+        if not member.is_departing:
             if not self.server_id:
                 self._adopt(member)
             return
--- a/godwitknot/mesh/memberdirectory.py
+++ b/godwitknot/mesh/memberdirectory.py
@@ -44,6 +44,11 @@
         """Whether other nodes may send requests to its server."""
         return self.serving and self.state is ServerState.READY
 
+    @property
+    def is_departing(self) -> bool:
+        """Whether its server is leaving or has left."""
+        return self.state in {ServerState.DRAINING, ServerState.GONE}
+
 
 @attrs.frozen
 class Crash:
@@ -73,6 +78,8 @@
         self._buckets: tuple[dict[Address, Member], ...] = tuple(
             {} for _ in range(BUCKET_COUNT)
         )
+        # Records of earlier runs of nodes whose server left during that run.
+        self._departures: dict[Address, Member] = {}
         self._hashes: list[int | None] = [None for _ in range(BUCKET_COUNT)]
         self._local_address = local_member.address
         self._by_service: dict[str, list[Member]] = {}
@@ -105,6 +112,20 @@
         """Return the record of an address."""
         return self._members.get(address)
 
+    def find_departure(self, address: Address) -> Member | None:
+        """Return the record of a server that left in an earlier run of a node.
+
+        :returns: ``None`` if the node has another server, or reports that the
+            server left.
+        """
+        departure = self._departures.get(address)
+        current = self._members.get(address)
+        if departure is None or current is None or current.is_departing:
+            return None
+        if current.server_id in {'', departure.server_id}:
+            return departure if current.born <= departure.born else None
+        return None
+
     def hash_buckets(self) -> tuple[int, ...]:
         """Return a hash of the record versions of each bucket."""
         for number, cached in enumerate(self._hashes):
@@ -187,6 +208,10 @@
         return is_local and member.state is ServerState.READY
 
     def _store(self, member: Member) -> None:
+        known = self._members.get(member.address)
+        if known is not None and known.is_departing:
+            if known.incarnation < member.incarnation:
+                self._departures[member.address] = known
         self._members[member.address] = member
         number = _find_bucket(member.address)
         self._buckets[number][member.address] = member
--- a/godwitknot/mesh/peergossip.py
+++ b/godwitknot/mesh/peergossip.py
@@ -192,9 +192,14 @@
         newer = self._holder.version > digest.version
         if digest.version > self._holder.version:
             self._spawn(self._pull_configuration(digest.sender, digest.version))
-        if not (differing or newer):
+        # A node that restarted does not find a departure in the store if a
+        # restore dropped it.
+        departure = self._directory.find_departure(digest.sender)
+        if not (differing or newer or departure):
             return frames.encode_same()
         members = self._directory.list_bucket_members(differing)
+        if departure is not None:
+            members = (departure, *members)
         source = self._holder.current.source if newer else b''
         digest_reply = DigestReply(members, differing, source)
         return frames.encode_digest_reply(digest_reply)
--- a/tests/godwitknot/mesh/test_memberdirectory.py
+++ b/tests/godwitknot/mesh/test_memberdirectory.py
@@ -1,6 +1,7 @@
 """The directory only replaces a record by a newer one."""
 
 import attrs
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -112,3 +113,33 @@
     directory = Directory(LOCAL)
     differing = directory.find_differing_buckets(())
     assert directory.list_bucket_members(differing) == (LOCAL,)
+
+
+DEPARTED = attrs.evolve(PEER, revision=3, state=ServerState.GONE)
+RESTARTED = attrs.evolve(PEER, incarnation=101, state=ServerState.READY)
+
+
+@pytest.mark.parametrize(
+    ('restarted', 'departure'),
+    [
+        (RESTARTED, DEPARTED),
+        (attrs.evolve(RESTARTED, server_id='', born=0), DEPARTED),
+        (attrs.evolve(RESTARTED, state=ServerState.DRAINING), None),
+        (attrs.evolve(RESTARTED, server_id='s2', born=6), None),
+        (attrs.evolve(RESTARTED, born=6), None),
+    ],
+)
+def test_departure_is_kept_until_the_restarted_node_knows(restarted, departure):
+    """Guards against a departure that a newer record of the node hides."""
+    directory = Directory(LOCAL)
+    directory.merge([DEPARTED])
+    directory.merge([restarted])
+    assert directory.find_departure(PEER.address) == departure
+
+
+def test_ready_server_is_no_departure():
+    directory = Directory(LOCAL)
+    directory.merge([PEER])
+    directory.merge([RESTARTED])
+    assert directory.find_departure(PEER.address) is None
+    assert directory.find_departure(Address('10.0.0.9', 1)) is None
--- a/tests/godwitknot/mesh/test_peergossip.py
+++ b/tests/godwitknot/mesh/test_peergossip.py
@@ -10,6 +10,7 @@
 from godwitknot.mesh import frames
 from godwitknot.mesh.memberdirectory import Directory
 from godwitknot.mesh.messages import Digest, Kind
+from godwitknot.mesh.model import ServerState
 from godwitknot.mesh.peergossip import PeerGossip
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.serverselector import ServerSelector
@@ -108,6 +109,33 @@
     assert sum(size for _, size in relay.sent) < all_records / 8
 
 
+def test_restarted_node_learns_that_its_server_left(build):
+    """Guards against a departure that only other nodes still know.
+
+    A restore of the store dropped it, and the node restarted.
+    """
+
+    async def scenario():
+        departed = attrs.evolve(make_member(1), state=ServerState.GONE)
+        local = attrs.evolve(make_member(1), incarnation=101)
+        peer = make_member(2)
+        restarted = build(local, [peer])
+        found = []
+        restarted.previous_record_listeners.append(found.append)
+        other = build(peer, [departed])
+        other._directory.merge([local])
+        await restarted._exchange(peer.address)
+        assert found == [departed]
+        # The next exchange tells the other node that this one knows it.
+        restarted._directory.update_local_member(state=ServerState.GONE)
+        await restarted._exchange(peer.address)
+        found.clear()
+        await restarted._exchange(peer.address)
+        assert not found
+
+    asyncio.run(scenario())
+
+
 def test_news_go_mostly_to_the_own_failure_domain(build):
     """Guards against avoidable traffic between domains, which is billed."""
     same = [make_member(number) for number in range(2, 10)]
--- a/tests/godwitknot/mesh/test_restored_store.py
+++ b/tests/godwitknot/mesh/test_restored_store.py
@@ -106,3 +106,48 @@
         lambda: read_stored_state(fleet, first) is ServerState.GONE,
         APPLY_SECONDS,
     )
+
+
+@pytest.mark.parametrize('restarted', [0, 1])
+def test_server_that_left_gets_nothing_after_a_restore(copied, restarted):
+    """Guards against requests to a server that is ready in an older row.
+
+    Its own node, or another one, restarts while the row is older.
+    """
+    fleet, moment = copied
+    first = fleet.machines[0]
+    first.server.draining = True
+    assert first.server.deregister(first.control) == 200
+    wait_until(lambda: read_stored_state(fleet, first) is ServerState.GONE)
+    entry = fleet.machines[restarted]
+    entry.process.kill()
+    restore(fleet, moment)
+    restart(entry)
+    # A late heartbeat.
+    first.server.send_heartbeat(first.control, state='ready')
+    before = len(first.server.runs)
+    end = time.monotonic() + APPLY_SECONDS
+    while time.monotonic() < end:
+        entry.send('/browse/1', f'a-{time.monotonic_ns()}')
+    assert len(first.server.runs) == before
+
+
+def test_restarted_node_learns_a_departure_from_others(copied):
+    """Guards against heartbeats that prove a server that has left.
+
+    The restored store has no record of the departure.
+    """
+    fleet, moment = copied
+    first = fleet.machines[0]
+    first.server.draining = True
+    assert first.server.deregister(first.control) == 200
+    wait_until(lambda: read_stored_state(fleet, first) is ServerState.GONE)
+    first.process.kill()
+    restore(fleet, moment)
+    restart(first)
+    time.sleep(APPLY_SECONDS)
+    before = len(first.server.runs)
+    for number in range(6):
+        first.server.send_heartbeat(first.control, state='ready')
+        first.send('/browse/1', f'a-{number}')
+    assert len(first.server.runs) == before
