--- a/godwitknot/mesh/memberdirectory.py
+++ b/godwitknot/mesh/memberdirectory.py
@@ -158,6 +158,18 @@
             for member in self._buckets[number % BUCKET_COUNT].values()
         )
 
+    def list_records_for(
+        self, node: Address, numbers: Iterable[int]
+    ) -> tuple[Member, ...]:
+        """Return the records in the given buckets that a node lacks.
+
+        A node that restarted also lacks the departure of its server, if a
+        restore dropped it from the store.
+        """
+        departure = self.find_departure(node)
+        earlier = () if departure is None else (departure,)
+        return earlier + self.list_bucket_members(numbers)
+
     def update_local_member(self, **changes: object) -> bool:
         """Change fields of this node's record and raise its revision.
 
--- a/godwitknot/mesh/peergossip.py
+++ b/godwitknot/mesh/peergossip.py
@@ -7,16 +7,20 @@
 import asyncio
 from collections.abc import Callable
 
-from godwitknot.control.messages import CrashReport
 from godwitknot.errors import ProtocolError
 from godwitknot.health.crashes import CrashTracker
 from godwitknot.mesh import frames
+from godwitknot.mesh.configurationcopies import ConfigurationCopies
+from godwitknot.mesh.configurationfetcher import ConfigurationFetcher
+from godwitknot.mesh.crashreports import CrashReports
 from godwitknot.mesh.memberdirectory import Crash, Directory, Member
 from godwitknot.mesh.messages import Digest, DigestReply, Kind, Rumor
-from godwitknot.mesh.noderelay import RelayClient
+from godwitknot.mesh.relayclient import RelayClient
+from godwitknot.mesh.restartingnodes import RestartingNodes
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.serverselector import ServerSelector
 from godwitknot.mesh.storesync import ConfigurationHolder
+from godwitknot.mesh.transfers import Transfer
 from godwitknot.units import Address
 
 # Number of peers that receive a rumor, in the same and in other failure
@@ -30,13 +34,10 @@
 _BATCH_SECONDS = 0.02
 _DIGEST_INTERVAL_SECONDS = 1.0
 _CALL_TIMEOUT_SECONDS = 1.0
-# The store notifies each node of a new configuration. A node pulls it from a
-# peer only if that takes longer than this.
-_PULL_DELAY_SECONDS = 0.5
+# A node that falls behind asks others again, so that these may be short.
+_MAX_EXCHANGE_SECONDS = 3.0
+_MAX_COPY_SECONDS = 10.0
 _MAX_PROBED_NODES = 3
-# A node that closed its connections restarts within seconds, or its machine
-# is replaced and the node never replies again.
-_RESTART_TIMEOUT_SECONDS = 30.0
 
 
 class PeerGossip:
@@ -61,18 +62,17 @@
         """
         self._directory = directory
         self._holder = holder
+        self._copies = ConfigurationCopies(holder, runtime)
+        self._fetcher = ConfigurationFetcher(holder, self._fetch_configuration)
         self._selector = selector
-        self._crashes = crashes
+        self._crash_reports = CrashReports(crashes, runtime.log)
         self._relay = relay
-        self._clock = runtime.clock
         self._log = runtime.log
         self._telemetry = runtime.telemetry
         self._rng = runtime.rng
         self._pending_members: dict[Address, Member] = {}
-        self._pending_crashes: dict[tuple, Crash] = {}
-        self._seen_crashes: set[tuple] = set()
-        # Nodes that closed their connections, and until when to probe them.
-        self._restarting: dict[Address, float] = {}
+        self._pending_crashes: list[Crash] = []
+        self._restarting = RestartingNodes(directory, relay, runtime.clock)
         # Called with records that an earlier run of this node left behind.
         self.previous_record_listeners: list[Callable[[Member], None]] = []
         self._push_requested = asyncio.Event()
@@ -160,48 +160,25 @@
         self.merge_members(list(rumor.members), 'rumor')
         for crash in rumor.crashes:
             self._record_crash(crash)
-        if rumor.version > self._holder.version:
-            self._spawn(self._pull_configuration(rumor.sender, rumor.version))
+        self._fetcher.announce(rumor.sender, rumor.version)
 
     def _record_crash(self, crash: Crash) -> None:
-        key = (crash.node, crash.server_id, crash.fingerprints)
-        if key in self._seen_crashes:
-            return
-        self._seen_crashes.add(key)
-        self._pending_crashes[key] = crash
-        self._push_requested.set()
-        self._log.write(
-            'server crashed',
-            server=crash.server_id,
-            peer=crash.node,
-            in_flight=len(crash.fingerprints),
-        )
-        self._crashes.record_crash(
-            CrashReport(
-                crash.service,
-                crash.node,
-                crash.server_id,
-                0,
-                crash.fingerprints,
-            )
-        )
+        if self._crash_reports.record(crash):
+            self._pending_crashes.append(crash)
+            self._push_requested.set()
 
     def _reply_to_digest(self, digest: Digest) -> bytes:
         self._selector.mark_reachable(digest.sender)
         differing = self._directory.find_differing_buckets(digest.buckets)
         newer = self._holder.version > digest.version
-        if digest.version > self._holder.version:
-            self._spawn(self._pull_configuration(digest.sender, digest.version))
-        # A node that restarted does not find a departure in the store if a
-        # restore dropped it.
-        departure = self._directory.find_departure(digest.sender)
-        if not (differing or newer or departure):
+        self._fetcher.announce(digest.sender, digest.version)
+        members = self._directory.list_records_for(digest.sender, differing)
+        if not (differing or newer or members):
             return frames.encode_same()
-        members = self._directory.list_bucket_members(differing)
-        if departure is not None:
-            members = (departure, *members)
-        source = self._holder.current.source if newer else b''
-        digest_reply = DigestReply(members, differing, source)
+        copy, compressed = self._copies.take_copy(digest)
+        digest_reply = DigestReply(
+            members, differing, copy, self._holder.version, compressed
+        )
         return frames.encode_digest_reply(digest_reply)
 
     async def _push_changes(self) -> None:
@@ -211,7 +188,7 @@
             await asyncio.sleep(_BATCH_SECONDS)
             self._push_requested.clear()
             members = tuple(self._pending_members.values())
-            crashes = tuple(self._pending_crashes.values())
+            crashes = tuple(self._pending_crashes)
             self._pending_members.clear()
             self._pending_crashes.clear()
             if not (members or crashes or self._holder.version > version):
@@ -229,7 +206,7 @@
 
     async def _exchange_digests(self) -> None:
         while True:
-            await asyncio.sleep(
+            await self._sleep(
                 _DIGEST_INTERVAL_SECONDS * (0.5 + self._rng.random())
             )
             for address in self._list_nodes_to_probe():
@@ -241,40 +218,63 @@
             for peer in self._sample(peers, 1 - other, other):
                 await self._exchange(peer.address)
 
+    async def _sleep(self, seconds: float) -> None:
+        """Sleep, and record by how much this process was held up."""
+        loop = asyncio.get_running_loop()
+        due = loop.time() + seconds
+        await asyncio.sleep(seconds)
+        self._telemetry.observe('loop_delay_seconds', loop.time() - due)
+
     def _list_nodes_to_probe(self) -> list[Address]:
         """Return the nodes to contact until they are reachable again.
 
         A node that restarts while the store is down has no records. It
         becomes ready only once a ready node sends it a digest.
         """
-        now = self._clock.now()
-        closed = set(self._relay.remove_closed())
-        zone = self._directory.local_member.zone
-        for peer in self._directory.list_peers():
-            # Nodes of other failure domains are probed by those next to them.
-            if peer.address in closed and peer.zone == zone:
-                self._restarting[peer.address] = now + _RESTART_TIMEOUT_SECONDS
-        self._restarting = {
-            address: end
-            for address, end in self._restarting.items()
-            if now < end
-        }
         probed = list(self._selector.unreachable)[:_MAX_PROBED_NODES]
-        probed += list(self._restarting)[:_MAX_PROBED_NODES]
+        probed += self._restarting.list_nodes()[:_MAX_PROBED_NODES]
         return list(dict.fromkeys(probed))
 
     async def _exchange(self, address: Address) -> None:
-        """Compare digests with another node and exchange what differs."""
-        digest = Digest(
+        """Compare digests with another node and exchange what differs.
+
+        A newer configuration is fetched afterwards.
+        """
+        digest = self._make_digest(omit_configuration=True)
+        reply = await self._send(address, frames.encode_digest(digest))
+        if reply is None:
+            return
+        kind, content = reply
+        await self._apply_digest_reply(address, kind, content)
+        if kind is Kind.KNOWLEDGE:
+            self._fetcher.announce(address, content.version)
+
+    async def _fetch_configuration(self, address: Address) -> None:
+        digest = self._make_digest(omit_configuration=False)
+        transfer = _limit_transfer(_MAX_COPY_SECONDS)
+        reply = await self._send(
+            address, frames.encode_digest(digest), transfer
+        )
+        if reply is None:
+            self._copies.report_failed_transfer(address, transfer)
+            return
+        await self._apply_digest_reply(address, *reply)
+
+    def _make_digest(self, *, omit_configuration: bool) -> Digest:
+        return Digest(
             self._directory.local_member.address,
             self._directory.hash_buckets(),
             self._holder.version,
+            omit_configuration,
+            accept_compressed=True,
         )
-        frame = frames.encode_digest(digest)
-        reply = await self._send(address, frame)
-        if reply is None:
-            return
-        kind, content = reply
+
+    async def _apply_digest_reply(
+        self,
+        address: Address,
+        kind: Kind,
+        content: DigestReply | None,
+    ) -> None:
         if kind is not Kind.KNOWLEDGE:
             return
         self.synchronized = True
@@ -282,8 +282,7 @@
             each.address: each.record_version for each in content.members
         }
         self.merge_members(list(content.members), 'digest')
-        if content.configuration:
-            self._holder.adopt(content.configuration, 'peer')
+        self._copies.adopt_copy(content)
         newer_members = tuple(
             each
             for each in self._directory.list_bucket_members(content.buckets)
@@ -294,22 +293,19 @@
             rumor = Rumor(local, newer_members, (), self._holder.version)
             await self._send(address, frames.encode_rumor(rumor))
 
-    async def _pull_configuration(self, address: Address, version: int) -> None:
-        await asyncio.sleep(_PULL_DELAY_SECONDS)
-        if self._holder.version < version:
-            await self._exchange(address)
-
     async def _send(
         self,
         address: Address,
         frame: bytes,
+        transfer: Transfer | None = None,
     ) -> tuple[Kind, object] | None:
-        reply = await self._relay.call(address, frame, _CALL_TIMEOUT_SECONDS)
+        transfer = transfer or _limit_transfer(_MAX_EXCHANGE_SECONDS)
+        reply = await self._relay.call(address, frame, transfer)
         if reply is None:
             self._telemetry.count('news_undelivered')
             return None
         self._selector.mark_reachable(address)
-        self._restarting.pop(address, None)
+        self._restarting.remove(address)
         return reply
 
     def _list_rumor_peers(self) -> list[Member]:
@@ -345,3 +341,11 @@
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _limit_transfer(max_seconds: float) -> Transfer:
+    return Transfer(
+        _CALL_TIMEOUT_SECONDS,
+        silence_seconds=_CALL_TIMEOUT_SECONDS,
+        max_seconds=max_seconds,
+    )
--- a/godwitknot/mesh/storesync.py
+++ b/godwitknot/mesh/storesync.py
@@ -12,6 +12,7 @@
     PlatformFormatError,
     ProtocolError,
     RowChangedError,
+    StoreDownError,
     StoreError,
     StoreRestoredError,
 )
@@ -23,6 +24,7 @@
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.storedrecord import StoredRecord
 from godwitknot.mesh.storeepoch import EpochTracker
+from godwitknot.mesh.transfers import report_abandoned_copy
 
 _MEMBER_TABLE = 'members'
 # Long-poll timeout of a feed without changes; the store allows up to 30 s.
@@ -110,6 +112,7 @@
         self._holder = holder
         self._directory = directory
         self._merge_members = merge_members
+        self._runtime = runtime
         self._log = runtime.log
         self._telemetry = runtime.telemetry
         self._rng = runtime.rng
@@ -140,9 +143,13 @@
 
     async def _follow_configuration(self) -> None:
         async def read(after: int | None, wait: float) -> Page:
-            if after is None:
-                return await self._store.read_configuration()
-            return await self._store.watch_configuration(after, wait)
+            try:
+                if after is None:
+                    return await self._store.read_configuration()
+                return await self._store.watch_configuration(after, wait)
+            except StoreDownError as error:
+                self._report_abandoned_copy(error)
+                raise
 
         async for page, _ in self._follow('configuration', read):
             for row in page.rows:
@@ -151,6 +158,8 @@
 
     def _apply_configuration(self, source: bytes) -> None:
         """Activate the configuration of the store, unless it is outdated."""
+        self._telemetry.count('configuration_copies_from_store')
+        self._telemetry.count('configuration_bytes_from_store', len(source))
         received = self._holder.read(source)
         if received is None:
             return
@@ -165,6 +174,16 @@
             )
         self._holder.activate(received, 'store')
 
+    def _report_abandoned_copy(self, error: StoreDownError) -> None:
+        # Each failed poll of a store that is down would be a line otherwise.
+        if error.received_bytes:
+            report_abandoned_copy(
+                self._runtime,
+                'store',
+                error.received_bytes,
+                detail=str(error),
+            )
+
     async def _follow_members(self) -> None:
         async def read(after: int | None, wait: float) -> Page:
             if after is None:
--- a/godwitknot/platform/store.py
+++ b/godwitknot/platform/store.py
@@ -23,6 +23,7 @@
     WriteReceipt,
 )
 from godwitknot.mesh.model import HttpRequest, HttpResponse
+from godwitknot.mesh.transfers import Transfer
 from godwitknot.platform import names
 from godwitknot.units import Address
 
@@ -36,6 +37,9 @@
 _PAGE_ROWS = 500
 # The store usually responds in 4 ms, but can be 70 times slower under a fault.
 _CALL_TIMEOUT_SECONDS = 2.0
+# For reads, which may be large. 140 nodes that share a link of 30 Mbit/s
+# receive a configuration of 0.5 MB each within 20 s.
+_MAX_READ_SECONDS = 30.0
 
 
 class PlatformStore(MetadataStore):
@@ -138,11 +142,14 @@
         fields = [('Content-Type', 'application/json')]
         request = HttpRequest('POST', '/api/rows-tx', fields, body)
         try:
-            response = await self._call(request, _CALL_TIMEOUT_SECONDS)
+            response = await self._client.call(
+                self._address, request, _CALL_TIMEOUT_SECONDS
+            )
         except ConnectionFailedError as error:
             raise StoreDownError(str(error)) from error
         except (ConnectionCutError, ProtocolError, TimeoutError) as error:
             raise LostAnswerError(repr(error)) from error
+        self._report_epoch(response)
         if response.status == _CONDITION_FAILED:
             current = _decode_rows(_parse(response.body))
             raise RowChangedError(current[0].version if current else 0)
@@ -167,19 +174,28 @@
     ) -> HttpResponse:
         query = urllib.parse.urlencode(parameters)
         request = HttpRequest('GET', f'{path}?{query}', [], b'')
+        transfer = Transfer(
+            wait + _CALL_TIMEOUT_SECONDS,
+            silence_seconds=_CALL_TIMEOUT_SECONDS,
+            max_seconds=_MAX_READ_SECONDS,
+        )
         try:
-            return await self._call(request, wait + _CALL_TIMEOUT_SECONDS)
+            response = await self._client.fetch(
+                self._address, request, transfer
+            )
         except (ConnectionFailedError, ConnectionCutError) as error:
-            raise StoreDownError(str(error)) from error
+            raise StoreDownError(str(error), transfer.received_bytes) from error
         except (ProtocolError, TimeoutError) as error:
-            raise StoreDownError(repr(error)) from error
+            raise StoreDownError(
+                repr(error), transfer.received_bytes
+            ) from error
+        self._report_epoch(response)
+        return response
 
-    async def _call(self, request: HttpRequest, timeout: float) -> HttpResponse:
-        response = await self._client.call(self._address, request, timeout)
+    def _report_epoch(self, response: HttpResponse) -> None:
         epoch = _decode_epoch(response)
         for listener in self.epoch_listeners:
             listener(epoch)
-        return response
 
 
 def _decode_epoch(response: HttpResponse) -> int:
--- a/tests/godwitknot/platform/test_store.py
+++ b/tests/godwitknot/platform/test_store.py
@@ -1,95 +1,80 @@
-"""The client of the metadata store shows the epoch of each response."""
+"""Reads of the store over narrow and silent links."""
 
 import asyncio
+import threading
+import time
 
 import pytest
 
-from godwitknot.errors import HistoryLostError, RowChangedError, StoreDownError
+from godwitknot.errors import StoreDownError
 from godwitknot.mesh.httpclient import HttpClient
-from godwitknot.mesh.model import HttpResponse
 from godwitknot.platform.store import PlatformStore
 from godwitknot.units import Address
+from standins.faultylink import FaultyLink
 from standins.metadatastore import MetadataStore, start_store
+from standins.ports import reserve_addresses
 
-
-@pytest.fixture
-def store():
-    return MetadataStore()
+# A configuration of 1,400 routes has this size.
+CONFIGURATION = b'x' * 360_000
+# Carries the configuration, with its encoding, in 5 s.
+BYTES_PER_SECOND = 100_000
 
 
 @pytest.fixture
-def client(store):
+def link():
+    """A narrow link to a store that holds a large configuration."""
+    store = MetadataStore()
+    store.put('op', 'config', CONFIGURATION)
     server = start_store(store)
-    address = Address(*server.server_address)
-    yield PlatformStore(HttpClient(5), address)
+    address = reserve_addresses(1)[0]
+    link = FaultyLink(address, Address('127.0.0.1', server.server_address[1]))
+    link.bytes_per_second = BYTES_PER_SECOND
+    link.start()
+    yield link
     server.shutdown()
-    server.server_close()
-
-
-class ScriptedClient:
-    """Returns prepared responses."""
-
-    def __init__(self, *responses):
-        self._responses = list(responses)
-
-    async def call(self, address, http_request, timeout):
-        return self._responses.pop(0)
 
 
-def make_response(epoch, **fields):
-    body = (
-        b'{"rows": [{"key": "a", "value": "", "row_version": 1}],'
-        b' "row_version": 1, "has_more": %s}' % fields.get('more', b'false')
-    )
-    return HttpResponse(200, [('store-era', epoch)], body)
+def read_configuration(link):
+    store = PlatformStore(HttpClient(1), link.address)
+    return asyncio.run(store.read_configuration())
 
 
-def test_pages_and_receipts_have_the_epoch(store, client):
-    store.restore(0)
+def cut_after(link, seconds):
+    def cut():
+        time.sleep(seconds)
+        link.cut_backward = True
 
-    async def scenario():
-        receipt = await client.write_row('members', 'a', b'content', 0)
-        table = await client.read_table('members')
-        feed = await client.watch_table('members', 0, 1)
-        configuration = await client.read_configuration()
-        return receipt, table, feed, configuration
+    threading.Thread(target=cut, daemon=True).start()
 
-    answers = asyncio.run(scenario())
-    assert [each.epoch for each in answers] == [2, 2, 2, 2]
 
+def test_read_that_falls_silent_reports_what_arrived(link):
+    """Guards against outages whose wasted traffic is not known."""
+    cut_after(link, 1)
+    with pytest.raises(StoreDownError) as failure:
+        read_configuration(link)
+    assert 0 < failure.value.received_bytes < len(CONFIGURATION)
 
-def test_listeners_get_the_epoch_of_failures_too(store, client):
-    """Guards against a restore that shows only in a refusal."""
-    epochs = []
-    client.epoch_listeners.append(epochs.append)
 
-    async def scenario():
-        store.restore(0)
-        with pytest.raises(HistoryLostError):
-            await client.watch_table('members', 99, 1)
-        store.restore(0)
-        with pytest.raises(RowChangedError):
-            await client.write_row('members', 'a', b'content', 7)
-        store.restore(0)
-        store.faults.down = True
-        with pytest.raises(StoreDownError):
-            await client.read_table('members')
+def test_configuration_arrives_over_a_narrow_link(link):
+    """Guards against reads that are given up although data arrives.
 
-    asyncio.run(scenario())
-    assert epochs == [2, 3, 4]
+    On a shared link each of them began again, and none ended.
+    """
+    page = read_configuration(link)
+    assert [row.content for row in page.rows] == [CONFIGURATION]
 
 
-def test_restore_between_two_pages_shows(client):
-    """Guards against a table that mixes rows of before and after a restore."""
-    scripted = ScriptedClient(
-        make_response('1', more=b'true'), make_response('2')
-    )
-    mixed = PlatformStore(scripted, Address('127.0.0.1', 1))
-    assert asyncio.run(mixed.read_table('members')).epoch == 1
+def test_change_arrives_over_a_narrow_link(link):
+    """Guards against the same in the change feed."""
+    store = PlatformStore(HttpClient(1), link.address)
+    page = asyncio.run(store.watch_configuration(0, 0.5))
+    assert [row.content for row in page.rows] == [CONFIGURATION]
 
 
-@pytest.mark.parametrize('text', ['', '-1', 'two', '1.5'])
-def test_malformed_epoch_counts_as_unknown(text):
-    scripted = ScriptedClient(make_response(text))
-    malformed = PlatformStore(scripted, Address('127.0.0.1', 1))
-    assert asyncio.run(malformed.read_table('members')).epoch == 0
+def test_silent_store_is_given_up(link):
+    """Guards against a node that waits for a store that never responds."""
+    link.cut_backward = True
+    started = time.monotonic()
+    with pytest.raises(StoreDownError):
+        read_configuration(link)
+    assert 2 <= time.monotonic() - started < 4
