Restore the store in the fault soak

A lane of its own restores the store in series beside the other faults; the operator writes again what was lost, and the times of the first acknowledgments and the checks of versions stay as they are. When all is calm, a new version is stored in place of dropped rows, and has to be in force in the time of any other version.

--- a/bench/faultsoak/faults.py
+++ b/bench/faultsoak/faults.py
@@ -16,6 +16,8 @@
 # longer than the time limit on draining.
 _DEPARTED_SERVING_SECONDS = 3.5
 _MAX_SKEW_SECONDS = 3.0
+_MAX_GAP_SECONDS = 0.5
+_MAX_COPY_AGE_SECONDS = 6.0
 
 
 def kill_node(
@@ -145,6 +147,24 @@
     fleet.store.drop_history()
 
 
+def store_restored(
+    fleet: SoakFleet, machine: SoakMachine, rng: random.Random
+) -> None:
+    """Restore the store from copies, up to three times in a row.
+
+    The store refuses calls for a moment before each restore, and the operator
+    writes again what was lost some time after the last one.
+    """
+    _sleep_random(rng)
+    for _ in range(rng.randint(1, 3)):
+        fleet.store.faults.down = rng.choice((True, False))
+        time.sleep(rng.uniform(0, _MAX_GAP_SECONDS))
+        fleet.store.restore(rng.uniform(0.2, _MAX_COPY_AGE_SECONDS))
+        fleet.store.faults.down = False
+        time.sleep(rng.uniform(0, _MAX_GAP_SECONDS))
+    fleet.rewrite_lost_configurations()
+
+
 def server_hangs(
     fleet: SoakFleet, machine: SoakMachine, rng: random.Random
 ) -> None:
@@ -223,9 +243,10 @@
     server_fails,
     server_answers_twice,
 )
-# Runs in a separate lane, so that the random draws of the other lanes stay
+# Run in separate lanes, so that the random draws of the other lanes stay
 # the same for each seed.
 STOPS = (stop_together,)
+RESTORES = (store_restored,)
 PLANNED = (
     stop_node,
     reload_node,
--- a/bench/faultsoak/fleet.py
+++ b/bench/faultsoak/fleet.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import itertools
+import json
 import pathlib
 import signal
 import subprocess
@@ -23,6 +24,9 @@
 _SERVICE_SECONDS = 0.03
 _MILLISECONDS = 1000
 _RESTART_DELAY_SECONDS = 0.3
+_DROPPED_ROWS = 10
+# Time in which the feeds of calm nodes deliver a change.
+_FEED_SECONDS = 1.0
 
 
 @attrs.frozen
@@ -128,6 +132,7 @@
         self.exits: list[Exit] = []
         # Monotonic time at which the store acknowledged each version.
         self.versions: dict[int, float] = {}
+        self._operator_lock = threading.Lock()
         self._restart_numbers = itertools.count(1)
         self._stopped = threading.Event()
         for number, service in enumerate(SERVICES, 1):
@@ -152,12 +157,49 @@
 
     def change_configuration(self) -> None:
         """Store a new version with one extra route, named after its number."""
-        version = max(self.versions, default=4) + 1
+        with self._operator_lock:
+            version = max(self.versions, default=4) + 1
+            self._write_configuration(version)
+            self.versions[version] = time.monotonic()
+
+    def rewrite_lost_configurations(self) -> None:
+        """Store the versions again that a restore dropped, in their order."""
+        with self._operator_lock:
+            stored = self._read_stored_version()
+            for version in sorted(self.versions):
+                if version > stored:
+                    self._write_configuration(version)
+
+    def change_configuration_after_restore(self) -> None:
+        """Store a new version in place of rows that a restore dropped.
+
+        The feeds of the nodes have reached a later version of the store,
+        which the store passes before they are open again.
+        """
+        moment = time.monotonic()
+        self._write_other_rows(_DROPPED_ROWS)
+        self.change_configuration()
+        time.sleep(_FEED_SECONDS)
+        self.store.restore(time.monotonic() - moment)
+        self.rewrite_lost_configurations()
+        self.change_configuration()
+        self._write_other_rows(2 * _DROPPED_ROWS)
+
+    def _write_other_rows(self, count: int) -> None:
+        for number in range(count):
+            self.store.put('status', f'row-{number}', b'content')
+
+    def _write_configuration(self, version: int) -> None:
         self.configure(
             version,
             probe=make_route(f'/v{version}/', 'idempotent', 'booking'),
         )
-        self.versions[version] = time.monotonic()
+
+    def _read_stored_version(self) -> int:
+        content = self.store.read_value('op', 'config')
+        if content is None:
+            return 0
+        return int(json.loads(content)['version'].removeprefix('r'))
 
     def restart_node(self, machine: SoakMachine, number: int) -> None:
         """Stop a node by a signal and restart it, as the platform does."""
--- a/bench/faultsoak/run.py
+++ b/bench/faultsoak/run.py
@@ -3,6 +3,7 @@
 import contextlib
 import pathlib
 import time
+from collections.abc import Callable
 from http.client import HTTPException
 
 import attrs
@@ -69,7 +70,11 @@
         script.run_all_events(_FAULT_SECONDS)
         found = list(_check_recovery(fleet))
         time.sleep(CONTACT_SECONDS)
-        found.extend(_check_active_version(fleet))
+        for change in (
+            fleet.change_configuration,
+            fleet.change_configuration_after_restore,
+        ):
+            found.extend(_check_active_version(fleet, change))
         planned_start = time.monotonic()
         script.run_planned_events(_PLANNED_SECONDS)
         time.sleep(_COMPLETION_SECONDS)
@@ -108,9 +113,14 @@
     return [Violation('recovery', f'not served {_RECOVER_SECONDS} s later')]
 
 
-def _check_active_version(fleet: SoakFleet) -> list[Violation]:
-    """Check that each node applies a new version in time."""
-    fleet.change_configuration()
+def _check_active_version(
+    fleet: SoakFleet, change: Callable[[], None]
+) -> list[Violation]:
+    """Check that each node applies a new version in time.
+
+    :param change: stores the new version.
+    """
+    change()
     time.sleep(_APPLY_SECONDS)
     newest = max(fleet.versions)
     found = []
