Refuse port 0 and ports in other digits in addresses

Cause: parse_address accepted port 0, which no peer can have, and digits of other scripts, which isdigit accepts.

Change: a port is one to five ASCII digits from 1 to 65535.

Measured: 2 of the 14 new cases of tests/godwitknot/test_units.py failed before ("DID NOT RAISE ValueError" for 10.0.0.1:0 and for Arabic-Indic digits); all pass now.

--- a/godwitknot/units.py
+++ b/godwitknot/units.py
@@ -15,7 +15,9 @@
 _BYTES_PER_UNIT = types.MappingProxyType(
     {'': 1, 'B': 1, 'KiB': KIB, 'MiB': MIB, 'GiB': GIB},
 )
-_MAX_PORT = 65535
+_PORT = re.compile('[0-9]{1,5}')
+# Port 0 asks the system to choose one, so no peer can be reached there.
+PORTS = range(1, 65536)  # noqa: WPS432
 
 
 def _split_number(text: str) -> tuple[float, str]:
@@ -97,10 +99,8 @@
 
     :raises ValueError: if the port is missing or out of range.
     """
-    host, separator, port = text.strip().rpartition(':')
-    if not (host and separator and port.isdigit()):
-        raise ValueError(text)
-    if int(port) > _MAX_PORT:
+    host, _, port = text.strip().rpartition(':')
+    if not host or _PORT.fullmatch(port) is None or int(port) not in PORTS:
         raise ValueError(text)
     return Address(host, int(port))
 
--- /dev/null
+++ b/tests/godwitknot/test_units.py
@@ -0,0 +1,33 @@
+"""Addresses from settings, rows and announcements are in range."""
+
+import pytest
+
+from godwitknot.units import Address, parse_address
+
+ODD_ADDRESSES = (
+    '10.0.0.1:0',
+    '10.0.0.1:65536',
+    '10.0.0.1:-1',
+    '10.0.0.1:+80',
+    '10.0.0.1:8_0',
+    '10.0.0.1:80.0',
+    '10.0.0.1:',
+    '10.0.0.1',
+    ':80',
+    '10.0.0.1:²',
+    '10.0.0.1:٨٠',
+    f'10.0.0.1:{"9" * 5000}',
+)
+
+
+@pytest.mark.parametrize('text', ['10.0.0.1:1', ' 10.0.0.1:65535 '])
+def test_address_has_a_host_and_a_port(text):
+    host, _, port = text.strip().partition(':')
+    assert parse_address(text) == Address(host, int(port))
+
+
+@pytest.mark.parametrize('text', ODD_ADDRESSES, ids=lambda text: text[:20])
+def test_port_out_of_range_is_no_address(text):
+    """Guards against connections to a port that no socket can have."""
+    with pytest.raises(ValueError):
+        parse_address(text)
