Check type and range of each field of configurations and heartbeats

Cause: the decoders let RecursionError (deep nesting), OverflowError (1e999, numbers of 400 digits) and ValueError (digits that only isdigit accepts) through. Other odd values were taken: ids and paths that no header field can carry, slots and versions that do not fit a frame, routes without attempts, times beyond 1e9 s, and deadlines of nan, inf or less than 0.

Change: fieldchecks.py reads each field with its type and its range, which are named constants. An error names the field and does not repeat its content. A deadline is a decimal number of milliseconds, and anything else gets 400 bad-request.

--- a/godwitknot/platform/dialect.py
+++ b/godwitknot/platform/dialect.py
@@ -1,6 +1,6 @@
 """Codec of header fields, announcements and the configuration."""
 
-import json
+import re
 import urllib.parse
 from collections.abc import Mapping
 
@@ -14,15 +14,32 @@
     Heartbeat,
     RequestMetadata,
     ResponseMetadata,
-    Route,
     ServerState,
-    Share,
 )
 from godwitknot.platform import names
-from godwitknot.units import parse_address
+from godwitknot.platform.configuration import decode_configuration
+from godwitknot.platform.fieldchecks import (
+    Limits,
+    check_text,
+    parse_document,
+    read_address,
+    read_integer,
+    read_number,
+    read_text,
+    read_word,
+)
 
 _MS_PER_SECOND = 1000
-_VERSION_PREFIX = 'r'
+_DEADLINE_MS = re.compile(r'[0-9]{1,15}(?:\.[0-9]{0,15})?')
+_COUNT = re.compile('[0-9]{1,9}')
+# Frames carry the number of slots as an unsigned 32-bit integer; 0 counts as 1.
+_SLOTS = Limits(0, 2**32 - 1)  # noqa: WPS432
+# Milliseconds since 1970, up to the year 2286.
+_UNIX_MS = Limits(0, 10**13)  # noqa: WPS432
+# Heartbeats are seconds apart.
+_SEQUENCE = Limits(0, 10**12)  # noqa: WPS432
+# Milliseconds, up to 11 days.
+_WARM_UP_MS = Limits(0, 10**9)
 _STATES = {'ready': ServerState.READY, 'draining': ServerState.DRAINING}
 # Header fields that the node sets itself, in lower case.
 _NODE_FIELDS = frozenset(
@@ -41,14 +58,11 @@
     def read_request(self, fields: Fields) -> RequestMetadata:
         """Decode the header fields of a caller's request.
 
-        :raises PlatformFormatError: if the deadline is not a number.
+        :raises PlatformFormatError: if the deadline is not a decimal number.
         """
         by_name = _index_by_name(fields)
         text = by_name.get(names.DEADLINE.lower())
-        try:
-            left = None if text is None else float(text) / _MS_PER_SECOND
-        except ValueError as error:
-            raise PlatformFormatError('deadline is not a number') from error
+        left = None if text is None else _parse_deadline(text)
         return RequestMetadata(by_name.get(names.ATTEMPT_ID.lower(), ''), left)
 
     def read_response(self, fields: Fields) -> ResponseMetadata:
@@ -62,7 +76,7 @@
             sealed=names.SERVER_SEAL.lower() in by_name,
             not_executed=names.NOT_EXECUTED.lower() in by_name,
             server_id=by_name.get(names.SERVER_ID.lower(), ''),
-            waiting=int(waiting) if waiting.isdigit() else 0,
+            waiting=int(waiting) if _COUNT.fullmatch(waiting) else 0,
         )
 
     def build_server_fields(
@@ -99,7 +113,7 @@
         """Decode an announcement of the local server.
 
         :returns: ``None`` if the request is not an announcement.
-        :raises PlatformFormatError: if the heartbeat is malformed.
+        :raises PlatformFormatError: if the announcement is malformed.
         """
         path, _, query = target.partition('?')
         if method != 'POST' or path != names.RPC_PATH:
@@ -112,12 +126,13 @@
             names.DEREGISTER_CALL,
         }:
             return None
+        check_text(server_id, 'of')
         if call == names.DEREGISTER_CALL:
             return Departure(server_id, _decode_departure_born(body))
         try:
-            return _decode_heartbeat(server_id, _parse(body))
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            raise PlatformFormatError(f'heartbeat: {error!r}') from error
+            return _decode_heartbeat(server_id, parse_document(body))
+        except PlatformFormatError as error:
+            raise PlatformFormatError(f'heartbeat: {error}') from error
 
     def read_configuration(self, source: bytes) -> FleetConfiguration:
         """Decode the operator's configuration.
@@ -125,111 +140,41 @@
         :raises PlatformFormatError: if the configuration is malformed.
         """
         try:
-            return _decode_configuration(source, _parse(source))
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            raise PlatformFormatError(f'configuration: {error!r}') from error
+            return decode_configuration(source, parse_document(source))
+        except PlatformFormatError as error:
+            raise PlatformFormatError(f'configuration: {error}') from error
 
 
 def _index_by_name(fields: Fields) -> dict[str, str]:
     return {name.lower(): text for name, text in fields}
 
 
-def _parse(body: bytes) -> Mapping:
-    document = json.loads(body)
-    if not isinstance(document, dict):
-        raise PlatformFormatError('body is not a JSON object')
-    return document
+def _parse_deadline(text: str) -> float:
+    """Return the seconds until a caller's deadline."""
+    if _DEADLINE_MS.fullmatch(text) is None:
+        raise PlatformFormatError(
+            f'{names.DEADLINE}: not a number of milliseconds'
+        )
+    return float(text) / _MS_PER_SECOND
 
 
 def _decode_departure_born(body: bytes) -> int:
     try:
-        return _check_integer(json.loads(body).get('born', 0))
-    except (ValueError, TypeError, AttributeError):
+        return read_integer(parse_document(body), 'born', _UNIX_MS, 0)
+    except PlatformFormatError:
         # The body is optional, since the query already names the server.
         return 0
 
 
-def _check_integer(number: object) -> int:
-    """Return an integer unchanged.
-
-    :raises TypeError: for any other type, including bool.
-    """
-    if type(number) is not int:
-        raise TypeError(number)
-    return number
-
-
 def _decode_heartbeat(server_id: str, fields: Mapping) -> Heartbeat:
-    warm_up_ms = fields.get('cold_left_ms', 0)
-    if isinstance(warm_up_ms, bool) or not isinstance(warm_up_ms, int | float):
-        raise TypeError(warm_up_ms)
-    service = fields['service']
-    if not isinstance(service, str):
-        raise TypeError(service)
+    warm_up_ms = read_number(fields, 'cold_left_ms', _WARM_UP_MS, 0)
     return Heartbeat(
         server_id=server_id,
-        service=service,
-        address=parse_address(fields['address']),
-        slots=max(1, _check_integer(fields['slots'])),
-        state=_STATES[fields['state']],
-        born=_check_integer(fields.get('born', 0)),
-        sequence=_check_integer(fields['seq']),
-        warm_up_seconds=float(warm_up_ms) / _MS_PER_SECOND,
-    )
-
-
-def _decode_configuration(
-    source: bytes,
-    fields: Mapping,
-) -> FleetConfiguration:
-    version = fields['version']
-    if not version.startswith(_VERSION_PREFIX):
-        raise ValueError(version)
-    by_host: dict[str, list[Route]] = {}
-    for name, entry in fields['routes'].items():
-        route = _decode_route(name, entry)
-        by_host.setdefault(route.host, []).append(route)
-    limits = fields['limits']
-    return FleetConfiguration(
-        version=int(version.removeprefix(_VERSION_PREFIX)),
-        routes={
-            host: tuple(sorted(routes, key=_prefix_length, reverse=True))
-            for host, routes in by_host.items()
-        },
-        health_paths={
-            name: entry['health_check']
-            for name, entry in fields['services'].items()
-        },
-        limits=CallerLimits(
-            header_bytes=int(limits['max_header_bytes']),
-            body_bytes=int(limits['max_body_bytes']),
-            header_seconds=limits['header_timeout_ms'] / _MS_PER_SECOND,
-            idle_seconds=limits['idle_timeout_ms'] / _MS_PER_SECOND,
-        ),
-        source=source,
-    )
-
-
-def _prefix_length(route: Route) -> int:
-    return len(route.prefix)
-
-
-def _decode_route(name: str, entry: Mapping) -> Route:
-    split = entry.get('traffic_split')
-    if split:
-        shares = [Share(part['service'], part['weight']) for part in split]
-    else:
-        shares = [Share(entry['service'], 1)]
-    timeout = entry['timeout_ms'] / _MS_PER_SECOND
-    return Route(
-        name=name,
-        host=entry['host'].lower(),
-        prefix=entry['prefix'],
-        kind=names.KINDS[entry['route_type']],
-        shares=tuple(shares),
-        attempts=int(entry.get('attempts') or 1),
-        timeout=timeout,
-        objective=(entry.get('target_latency_ms') or 0) / _MS_PER_SECOND
-        or timeout,
-        priority=int(entry.get('priority') or 0),
+        service=read_text(fields, 'service'),
+        address=read_address(fields, 'address'),
+        slots=max(1, read_integer(fields, 'slots', _SLOTS)),
+        state=read_word(fields, 'state', _STATES),
+        born=read_integer(fields, 'born', _UNIX_MS, 0),
+        sequence=read_integer(fields, 'seq', _SEQUENCE),
+        warm_up_seconds=warm_up_ms / _MS_PER_SECOND,
     )
