Check the range of each value in frames and member rows

Cause: the decoder of frames took any value that the schema can hold. A member with port 0 or a host name was dialled and forwarded. An incarnation near the end of 64 bits ended the tasks that encode the next one. Times of nan or inf compare as false. A list whose entries take no space made a frame of 300 bytes one of millions of entries.

Change: framedecoder.py checks each value (framechecks.py) and raises ProtocolError with the name of the field. A frame with one odd member keeps the others, since a node of an earlier version may forward it; its origin is logged once. What a frame may make the reader read is limited by its size.

--- a/godwitknot/mesh/frames.py
+++ b/godwitknot/mesh/frames.py
@@ -3,18 +3,17 @@
 A frame is a big-endian 32-bit length and a Cap'n Proto message.
 """
 
-import pathlib
 import struct
 import typing
 
 import attrs
-import capnp
 
 from godwitknot.errors import ConnectionCutError, ProtocolError
 from godwitknot.mesh.channels import Channel
-from godwitknot.mesh.memberdirectory import Crash, Member
+from godwitknot.mesh.framedecoder import decode
+from godwitknot.mesh.frameschema import SCHEMA
+from godwitknot.mesh.memberdirectory import Member
 from godwitknot.mesh.messages import (
-    DEFAULT_OBJECTIVE_SECONDS,
     Digest,
     DigestReply,
     Kind,
@@ -23,25 +22,11 @@
     Refusal,
     Rumor,
 )
-from godwitknot.mesh.model import Fields, HttpResponse, ServerState
-from godwitknot.outcomes import Code, Outcome, RefusalError
-from godwitknot.units import Address
+from godwitknot.mesh.model import Fields, HttpResponse
 
-_SCHEMA_FILE = 'mesh.capnp'
 _LENGTH = struct.Struct('>I')
 # The largest request body, 64 MiB, and space for the header fields.
 MAX_FRAME_BYTES = 68157440
-_WORD_BYTES = 8
-_TRAVERSAL_WORDS = 2 * MAX_FRAME_BYTES // _WORD_BYTES
-
-
-def _load_schema() -> typing.Any:
-    capnp.remove_import_hook()
-    path = pathlib.Path(__file__).with_name(_SCHEMA_FILE)
-    return capnp.load(str(path))
-
-
-_SCHEMA = _load_schema()
 
 
 class FrameChannel:
@@ -102,7 +87,7 @@
 
 
 def _encode_frame(kind: Kind, content: typing.Any) -> bytes:
-    return _SCHEMA.Frame.new_message(**{kind: content}).to_bytes()
+    return SCHEMA.Frame.new_message(**{kind: content}).to_bytes()
 
 
 def encode_offer(offer: Offer) -> bytes:
@@ -239,154 +224,4 @@
 
 def encode_member(member: Member) -> bytes:
     """Encode a member as the content of its row in the store."""
-    return _SCHEMA.Member.new_message(**pack_member(member)).to_bytes()
-
-
-def decode_member(content: bytes) -> Member:
-    """Decode a member from the content of its row in the store.
-
-    :raises ProtocolError: if the content is not a valid member.
-    """
-    try:
-        with _SCHEMA.Member.from_bytes(content) as entry:
-            return _unpack_member(entry)
-    except (capnp.KjException, ValueError, TypeError) as error:
-        raise ProtocolError(f'member: {error!r}') from error
-
-
-def decode(frame: bytes) -> tuple[Kind, typing.Any]:
-    """Decode a frame into its kind and content.
-
-    :raises ProtocolError: if the frame is malformed.
-    """
-    try:
-        with _SCHEMA.Frame.from_bytes(
-            frame, traversal_limit_in_words=_TRAVERSAL_WORDS
-        ) as message:
-            kind = Kind(str(message.which()))
-            return kind, _UNPACK[kind](getattr(message, kind))
-    except (capnp.KjException, ValueError, TypeError) as error:
-        raise ProtocolError(f'frame: {error!r}') from error
-
-
-def _unpack_fields(entries: typing.Any) -> Fields:
-    return [(entry.name, entry.value) for entry in entries]
-
-
-def _unpack_load(entry: typing.Any) -> Load:
-    return Load(entry.running, entry.waiting, max(1, entry.slots))
-
-
-def _unpack_offer(entry: typing.Any) -> Offer:
-    return Offer(
-        attempt_id=entry.attemptId,
-        method=entry.method,
-        target=entry.target,
-        fields=_unpack_fields(entry.fields),
-        body=bytes(entry.body),
-        service=entry.service,
-        server_id=entry.serverId,
-        repeatable=entry.repeatable,
-        priority=entry.priority,
-        seconds_left=entry.secondsLeft,
-        max_wait=entry.maxWait,
-        caller_service=entry.callerService,
-        caller_zone=entry.callerZone,
-        fingerprint=entry.fingerprint,
-        repeat=entry.repeat,
-        two_phase=entry.twoPhase,
-        objective=entry.objective or DEFAULT_OBJECTIVE_SECONDS,
-    )
-
-
-def _unpack_refusal(entry: typing.Any) -> Refusal:
-    error = RefusalError(
-        Code(entry.code),
-        Outcome(entry.outcome),
-        entry.retryAfter or None,
-        relayed=True,
-    )
-    return Refusal(error, entry.avoid, _unpack_load(entry.load))
-
-
-def _unpack_answer(entry: typing.Any) -> tuple[HttpResponse, Load]:
-    response = HttpResponse(
-        entry.status, _unpack_fields(entry.fields), bytes(entry.body)
-    )
-    return response, _unpack_load(entry.load)
-
-
-def _unpack_member(entry: typing.Any) -> Member:
-    return Member(
-        node=entry.node,
-        address=Address(entry.host, entry.port),
-        zone=entry.zone,
-        region=entry.region,
-        service=entry.service,
-        server_id=entry.serverId,
-        born=entry.born,
-        state=ServerState(entry.state),
-        slots=max(1, entry.slots),
-        incarnation=entry.incarnation,
-        revision=entry.revision,
-        serving=entry.serving,
-    )
-
-
-def _unpack_members(entries: typing.Any) -> tuple[Member, ...]:
-    return tuple(_unpack_member(entry) for entry in entries)
-
-
-def _unpack_address(text: str) -> Address:
-    host, _, port = text.rpartition(':')
-    return Address(host, int(port))
-
-
-def _unpack_rumor(entry: typing.Any) -> Rumor:
-    crashes = tuple(
-        Crash(
-            crash.service,
-            crash.node,
-            crash.serverId,
-            tuple(crash.fingerprints),
-        )
-        for crash in entry.crashes
-    )
-    return Rumor(
-        _unpack_address(entry.sender),
-        _unpack_members(entry.members),
-        crashes,
-        entry.version,
-    )
-
-
-def _unpack_digest(entry: typing.Any) -> Digest:
-    return Digest(
-        _unpack_address(entry.sender), tuple(entry.buckets), entry.version
-    )
-
-
-def _unpack_digest_reply(entry: typing.Any) -> DigestReply:
-    return DigestReply(
-        _unpack_members(entry.members),
-        tuple(entry.buckets),
-        bytes(entry.configuration),
-    )
-
-
-def _unpack_void(entry: typing.Any) -> None:
-    """Ignore the content of a frame that carries none."""
-
-
-_UNPACK = {
-    Kind.OFFER: _unpack_offer,
-    Kind.QUEUED: _unpack_load,
-    Kind.GRANTED: _unpack_load,
-    Kind.COMMIT: bytes,
-    Kind.REFUSAL: _unpack_refusal,
-    Kind.ANSWER: _unpack_answer,
-    Kind.RUMOR: _unpack_rumor,
-    Kind.DIGEST: _unpack_digest,
-    Kind.KNOWLEDGE: _unpack_digest_reply,
-    Kind.SAME: _unpack_void,
-}
+    return SCHEMA.Member.new_message(**pack_member(member)).to_bytes()
--- a/godwitknot/mesh/messages.py
+++ b/godwitknot/mesh/messages.py
@@ -108,12 +108,15 @@
 
     :param sender: relay address of the sender.
     :param version: of the sender's configuration.
+    :param unreadable: on the receiving side, number of records that were
+        left out.
     """
 
     sender: Address
     members: tuple[Member, ...]
     crashes: tuple[Crash, ...]
     version: int
+    unreadable: int = 0
 
 
 @attrs.frozen
@@ -138,8 +141,11 @@
     :param buckets: numbers of the buckets that differ.
     :param configuration: encoded, empty unless it is newer than the version
         in the digest.
+    :param unreadable: on the receiving side, number of records that were
+        left out.
     """
 
     members: tuple[Member, ...]
     buckets: tuple[int, ...]
     configuration: bytes = attrs.field(repr=False)
+    unreadable: int = 0
--- a/godwitknot/mesh/peergossip.py
+++ b/godwitknot/mesh/peergossip.py
@@ -17,6 +17,7 @@
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.serverselector import ServerSelector
 from godwitknot.mesh.storesync import ConfigurationHolder
+from godwitknot.mesh.unreadablerows import UnreadableRows
 from godwitknot.units import Address
 
 # Number of peers that receive a rumor, in the same and in other failure
@@ -71,6 +72,7 @@
         self._pending_members: dict[Address, Member] = {}
         self._pending_crashes: dict[tuple, Crash] = {}
         self._seen_crashes: set[tuple] = set()
+        self._unreadable = UnreadableRows(runtime.log)
         # Nodes that closed their connections, and until when to probe them.
         self._restarting: dict[Address, float] = {}
         # Called with records that an earlier run of this node left behind.
@@ -158,11 +160,16 @@
     def _apply_rumor(self, rumor: Rumor) -> None:
         self._selector.mark_reachable(rumor.sender)
         self.merge_members(list(rumor.members), 'rumor')
+        self._log_unreadable(rumor.sender, rumor.unreadable)
         for crash in rumor.crashes:
             self._record_crash(crash)
         if rumor.version > self._holder.version:
             self._spawn(self._pull_configuration(rumor.sender, rumor.version))
 
+    def _log_unreadable(self, origin: Address, count: int) -> None:
+        if count:
+            self._unreadable.report(str(origin), f'{count} of a node')
+
     def _record_crash(self, crash: Crash) -> None:
         key = (crash.node, crash.server_id, crash.fingerprints)
         if key in self._seen_crashes:
@@ -277,6 +284,7 @@
             each.address: each.record_version for each in content.members
         }
         self.merge_members(list(content.members), 'digest')
+        self._log_unreadable(address, content.unreadable)
         if content.configuration:
             self._holder.adopt(content.configuration, 'peer')
         newer_members = tuple(
--- a/godwitknot/mesh/storesync.py
+++ b/godwitknot/mesh/storesync.py
@@ -15,6 +15,7 @@
 )
 from godwitknot.mesh import frames
 from godwitknot.mesh.events import EventLog
+from godwitknot.mesh.framedecoder import decode_member
 from godwitknot.mesh.interfaces import Dialect, MetadataStore, Page
 from godwitknot.mesh.memberdirectory import Directory, Member
 from godwitknot.mesh.model import FleetConfiguration
@@ -177,7 +178,7 @@
             if row.content is None:
                 continue
             try:
-                members.append(frames.decode_member(row.content))
+                members.append(decode_member(row.content))
             except ProtocolError as error:
                 self._log.write(
                     'row unreadable', key=row.key, detail=str(error)
--- a/godwitknot/platform/dialect.py
+++ b/godwitknot/platform/dialect.py
@@ -28,14 +28,14 @@
     read_text,
     read_word,
 )
+from godwitknot.units import UNIX_MS
 
 _MS_PER_SECOND = 1000
 _DEADLINE_MS = re.compile(r'[0-9]{1,15}(?:\.[0-9]{0,15})?')
 _COUNT = re.compile('[0-9]{1,9}')
 # Frames carry the number of slots as an unsigned 32-bit integer; 0 counts as 1.
 _SLOTS = Limits(0, 2**32 - 1)  # noqa: WPS432
-# Milliseconds since 1970, up to the year 2286.
-_UNIX_MS = Limits(0, 10**13)  # noqa: WPS432
+_UNIX_MS = Limits(UNIX_MS.start, UNIX_MS.stop - 1)
 # Heartbeats are seconds apart.
 _SEQUENCE = Limits(0, 10**12)  # noqa: WPS432
 # Milliseconds, up to 11 days.
--- a/godwitknot/platform/fieldchecks.py
+++ b/godwitknot/platform/fieldchecks.py
@@ -11,11 +11,10 @@
 import attrs
 
 from godwitknot.errors import PlatformFormatError
-from godwitknot.units import Address, parse_address
+from godwitknot.units import Address, is_header_text, parse_address
 
 # The store's limit of the texts that identify a row.
 _MAX_TEXT_LENGTH = 200
-_CHARSET = 'latin-1'
 
 
 @attrs.frozen
@@ -107,16 +106,15 @@
     Names are sent in header fields, so they have to be expressible there.
 
     :param name: of the field, for the error.
-    :raises PlatformFormatError: if it is not a text of printable Latin-1
-        characters, or empty or too long.
+    :raises PlatformFormatError: if it is not a text, is empty or too long, or
+        could not be sent as a header field.
     """
     if not isinstance(text, str):
         raise PlatformFormatError(f'{name}: not a text')
-    if not 0 < len(text) <= _MAX_TEXT_LENGTH:
+    if not text or len(text) > _MAX_TEXT_LENGTH:
         raise PlatformFormatError(f'{name}: empty or too long')
-    if not text.isprintable() or text != text.encode(_CHARSET, 'ignore').decode(
-        _CHARSET
-    ):
+    printable = text.isprintable() and text == text.strip()
+    if not (printable and is_header_text(text)):
         raise PlatformFormatError(f'{name}: characters that are not allowed')
     return text
 
--- a/godwitknot/units.py
+++ b/godwitknot/units.py
@@ -16,8 +16,13 @@
     {'': 1, 'B': 1, 'KiB': KIB, 'MiB': MIB, 'GiB': GIB},
 )
 _PORT = re.compile('[0-9]{1,5}')
+# A tab may stand within the text of a header field.
+_CONTROL = re.compile('[\x00-\x08\x0a-\x1f\x7f]')
 # Port 0 asks the system to choose one, so no peer can be reached there.
 PORTS = range(1, 65536)  # noqa: WPS432
+# Milliseconds since 1970, until the year 2286.
+UNIX_MS = range(10**13)  # noqa: WPS432
+_HEADER_CHARSET = 'latin-1'
 
 
 def _split_number(text: str) -> tuple[float, str]:
@@ -94,6 +99,14 @@
         return (self.host, self.port)
 
 
+def is_header_text(text: str) -> bool:
+    """Return whether a text can be sent in a header field."""
+    if text.isascii() and text.isprintable():
+        return True
+    encoded = text.encode(_HEADER_CHARSET, 'ignore')
+    return len(encoded) == len(text) and not _CONTROL.search(text)
+
+
 def parse_address(text: str) -> Address:
     """Parse ``host:port``.
 
--- a/tests/godwitknot/mesh/test_frames.py
+++ b/tests/godwitknot/mesh/test_frames.py
@@ -7,7 +7,7 @@
 from hypothesis import given, strategies as st
 
 from godwitknot.errors import ProtocolError
-from godwitknot.mesh import frames
+from godwitknot.mesh import framedecoder, frames
 from godwitknot.mesh.messages import Kind
 from test_admissioncontrol import make_offer
 from test_memberdirectory import LOCAL
@@ -37,17 +37,17 @@
 
 
 def test_member_survives_its_row():
-    assert frames.decode_member(frames.encode_member(LOCAL)) == LOCAL
+    assert framedecoder.decode_member(frames.encode_member(LOCAL)) == LOCAL
 
 
 @given(st.binary(max_size=200))
 def test_damaged_frames_raise_a_type_of_their_own(content):
     """Guards against a crash on rows of other writers and damaged frames."""
-    for read in (frames.decode, frames.decode_member):
+    for read in (frames.decode, framedecoder.decode_member):
         with contextlib.suppress(ProtocolError):
             read(content)
 
 
 def test_unreadable_row_names_no_server():
     with pytest.raises(ProtocolError):
-        frames.decode_member(b'')
+        framedecoder.decode_member(b'')
--- a/tests/godwitknot/mesh/test_peergossip.py
+++ b/tests/godwitknot/mesh/test_peergossip.py
@@ -184,3 +184,21 @@
     gossip = build(make_member(1), [remote, same])
     relay.closed = [remote.address]
     assert gossip._list_nodes_to_probe() == []
+
+
+def test_odd_record_of_a_peer_is_logged_once(build, logged):
+    """Guards against a log line with each digest of an earlier version."""
+    local, peer, odd = make_member(1), make_member(2), make_member(3)
+    odd = attrs.evolve(odd, address=Address('10.0.1.3', 0))
+
+    async def scenario():
+        first = build(local, [peer])
+        build(peer, [make_member(4), odd])
+        for _ in range(3):
+            await first._exchange(peer.address)
+        return first._directory
+
+    directory = asyncio.run(scenario())
+    assert directory.find(Address('10.0.1.4', 1)) is not None
+    assert directory.find(odd.address) is None
+    assert logged().count('row unreadable') == 1
