Leave out odd rows of the store and refuse odd responses

Cause: one row that was no object, or whose key or version had another type, made the whole page unreadable, and the node read it again for ever. A version of 1e999, deep nesting or a key that is no Unicode text raised errors that the tasks which follow the store do not handle. A page that is repeated made a read endless.

Change: a row that cannot be decoded is empty, and the reader logs it. Versions of pages and rows are integers of up to 63 bits. Pages have to go on after the last key, up to 400,000 rows. After a conflict the version is that of the row with the key.

--- a/godwitknot/mesh/framedecoder.py
+++ b/godwitknot/mesh/framedecoder.py
@@ -192,7 +192,7 @@
         members,
         tuple(_unpack_crash(crash) for crash in entry.crashes),
         entry.version,
-        unreadable,
+        unreadable=unreadable,
     )
 
 
@@ -210,7 +210,7 @@
         members,
         _unpack_buckets(entry.buckets),
         bytes(entry.configuration),
-        unreadable,
+        unreadable=unreadable,
     )
 
 
--- a/godwitknot/platform/store.py
+++ b/godwitknot/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import re
 import urllib.parse
 from collections.abc import Mapping
 
@@ -29,8 +30,17 @@
 _NOT_EXECUTED_STATUSES = frozenset((429, 503))
 # Maximum number of rows in one response.
 _PAGE_ROWS = 500
+# A fleet that does not delete the rows of replaced instances writes 400,000 a
+# year.
+_MAX_TABLE_ROWS = 400000
+# The store's limit of a key.
+_MAX_KEY_BYTES = 200
+# Versions count transactions, in 64 bits.
+_VERSIONS = range(2**63)  # noqa: WPS432
 # The store usually responds in 4 ms, but can be 70 times slower under a fault.
 _CALL_TIMEOUT_SECONDS = 2.0
+_UNREADABLE = Row('', b'', 0)
+_SURROGATE = re.compile('[\ud800-\udfff]')
 
 
 class PlatformStore(MetadataStore):
@@ -57,9 +67,13 @@
             rows.extend(page.rows)
             if not more or not page.rows:
                 return Page(tuple(rows), page.version)
+            # Keys that cannot be read are empty.
+            last_key = max(row.key for row in page.rows)
+            if last_key < start or len(rows) > _MAX_TABLE_ROWS:
+                raise StoreError(f'the pages of {table} do not end')
             # The start of the range is inclusive: this is the smallest key
             # after the last one.
-            start = f'{page.rows[-1].key}\0'
+            start = f'{last_key}\0'
 
     async def read_configuration(self) -> Page:
         """Return a page with the operator's configuration, if there is one.
@@ -137,10 +151,11 @@
             raise LostAnswerError(repr(error)) from error
         if response.status == _CONDITION_FAILED:
             current = _decode_rows(_parse(response.body))
-            raise RowChangedError(current[0].version if current else 0)
+            versions = [row.version for row in current if row.key == key]
+            raise RowChangedError(versions[0] if versions else 0)
         if response.status in _NOT_EXECUTED_STATUSES:
             raise StoreDownError(f'store returned status {response.status}')
-        return int(_check(response)['row_version'])
+        return _decode_version(_check(response))
 
     async def _read_rows(self, table: str, start: str) -> tuple[Page, bool]:
         parameters = {'table': table, 'part': '', 'limit': _PAGE_ROWS}
@@ -176,7 +191,7 @@
 def _parse(body: bytes) -> Mapping:
     try:
         fields = json.loads(body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise StoreError('store response is not JSON') from error
     if not isinstance(fields, dict):
         raise StoreError('store response is not a JSON object')
@@ -184,30 +199,59 @@
 
 
 def _decode_page(fields: Mapping) -> Page:
-    try:
-        return Page(_decode_rows(fields), int(fields['row_version']))
-    except (KeyError, TypeError, ValueError) as error:
-        raise StoreError(f'malformed store response: {error!r}') from error
+    return Page(_decode_rows(fields), _decode_version(fields))
+
+
+def _decode_version(fields: Mapping) -> int:
+    """Return the version of a response or a row.
+
+    :raises StoreError: if it is missing, of another type or out of range.
+    """
+    version = fields.get('row_version')
+    if type(version) is not int or version not in _VERSIONS:
+        raise StoreError('malformed store response: row_version')
+    return version
 
 
 def _decode_rows(fields: Mapping) -> tuple[Row, ...]:
-    return tuple(
-        _decode_row(row) for row in fields.get('rows', ()) if 'key' in row
-    )
+    rows = fields.get('rows', [])
+    if not isinstance(rows, list):
+        raise StoreError('malformed store response: rows')
+    return tuple(_decode_row(row) for row in rows)
 
 
-def _decode_row(row: Mapping) -> Row:
+def _decode_row(row: object) -> Row:
+    """Decode a row; what cannot be decoded is empty.
+
+    Callers cannot decode an empty key or empty content, and log such rows.
+    """
+    if not isinstance(row, dict):
+        return _UNREADABLE
+    try:
+        version = _decode_version(row)
+    except StoreError:
+        return _UNREADABLE
+    key = _decode_key(row.get('key'))
     encoded = row.get('value')
     deleted = row.get('tombstone') or encoded is None
-    content = None if deleted else _decode_value(encoded)
-    return Row(row['key'], content, int(row['row_version']))
+    content = None if deleted and key else _decode_value(encoded)
+    return Row(key, content, version)
+
+
+def _decode_key(key: object) -> str:
+    """Return a key, empty if a request could not contain it."""
+    if not isinstance(key, str):
+        return ''
+    size = len(key.encode(errors='surrogatepass'))
+    if size > _MAX_KEY_BYTES or _SURROGATE.search(key):
+        return ''
+    return key
 
 
 def _decode_value(encoded: str) -> bytes:
     try:
         return base64.b64decode(encoded, validate=True)
     except (ValueError, TypeError):
-        # Callers cannot decode empty content either, and log such rows.
         return b''
 
 
--- a/tests/godwitknot/mesh/test_odd_frames.py
+++ b/tests/godwitknot/mesh/test_odd_frames.py
@@ -7,7 +7,7 @@
 
 import attrs
 import pytest
-from hypothesis import given, strategies as st
+from hypothesis import given, settings, strategies as st
 
 from godwitknot.errors import ProtocolError
 from godwitknot.mesh import frames
@@ -179,6 +179,7 @@
     assert time.monotonic() - started < 1
 
 
+@settings(max_examples=200, derandomize=True, deadline=None)
 @given(st.sampled_from(FRAMES), st.data())
 def test_changed_bytes_raise_the_project_error(frame, data):
     """Guards against errors that the connection does not handle."""
--- a/tests/godwitknot/platform/test_odd_documents.py
+++ b/tests/godwitknot/platform/test_odd_documents.py
@@ -5,7 +5,7 @@
 import json
 
 import pytest
-from hypothesis import given, strategies as st
+from hypothesis import given, settings, strategies as st
 
 from godwitknot.errors import PlatformFormatError
 from godwitknot.mesh.model import Departure
@@ -118,6 +118,7 @@
     assert len(str(raised.value)) < 200
 
 
+@settings(max_examples=200, derandomize=True, deadline=None)
 @given(st.sampled_from(HEARTBEAT_PATHS), ANY_JSON)
 def test_any_field_of_a_heartbeat_raises_the_project_error(path, odd):
     """Guards against errors that the announcement port does not handle."""
@@ -127,6 +128,7 @@
         assert 0 <= heartbeat.born < 2**63
 
 
+@settings(max_examples=200, derandomize=True, deadline=None)
 @given(st.sampled_from(CONFIGURATION_PATHS), ANY_JSON)
 def test_any_field_of_a_configuration_raises_the_project_error(path, odd):
     """Guards against errors that end the task which follows the store."""
@@ -136,6 +138,7 @@
         assert 0 <= configuration.version < 2**63
 
 
+@settings(max_examples=200, derandomize=True, deadline=None)
 @given(st.binary(max_size=50))
 def test_any_bytes_raise_the_project_error(body):
     """Guards against bytes that are not JSON or not in its charset."""
