Refuse odd platform settings and keep the old ones in force

Cause: the decoder of the settings let errors of YAML scalars, of lists in the wrong place and of bytes that are not UTF-8 through, which ended the task that reads the settings again, and took bounds of nan or inf, negative ones and hosts with line ends.

The host of an address has visible ASCII characters only.

--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from godwitknot.clock import SystemClock
-from godwitknot.errors import ConnectionCutError, PlatformFormatError
+from godwitknot.errors import ConnectionCutError
 from godwitknot.health.crashes import CrashTracker
 from godwitknot.mesh.admissioncontrol import AdmissionControl
 from godwitknot.mesh.channels import Channel, listen
@@ -34,6 +34,7 @@
 from godwitknot.mesh.serverhealth import ServerHealth
 from godwitknot.mesh.serverproxy import Sidecar
 from godwitknot.mesh.serverselector import ServerSelector
+from godwitknot.mesh.settingsreload import SettingsReload
 from godwitknot.mesh.shutdown import Shutdown
 from godwitknot.mesh.storesync import ConfigurationHolder, StoreSync
 from godwitknot.mesh.telemetry import Telemetry
@@ -44,7 +45,6 @@
 # Time limit for refusing requests that arrive just before the exit.
 _FINAL_REFUSAL_SECONDS = 0.05
 _FINAL_REFUSAL_POLL_SECONDS = 0.005
-_SETTINGS_POLL_SECONDS = 2.0
 
 ConnectionHandler = Callable[[Channel], Awaitable[None]]
 
@@ -67,10 +67,10 @@
         self._placement = placement
         self._dialect = dialect
         self._settings = settings
-        self._read_placement = read_placement
         clock = SystemClock()
         self._clock = clock
         self._log = EventLog(placement.node, clock)
+        self._reload = SettingsReload(placement, read_placement, self._log)
         self._telemetry = Telemetry()
         runtime = Runtime(clock, self._log, self._telemetry, random.Random())
         self._stopping = asyncio.Event()
@@ -170,7 +170,7 @@
         loop.set_exception_handler(self._handle_loop_error)
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        loop.add_signal_handler(signal.SIGHUP, self._reload.reload)
         await self._start_listeners()
         self._log.write(
             'node started',
@@ -178,7 +178,7 @@
             zone=self._placement.zone,
         )
         tasks = [*self._store_sync.start(), *self._gossip.start()]
-        tasks.append(asyncio.ensure_future(self._poll_settings()))
+        tasks.append(asyncio.ensure_future(self._reload.poll()))
         for task in tasks:
             self._track(task)
         await self._stopping.wait()
@@ -329,31 +329,6 @@
         if not await self._checks.accepts_connections():
             self._gossip.report_crash(fingerprints)
 
-    def _reload_settings(self) -> None:
-        try:
-            reloaded = self._read_placement()
-        except (PlatformFormatError, OSError) as error:
-            self._log.write('settings unreadable', detail=str(error))
-            return
-        if reloaded == self._placement:
-            self._log.write('settings reloaded', changed=False)
-            return
-        self._log.write('settings reloaded', changed=True)
-        self._placement.service = reloaded.service
-        self._placement.bounds = reloaded.bounds
-
-    async def _poll_settings(self) -> None:
-        """Reload settings that changed without a SIGHUP."""
-        while True:
-            await asyncio.sleep(_SETTINGS_POLL_SECONDS)
-            try:
-                reloaded = self._read_placement()
-            except (PlatformFormatError, OSError) as error:
-                self._log.write('settings unreadable', detail=str(error))
-                continue
-            if reloaded.service != self._placement.service:
-                self._reload_settings()
-
     def _spawn(self, work: object) -> None:
         self._track(asyncio.ensure_future(work))
 
--- a/godwitknot/mesh/program.py
+++ b/godwitknot/mesh/program.py
@@ -23,7 +23,8 @@
 
 
 def _read_placement() -> Placement:
-    text = pathlib.Path(settings_path()).read_text(encoding='utf-8')
+    # Bytes that are not UTF-8 make only the field unreadable that has them.
+    text = pathlib.Path(settings_path()).read_text('utf-8', 'replace')
     return read_placement(text)
 
 
--- a/godwitknot/platform/fieldchecks.py
+++ b/godwitknot/platform/fieldchecks.py
@@ -21,8 +21,8 @@
 class Limits:
     """Range of a number; both ends are included."""
 
-    lowest: int
-    highest: int
+    lowest: float
+    highest: float
 
 
 def parse_document(body: bytes) -> Mapping:
--- a/godwitknot/platform/settings.py
+++ b/godwitknot/platform/settings.py
@@ -8,7 +8,34 @@
 from godwitknot.errors import PlatformFormatError
 from godwitknot.mesh.model import Bounds, Placement
 from godwitknot.platform import names
-from godwitknot.units import Address, parse_address
+from godwitknot.platform.fieldchecks import (
+    Limits,
+    check_table,
+    check_text,
+    read_address,
+    read_number,
+    read_table,
+)
+
+_DAY_SECONDS = 86400
+# Seconds from SIGTERM to SIGKILL, up to a day.
+_GRACE_SECONDS = Limits(0, _DAY_SECONDS)
+# Retries for each first attempt.
+_RETRY_RATIO = Limits(0, 1000)
+# Seconds, from a tenth to a day.
+_WINDOW_SECONDS = Limits(0.1, _DAY_SECONDS)
+# Retries of a service in one window.
+_RETRY_SLACK = Limits(0, 10**9)
+# Scalars such as dates and numbers are converted while a file is parsed.
+_YAML_ERRORS = (
+    yaml.YAMLError,
+    ValueError,
+    TypeError,
+    AttributeError,
+    LookupError,
+    ArithmeticError,
+    RecursionError,
+)
 
 
 def settings_path() -> str:
@@ -26,40 +53,66 @@
     """Decode a settings file; unknown fields are ignored.
 
     :param text: in YAML.
-    :raises PlatformFormatError: if a required field is missing or malformed.
+    :raises PlatformFormatError: if a required field is missing, malformed or
+        out of range.
     """
     try:
-        return _decode_placement(yaml.load(text, Loader=yaml.CSafeLoader))
-    except (yaml.YAMLError, KeyError, TypeError, ValueError) as error:
-        raise PlatformFormatError(f'settings: {error!r}') from error
+        document = yaml.load(text, Loader=yaml.CSafeLoader)
+    except _YAML_ERRORS as error:
+        raise PlatformFormatError('settings: not readable YAML') from error
+    try:
+        return _decode_placement(check_table(document, 'file'))
+    except PlatformFormatError as error:
+        raise PlatformFormatError(f'settings: {error}') from error
 
 
 def _decode_placement(fields: Mapping) -> Placement:
-    listen = fields['listen']
-    bounds = dict(pair.split('=', 1) for pair in fields['bounds'])
+    listen = read_table(fields, 'listen')
     return Placement(
-        node=str(fields['node_id']),
-        host=str(fields['ip']),
-        zone=str(fields['zone']),
-        region=str(fields['region']),
+        node=_read_name(fields, 'node_id'),
+        host=_read_name(fields, 'ip'),
+        zone=_read_name(fields, 'zone'),
+        region=_read_name(fields, 'region'),
         # Receives requests of callers and of the local server.
-        ingress=_decode_address(listen['outbound']),
+        ingress=read_address(listen, 'outbound'),
         # Receives requests of other nodes for the local server.
-        relay=_decode_address(listen['inbound']),
-        readiness=_decode_address(listen['ready']),
+        relay=read_address(listen, 'inbound'),
+        readiness=read_address(listen, 'ready'),
         # Receives heartbeats and departures of the local server.
-        announcements=_decode_address(listen['control']),
-        server=_decode_address(fields['app_addr']),
-        service=str(fields['service']),
-        store=_decode_address(fields['platform']['address']),
-        bounds=Bounds(
-            stop_grace_seconds=float(bounds['grace_s']),
-            retry_ratio=float(bounds['retry_budget_ratio']),
-            retry_window_seconds=float(bounds['budget_window_s']),
-            retry_slack=float(bounds['budget_slack']),
+        announcements=read_address(listen, 'control'),
+        server=read_address(fields, 'app_addr'),
+        service=_read_name(fields, 'service'),
+        store=read_address(read_table(fields, 'platform'), 'address'),
+        bounds=_decode_bounds(fields.get('bounds')),
+    )
+
+
+def _decode_bounds(entries: object) -> Bounds:
+    if not isinstance(entries, list):
+        raise PlatformFormatError('bounds: not a list')
+    pairs = [entry for entry in entries if isinstance(entry, str)]
+    fields = dict(pair.split('=', 1) for pair in pairs if '=' in pair)
+    return Bounds(
+        stop_grace_seconds=_parse_bound(fields, 'grace_s', _GRACE_SECONDS),
+        retry_ratio=_parse_bound(fields, 'retry_budget_ratio', _RETRY_RATIO),
+        retry_window_seconds=_parse_bound(
+            fields, 'budget_window_s', _WINDOW_SECONDS
         ),
+        retry_slack=_parse_bound(fields, 'budget_slack', _RETRY_SLACK),
     )
 
 
-def _decode_address(text: object) -> Address:
-    return parse_address(str(text))
+def _parse_bound(fields: Mapping, name: str, limits: Limits) -> float:
+    try:
+        number = float(fields.get(name, ''))
+    except ValueError as error:
+        raise PlatformFormatError(f'{name}: not a number') from error
+    return read_number({name: number}, name, limits)
+
+
+def _read_name(fields: Mapping, name: str) -> str:
+    """Return a name that YAML may take for another scalar."""
+    name_or_number = fields.get(name)
+    if isinstance(name_or_number, bool | int | float):
+        name_or_number = str(name_or_number)
+    return check_text(name_or_number, name)
--- a/godwitknot/units.py
+++ b/godwitknot/units.py
@@ -15,7 +15,8 @@
 _BYTES_PER_UNIT = types.MappingProxyType(
     {'': 1, 'B': 1, 'KiB': KIB, 'MiB': MIB, 'GiB': GIB},
 )
-_PORT = re.compile('[0-9]{1,5}')
+# Visible ASCII characters, then the port.
+_ADDRESS = re.compile('([!-~]+):([0-9]{1,5})')
 # A tab may stand within the text of a header field.
 _CONTROL = re.compile('[\x00-\x08\x0a-\x1f\x7f]')
 # Port 0 asks the system to choose one, so no peer can be reached there.
@@ -110,12 +111,13 @@
 def parse_address(text: str) -> Address:
     """Parse ``host:port``.
 
-    :raises ValueError: if the port is missing or out of range.
+    :raises ValueError: if the port is missing or out of range, or the host
+        has characters that no address has.
     """
-    host, _, port = text.strip().rpartition(':')
-    if not host or _PORT.fullmatch(port) is None or int(port) not in PORTS:
+    match = _ADDRESS.fullmatch(text.strip())
+    if match is None or int(match.group(2)) not in PORTS:
         raise ValueError(text)
-    return Address(host, int(port))
+    return Address(match.group(1), int(match.group(2)))
 
 
 def parse_addresses(text: str) -> tuple[Address, ...]:
--- a/tests/godwitknot/platform/test_settings_file.py
+++ b/tests/godwitknot/platform/test_settings_file.py
@@ -4,6 +4,7 @@
 import yaml
 
 from godwitknot.errors import PlatformFormatError
+from godwitknot.mesh import program
 from godwitknot.platform.settings import read_placement
 from godwitknot.units import Address
 
@@ -45,3 +46,111 @@
 def test_damaged_settings_have_an_error_of_their_own(text):
     with pytest.raises(PlatformFormatError):
         read_placement(text)
+
+
+def make_text(path, odd):
+    """Return settings with one value replaced by YAML text."""
+    fields = yaml.safe_load(yaml.safe_dump(FIELDS))
+    holder = fields
+    for key in path[:-1]:
+        holder = holder[key]
+    holder[path[-1]] = 'THE ODD VALUE'
+    return yaml.safe_dump(fields).replace('THE ODD VALUE', odd)
+
+
+@pytest.mark.parametrize(
+    'path',
+    [
+        ('node_id',),
+        ('ip',),
+        ('zone',),
+        ('region',),
+        ('service',),
+        ('app_addr',),
+        ('listen', 'outbound'),
+        ('listen', 'inbound'),
+        ('listen', 'ready'),
+        ('listen', 'control'),
+        ('platform', 'address'),
+    ],
+    ids='.'.join,
+)
+@pytest.mark.parametrize(
+    'odd',
+    [
+        '[1]',
+        '{a: 1}',
+        '',
+        r'"\uD800"',
+        r'"\u20ac:1"',
+        r'"a\r\nb:1"',
+        '2001-01-01',
+    ],
+)
+def test_odd_text_of_the_settings_is_refused(path, odd):
+    """Guards against a reload that ends the task which reads the settings."""
+    with pytest.raises(PlatformFormatError):
+        read_placement(make_text(path, odd))
+
+
+@pytest.mark.parametrize('port', ['0', '65536', '-1', '\u0661', '9' * 5000])
+@pytest.mark.parametrize('name', ['outbound', 'inbound', 'ready', 'control'])
+def test_odd_port_of_a_listener_is_named(name, port):
+    text = make_text(('listen', name), f'"10.0.0.1:{port}"')
+    with pytest.raises(PlatformFormatError, match=name):
+        read_placement(text)
+
+
+@pytest.mark.parametrize(
+    'odd',
+    ['.inf', 'nan', '-1', '1e999', 'soon', '', '9' * 5000],
+    ids=lambda odd: odd[:9],
+)
+@pytest.mark.parametrize('index', range(4))
+def test_odd_bound_is_named(index, odd):
+    """Guards against limits that compare as false or never pass."""
+    name = FIELDS['bounds'][index].partition('=')[0]
+    with pytest.raises(PlatformFormatError, match=name):
+        read_placement(make_text(('bounds', index), f'"{name}={odd}"'))
+
+
+@pytest.mark.parametrize('odd', ['3', 'true', '[a, b]', 'no value'])
+def test_bound_that_is_no_pair_is_ignored(odd):
+    """Guards against a new form of bound that keeps a node from starting."""
+    placement = read_placement(make_text(('bounds', 4), odd))
+    assert placement.bounds.retry_slack == 64
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        '[' * 100000,
+        '{a: ' * 900 + '}' * 900,
+        'a: &x [*x]',
+        '? [a]\n: 1',
+        'a: 2001-99-99',
+        'a: !!int soon',
+        'a: !!float ""',
+        'a: !!timestamp x',
+        'a: !!binary x',
+        'a: !!python/name:os.system',
+        f'a: {"9" * 5000}',
+        'bounds: [3]',
+        'bounds: {a: 1}',
+        '\0',
+    ],
+    ids=lambda text: text[:16],
+)
+def test_odd_yaml_has_the_error_of_damaged_settings(text):
+    """Guards against errors that end the task which reads the settings."""
+    with pytest.raises(PlatformFormatError):
+        read_placement(text)
+
+
+def test_bytes_in_another_charset_are_damaged_settings(tmp_path, monkeypatch):
+    """Guards against a file cut within a character, which ended the reads."""
+    path = tmp_path / 'settings.yaml'
+    monkeypatch.setenv('GODWITKNOT_NODE_FILE', str(path))
+    path.write_bytes(make_text(('service',), 'caf\u00e9').encode('latin-1'))
+    with pytest.raises(PlatformFormatError):
+        program._read_placement()
