Start background tasks again after an unexpected error

Cause: a task that follows the store, writes the record, gossips or reads the settings ended at the first error that it did not handle, and only a log line said so. An unreadable row or configuration was logged with every read, and a conflict that repeats was tried again without a pause.

Change: keep_running starts such work again after 1 s and logs an error that repeats once. Unreadable rows and configurations are logged once. The write of the record waits after a conflict with the version that it expected.

--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -10,6 +10,7 @@
 from godwitknot.errors import ConnectionCutError
 from godwitknot.health.crashes import CrashTracker
 from godwitknot.mesh.admissioncontrol import AdmissionControl
+from godwitknot.mesh.backgroundtasks import BackgroundTasks, keep_running
 from godwitknot.mesh.channels import Channel, listen
 from godwitknot.mesh.dispatcher import Dispatcher
 from godwitknot.mesh.endpoints import (
@@ -75,9 +76,10 @@
         runtime = Runtime(clock, self._log, self._telemetry, random.Random())
         self._stopping = asyncio.Event()
         self._shutdown = Shutdown(clock)
-        self._tasks: set[asyncio.Task] = set()
         self._listeners: list[asyncio.Server] = []
         self._started_ms = int(clock.wall() * _MS_PER_SECOND)
+        self._tasks = BackgroundTasks(runtime)
+        self._runtime = runtime
         self._build_local_server(runtime)
         self._build_fleet_state(runtime, store)
         self._build_request_path(runtime)
@@ -177,10 +179,9 @@
             service=self._placement.service,
             zone=self._placement.zone,
         )
-        tasks = [*self._store_sync.start(), *self._gossip.start()]
-        tasks.append(asyncio.ensure_future(self._reload.poll()))
-        for task in tasks:
-            self._track(task)
+        for task in (*self._store_sync.start(), *self._gossip.start()):
+            self._tasks.track(task)
+        self._tasks.spawn(keep_running(self._reload.poll, self._runtime))
         await self._stopping.wait()
         await self._stop()
 
@@ -304,7 +305,7 @@
 
     def _check_health_if_needed(self) -> None:
         if self._server.needs_proof:
-            self._spawn(self._check_health())
+            self._tasks.spawn(self._check_health())
 
     def _handle_record_change(self, member: Member) -> None:
         if member.address == self._placement.relay:
@@ -319,7 +320,7 @@
             self._update_server()
 
     def _start_crash_check(self, fingerprints: tuple[int, ...]) -> None:
-        self._spawn(self._report_crash_if_down(fingerprints))
+        self._tasks.spawn(self._report_crash_if_down(fingerprints))
 
     async def _report_crash_if_down(
         self,
@@ -329,23 +330,6 @@
         if not await self._checks.accepts_connections():
             self._gossip.report_crash(fingerprints)
 
-    def _spawn(self, work: object) -> None:
-        self._track(asyncio.ensure_future(work))
-
-    def _track(self, task: asyncio.Task) -> None:
-        self._tasks.add(task)
-        task.add_done_callback(self._handle_task_end)
-
-    def _handle_task_end(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if task.cancelled() or task.exception() is None:
-            return
-        error = task.exception()
-        self._telemetry.count('unexpected_errors')
-        self._log.write(
-            'task failed', detail=''.join(traceback.format_exception(error))
-        )
-
     def _handle_loop_error(
         self,
         loop: asyncio.AbstractEventLoop,
--- a/godwitknot/mesh/peergossip.py
+++ b/godwitknot/mesh/peergossip.py
@@ -11,6 +11,7 @@
 from godwitknot.errors import ProtocolError
 from godwitknot.health.crashes import CrashTracker
 from godwitknot.mesh import frames
+from godwitknot.mesh.backgroundtasks import keep_running
 from godwitknot.mesh.memberdirectory import Crash, Directory, Member
 from godwitknot.mesh.messages import Digest, DigestReply, Kind, Rumor
 from godwitknot.mesh.noderelay import RelayClient
@@ -65,6 +66,7 @@
         self._selector = selector
         self._crashes = crashes
         self._relay = relay
+        self._runtime = runtime
         self._clock = runtime.clock
         self._log = runtime.log
         self._telemetry = runtime.telemetry
@@ -89,8 +91,12 @@
         :returns: the tasks, which run until they are cancelled.
         """
         return [
-            asyncio.ensure_future(self._push_changes()),
-            asyncio.ensure_future(self._exchange_digests()),
+            asyncio.ensure_future(
+                keep_running(self._push_changes, self._runtime)
+            ),
+            asyncio.ensure_future(
+                keep_running(self._exchange_digests, self._runtime)
+            ),
         ]
 
     def merge_members(self, members: list[Member], origin: str) -> None:
--- a/godwitknot/mesh/storesync.py
+++ b/godwitknot/mesh/storesync.py
@@ -14,12 +14,14 @@
     StoreError,
 )
 from godwitknot.mesh import frames
+from godwitknot.mesh.backgroundtasks import keep_running
 from godwitknot.mesh.events import EventLog
 from godwitknot.mesh.framedecoder import decode_member
 from godwitknot.mesh.interfaces import Dialect, MetadataStore, Page
 from godwitknot.mesh.memberdirectory import Directory, Member
 from godwitknot.mesh.model import FleetConfiguration
 from godwitknot.mesh.runtime import Runtime
+from godwitknot.mesh.unreadablerows import UnreadableRows
 
 _MEMBER_TABLE = 'members'
 # Long-poll timeout of a feed without changes; the store allows up to 30 s.
@@ -41,6 +43,9 @@
         """Create a holder without a configuration."""
         self._dialect = dialect
         self._log = log
+        # The unreadable configuration that was logged last; the store and
+        # each peer may send it.
+        self._unreadable = b''
         self.current: FleetConfiguration | None = None
         self.listeners: list[Callable[[], None]] = []
 
@@ -58,7 +63,9 @@
         try:
             received = self._dialect.read_configuration(source)
         except PlatformFormatError as error:
-            self._log.write('configuration unreadable', detail=str(error))
+            if source != self._unreadable:
+                self._unreadable = source
+                self._log.write('configuration unreadable', detail=str(error))
             return False
         if received.version <= self.version:
             return False
@@ -93,9 +100,11 @@
         self._holder = holder
         self._directory = directory
         self._merge_members = merge_members
+        self._runtime = runtime
         self._log = runtime.log
         self._telemetry = runtime.telemetry
         self._rng = runtime.rng
+        self._unreadable = UnreadableRows(runtime.log)
         self._stored_versions: dict[str, int] = {}
         self._write_requested = asyncio.Event()
         self._connected = True
@@ -107,9 +116,15 @@
         :returns: the tasks, which run until they are cancelled.
         """
         return [
-            asyncio.ensure_future(self._follow_configuration()),
-            asyncio.ensure_future(self._follow_members()),
-            asyncio.ensure_future(self._write_local_member()),
+            asyncio.ensure_future(
+                keep_running(self._follow_configuration, self._runtime)
+            ),
+            asyncio.ensure_future(
+                keep_running(self._follow_members, self._runtime)
+            ),
+            asyncio.ensure_future(
+                keep_running(self._write_local_member, self._runtime)
+            ),
         ]
 
     def request_write(self) -> None:
@@ -180,13 +195,15 @@
             try:
                 members.append(decode_member(row.content))
             except ProtocolError as error:
-                self._log.write(
-                    'row unreadable', key=row.key, detail=str(error)
-                )
+                self._unreadable.report(row.key, str(error))
+                continue
+            self._unreadable.clear(row.key)
         self._merge_members(members, 'store')
 
     async def _write_local_member(self) -> None:
         written: Member | None = None
+        # After an error it is unknown which record the store has.
+        self._write_requested.set()
         backoff = _INITIAL_BACKOFF_SECONDS
         while True:
             await self._write_requested.wait()
@@ -195,16 +212,16 @@
             if member == written or not member.server_id:
                 continue
             key = str(member.address)
+            expected = self._stored_versions.get(key, 0)
             try:
                 version = await self._store.write_row(
-                    _MEMBER_TABLE,
-                    key,
-                    frames.encode_member(member),
-                    self._stored_versions.get(key, 0),
+                    _MEMBER_TABLE, key, frames.encode_member(member), expected
                 )
             except RowChangedError as error:
-                self._stored_versions[key] = error.version
                 self._write_requested.set()
+                if error.version == expected:
+                    backoff = await self._back_off(error, backoff)
+                self._stored_versions[key] = error.version
                 continue
             except StoreError as error:
                 self._write_requested.set()
