--- a/godwitknot/atmostonce/issuedkeys.py
+++ b/godwitknot/atmostonce/issuedkeys.py
@@ -156,7 +156,7 @@
 def _parse_handover(content: bytes | str) -> Handover:
     try:
         return _CONVERTER.loads(content, Handover)
-    except (cattrs.BaseValidationError, ValueError) as error:
+    except (cattrs.BaseValidationError, ValueError, RecursionError) as error:
         raise ProtocolError('malformed handover') from error
 
 
--- a/godwitknot/declarations/configversions.py
+++ b/godwitknot/declarations/configversions.py
@@ -20,6 +20,13 @@
 # A retry of an apply gets a conflict instead of its earlier acceptance after
 # this many other changes; it is still not applied twice.
 _MAX_CHANGES = 16
+_PARSE_ERRORS = (
+    ValueError,
+    LookupError,
+    TypeError,
+    RecursionError,
+    cattrs.BaseValidationError,
+)
 _CONVERTER = cattrs.Converter()
 
 
@@ -136,9 +143,7 @@
         copy = _verify_envelope(json.loads(payload), keys)
     except VerificationError:
         raise
-    except (ValueError, LookupError, TypeError) as error:
-        raise ProtocolError('malformed configuration from a peer') from error
-    except cattrs.BaseValidationError as error:
+    except _PARSE_ERRORS as error:
         raise ProtocolError('malformed configuration from a peer') from error
     return check_copy(copy)
 
--- a/godwitknot/operators/operatorapi.py
+++ b/godwitknot/operators/operatorapi.py
@@ -23,6 +23,7 @@
 from godwitknot.logs import log_event
 from godwitknot.metrics import Metrics
 from godwitknot.operators.operations import ApiCode, FleetView, Operations
+from godwitknot.units import parse_count
 
 OPERATOR_HEADER = 'X-Operator'
 MAX_BODY_BYTES = 8388608
@@ -97,7 +98,7 @@
                 ApiCode.UNAUTHORIZED, _UNAUTHORIZED, 'a valid token is needed'
             )
         length = headers.get('Content-Length', '0')
-        if not length.isdigit() or int(length) > MAX_BODY_BYTES:
+        if not _is_allowed_length(length):
             raise ApiError(
                 ApiCode.BAD_REQUEST,
                 _TOO_LARGE,
@@ -132,9 +133,11 @@
     @cherrypy.tools.allow(methods=[_GET])
     def confirmation(self, version: str) -> Any:
         """Return the nodes that have a version in force."""
-        if not version.isdigit():
-            raise _make_bad_request('version', 'a whole number')
-        return _CONVERTER.unstructure(self._view.confirm(int(version)))
+        try:
+            number = parse_count(version)
+        except ValueError as error:
+            raise _make_bad_request('version', 'a whole number') from error
+        return _CONVERTER.unstructure(self._view.confirm(number))
 
     @cherrypy.expose
     @cherrypy.tools.allow(methods=[_POST])
@@ -233,6 +236,13 @@
     return name
 
 
+def _is_allowed_length(text: str) -> bool:
+    try:
+        return parse_count(text) <= MAX_BODY_BYTES
+    except ValueError:
+        return False
+
+
 def _make_bad_request(name: str, expected: str) -> ApiError:
     message = f'{name}: expected {expected}'
     return ApiError(ApiCode.BAD_REQUEST, _BAD_REQUEST, message)
--- a/godwitknot/operators/requesttrace.py
+++ b/godwitknot/operators/requesttrace.py
@@ -14,6 +14,8 @@
 # Lines on nodes and servers that are buffered until the request's nodes and
 # times are known.
 _MAX_BUFFERED_LINES = 200_000
+# Seconds since 1970; later times are not shown as a difference of seconds.
+_MAX_TIME_SECONDS = 10**10
 _STATE_EVENTS = frozenset(
     (
         'configuration adopted',
@@ -132,13 +134,16 @@
     """Parse a log line of a node; ``None`` for any other text."""
     try:
         entry = json.loads(text)
-    except ValueError:
+    except (ValueError, RecursionError):
         # Output of another program, or a line that is still being written.
         return None
     if not isinstance(entry, dict) or not entry.keys() >= _REQUIRED_FIELDS:
         return None
     if not isinstance(entry['time'], (int, float)):
         return None
+    # Not-a-number fails this comparison, too.
+    if not abs(entry['time']) < _MAX_TIME_SECONDS:
+        return None
     detail = ', '.join(
         f'{name}={field_value}'
         for name, field_value in entry.items()
--- a/godwitknot/storage/storeclient.py
+++ b/godwitknot/storage/storeclient.py
@@ -223,5 +223,5 @@
 def _parse(response: urllib3.BaseHTTPResponse) -> dict[str, object]:
     try:
         return json.loads(response.data)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise StoreDownError('the response is not JSON') from error
--- a/godwitknot/units.py
+++ b/godwitknot/units.py
@@ -19,6 +19,8 @@
 _ADDRESS = re.compile('([!-~]+):([0-9]{1,5})')
 # A tab may stand within the text of a header field.
 _CONTROL = re.compile('[\x00-\x08\x0a-\x1f\x7f]')
+# Up to 18 digits fit into 64 bits.
+_COUNT = re.compile('[0-9]{1,18}')
 # Port 0 asks the system to choose one, so no peer can be reached there.
 PORTS = range(1, 65536)  # noqa: WPS432
 # Milliseconds since 1970, until the year 2286.
@@ -100,6 +102,16 @@
         return (self.host, self.port)
 
 
+def parse_count(text: str) -> int:
+    """Parse a number of ASCII digits.
+
+    :raises ValueError: for any other text, or more than 18 digits.
+    """
+    if _COUNT.fullmatch(text) is None:
+        raise ValueError(text)
+    return int(text)
+
+
 def is_header_text(text: str) -> bool:
     """Return whether a text can be sent in a header field."""
     if text.isascii() and text.isprintable():
--- a/godwitknot/web/exchange.py
+++ b/godwitknot/web/exchange.py
@@ -10,6 +10,7 @@
 
 from godwitknot.clock import Clock
 from godwitknot.errors import GodwitknotError, ProtocolError
+from godwitknot.units import parse_count
 from godwitknot.web.connections import (
     Channel,
     ChannelPool,
@@ -218,9 +219,10 @@
     content_length = response.headers.get('Content-Length')
     if content_length is None:
         return None
-    if not content_length.isdigit():
-        raise ProtocolError('malformed Content-Length of a response')
-    return int(content_length)
+    try:
+        return parse_count(content_length)
+    except ValueError as error:
+        raise ProtocolError('malformed Content-Length of a response') from error
 
 
 def read_response_headers(response: HTTPResponse) -> HeaderFields:
--- a/godwitknot/web/relay.py
+++ b/godwitknot/web/relay.py
@@ -9,6 +9,7 @@
 
 from godwitknot.errors import ProtocolError
 from godwitknot.outcomes import Code, Outcome, RefusalError
+from godwitknot.units import parse_count
 from godwitknot.web.headers import HeaderFields
 
 CHUNK_BYTES = 65536
@@ -202,9 +203,11 @@
     parts = text.split(',')
     if len(parts) != 4 or parts[1] not in {'never', 'any'}:
         raise ProtocolError('malformed class header')
-    if not parts[2].isdigit():
-        raise ProtocolError('malformed priority')
-    return ClassTag(parts[0], parts[1] == 'never', int(parts[2]), parts[3])
+    try:
+        priority = parse_count(parts[2])
+    except ValueError as error:
+        raise ProtocolError('malformed priority') from error
+    return ClassTag(parts[0], parts[1] == 'never', priority, parts[3])
 
 
 @attrs.frozen
--- a/tests/godwitknot/atmostonce/test_issuedkeys.py
+++ b/tests/godwitknot/atmostonce/test_issuedkeys.py
@@ -193,6 +193,12 @@
     stranger.adopt(registry.export(other))
 
 
+def test_deeply_nested_handover_is_refused():
+    """Guards against an error that the peer port does not handle."""
+    with pytest.raises(ProtocolError):
+        make_registry().adopt(b'[' * 100000)
+
+
 def test_only_a_whole_handover_makes_an_heir():
     registry = make_registry()
     registry.begin(ticket('a'), 'd', 0).finish(DONE)
--- a/tests/godwitknot/operators/test_operatorapi.py
+++ b/tests/godwitknot/operators/test_operatorapi.py
@@ -82,6 +82,8 @@
     assert send('GET', '/nothing')[:2] == (404, 'not-found')
     assert send('GET', '/report')[:2] == (403, 'refused')
     assert send('GET', '/confirmation?version=x')[:2] == (400, 'bad-request')
+    odd = send('GET', '/confirmation?version=%C2%B2')
+    assert odd[:2] == (400, 'bad-request')
     send.fleet.tables.down = True
     assert send('POST', '/apply', apply_body())[:2] == (503, 'store-down')
     send.fleet.tables.down = False
--- a/tests/godwitknot/operators/test_requesttrace.py
+++ b/tests/godwitknot/operators/test_requesttrace.py
@@ -7,7 +7,7 @@
 
 from godwitknot.commands import main
 from godwitknot.errors import MissingRequestError, UnknownRequestError
-from godwitknot.operators.requesttrace import trace_request
+from godwitknot.operators.requesttrace import parse_line, trace_request
 
 REQUEST = '665c79d5f4e4380c'
 
@@ -124,3 +124,20 @@
         main(['explain', REQUEST, '--log', str(tmp_path / 'none.log')])
     assert ended.value.code == 1
     assert 'none.log' in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        '[' * 100000,
+        *(
+            f'{{"time": {time}, "node": "a", "event": "b"}}'
+            for time in ('1e999', 'NaN', '9' * 400, '9' * 5000, 'true')
+        ),
+    ],
+    ids=lambda text: text[:20],
+)
+def test_odd_line_is_no_log_line(text):
+    """Guards against a line of another program that ends the command."""
+    line = parse_line(text)
+    assert line is None or line.time == 1
--- a/tests/godwitknot/storage/test_storeclient.py
+++ b/tests/godwitknot/storage/test_storeclient.py
@@ -2,6 +2,7 @@
 import threading
 
 import pytest
+from urllib3 import HTTPResponse
 
 from godwitknot.errors import (
     ConflictError,
@@ -12,6 +13,7 @@
 from godwitknot.storage.store import ABSENT, Row, TableService, Write
 from godwitknot.storage.storeclient import (
     HttpTableService,
+    _parse,
     make_write,
     write_and_confirm,
 )
@@ -146,3 +148,9 @@
     assert tables.read('a').version == 1
     assert tables.read('a').version == 1
     listener.close()
+
+
+def test_deeply_nested_response_is_a_store_error():
+    """Guards against an error that users of the store do not handle."""
+    with pytest.raises(StoreDownError):
+        _parse(HTTPResponse(body=b'[' * 100000))
--- a/tests/godwitknot/test_units.py
+++ b/tests/godwitknot/test_units.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from godwitknot.units import Address, parse_address
+from godwitknot.units import Address, parse_address, parse_count
 
 ODD_ADDRESSES = (
     '10.0.0.1:0',
@@ -34,3 +34,30 @@
     """Guards against connections to a port that no socket can have."""
     with pytest.raises(ValueError):
         parse_address(text)
+
+
+def test_count_has_up_to_18_digits():
+    assert parse_count('0') == 0
+    assert parse_count('9' * 18) == 10**18 - 1
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        '',
+        '-1',
+        '+1',
+        '1_0',
+        ' 1',
+        '1.0',
+        '\u00b2',
+        '\u0661',
+        '9' * 19,
+        '9' * 5000,
+    ],
+    ids=lambda text: text[:20],
+)
+def test_odd_count_is_refused(text):
+    """Guards against digits that isdigit accepts and int does not."""
+    with pytest.raises(ValueError):
+        parse_count(text)
