--- a/godwitknot/mesh/framedecoder.py
+++ b/godwitknot/mesh/framedecoder.py
@@ -201,6 +201,8 @@
         parse_node_address(entry.sender, 'sender'),
         _unpack_buckets(entry.buckets),
         entry.version,
+        entry.omitConfiguration,
+        entry.acceptCompressed,
     )
 
 
@@ -210,6 +212,8 @@
         members,
         _unpack_buckets(entry.buckets),
         bytes(entry.configuration),
+        entry.version,
+        entry.compressed,
         unreadable=unreadable,
     )
 
--- a/godwitknot/mesh/frames.py
+++ b/godwitknot/mesh/frames.py
@@ -187,6 +187,8 @@
             'sender': str(digest.sender),
             'buckets': list(digest.buckets),
             'version': digest.version,
+            'omitConfiguration': digest.omit_configuration,
+            'acceptCompressed': digest.accept_compressed,
         },
     )
 
@@ -199,6 +201,8 @@
             'members': [pack_member(member) for member in reply.members],
             'buckets': list(reply.buckets),
             'configuration': reply.configuration,
+            'version': reply.version,
+            'compressed': reply.compressed,
         },
     )
 
--- a/godwitknot/mesh/noderelay.py
+++ b/godwitknot/mesh/noderelay.py
@@ -1,38 +1,25 @@
-"""Relays requests between nodes, to the sidecar of another server."""
+"""Receives requests that other nodes relay to the local server."""
 
 import asyncio
-import collections
 import time
 from collections.abc import Callable
 
 import attrs
 
-from godwitknot.errors import (
-    ConnectionCutError,
-    ConnectionFailedError,
-    ProtocolError,
-)
+from godwitknot.errors import ConnectionCutError, ProtocolError
 from godwitknot.mesh import frames
-from godwitknot.mesh.channels import Channel, open_channel
+from godwitknot.mesh.channels import Channel
 from godwitknot.mesh.events import EventLog
 from godwitknot.mesh.frames import FrameChannel
-from godwitknot.mesh.messages import Kind, Load, Offer, Refusal
+from godwitknot.mesh.messages import Kind, Offer
 from godwitknot.mesh.model import HttpResponse
 from godwitknot.mesh.serverproxy import Sidecar
-from godwitknot.outcomes import Code, Outcome, RefusalError
-from godwitknot.units import Address
+from godwitknot.mesh.transfers import Transfer
+from godwitknot.outcomes import Code, RefusalError
 
 # A sender commits one round trip after its slot is granted. Regions are 60 ms
 # apart, and a node may be delayed by a tenth of a second.
 _COMMIT_TIMEOUT_SECONDS = 1.0
-_CONNECT_TIMEOUT_SECONDS = 0.35
-# Until the first frame of the sidecar, in addition to the round trip.
-_FIRST_FRAME_SECONDS = 0.35
-# In addition to the time that the request may wait in the queue.
-_QUEUE_MARGIN_SECONDS = 0.3
-# How many idle connections to one node are kept, and for how long.
-_MAX_IDLE_CONNECTIONS = 8
-_MAX_IDLE_SECONDS = 20.0
 
 GossipHandler = Callable[[Kind, object], bytes | None]
 
@@ -77,14 +64,22 @@
 
     async def _serve_offer(self, link: FrameChannel, offer: Offer) -> None:
         self.active += 1
-        handling = asyncio.ensure_future(self._handle_offer(link, offer))
+        progress = _OfferProgress(time.monotonic())
+        handling = asyncio.ensure_future(
+            self._handle_offer(link, offer, progress)
+        )
         closing = asyncio.ensure_future(_wait_for_close(link))
         try:
             await asyncio.wait(
                 (handling, closing), return_when=asyncio.FIRST_COMPLETED
             )
             if not handling.done():
-                self._log.write('sender left', request=offer.attempt_id)
+                self._log.write(
+                    'sender left',
+                    request=offer.attempt_id,
+                    seconds=progress.seconds_since(progress.received_at),
+                    granted=progress.seconds_since(progress.granted_at),
+                )
                 handling.cancel()
             await asyncio.wait((handling,))
             if not handling.cancelled() and handling.exception() is not None:
@@ -93,10 +88,12 @@
             closing.cancel()
             self.active -= 1
 
-    async def _handle_offer(self, link: FrameChannel, offer: Offer) -> None:
+    async def _handle_offer(
+        self, link: FrameChannel, offer: Offer, progress: '_OfferProgress'
+    ) -> None:
         admission = self._sidecar.admission
         try:
-            response = await self._run(link, offer)
+            response = await self._run(link, offer, progress)
         except RefusalError as error:
             refusal = admission.build_refusal(error, offer)
             self._log.write(
@@ -112,7 +109,9 @@
         link.send(frames.encode_answer(response, admission.current_load()))
         await link.channel.drain()
 
-    async def _run(self, link: FrameChannel, offer: Offer) -> HttpResponse:
+    async def _run(
+        self, link: FrameChannel, offer: Offer, progress: '_OfferProgress'
+    ) -> HttpResponse:
         admission = self._sidecar.admission
         reservation = await admission.admit(
             offer,
@@ -124,8 +123,9 @@
             link.send(
                 frames.encode_load(Kind.GRANTED, admission.current_load())
             )
+            progress.granted_at = time.monotonic()
             if offer.two_phase:
-                body = await _receive_commit(link)
+                body = await _receive_commit(link, offer.seconds_left)
                 reservation.offer = attrs.evolve(offer, body=body)
             # After a pause of this process, the sender may have left.
             if link.channel.ended:
@@ -136,14 +136,35 @@
         return await self._sidecar.run(reservation)
 
 
-async def _receive_commit(link: FrameChannel) -> bytes:
+@attrs.define(eq=False)
+class _OfferProgress:
+    """Times of one offer at its sidecar, on the monotonic clock."""
+
+    received_at: float
+    granted_at: float | None = None
+
+    def seconds_since(self, moment: float | None) -> float | None:
+        """Return the seconds since a moment; ``None`` if it has not come."""
+        if moment is None:
+            return None
+        return round(time.monotonic() - moment, 4)
+
+
+async def _receive_commit(link: FrameChannel, max_seconds: float) -> bytes:
     """Return the body that is sent with the commit.
 
+    :param max_seconds: longest time for a body that is under way.
     :raises RefusalError: not run, if no commit arrives.
     """
+    transfer = Transfer(
+        _COMMIT_TIMEOUT_SECONDS,
+        silence_seconds=_COMMIT_TIMEOUT_SECONDS,
+        max_seconds=max_seconds,
+    )
     try:
-        async with asyncio.timeout(_COMMIT_TIMEOUT_SECONDS):
-            kind, body = await link.receive()
+        async with transfer.limit_time():
+            with transfer.watch(link.channel):
+                kind, body = await link.receive()
     except TimeoutError:
         raise RefusalError(Code.LINK_LOST) from None
     if kind is not Kind.COMMIT:
@@ -154,183 +175,3 @@
 async def _wait_for_close(link: FrameChannel) -> None:
     """Return when the sender has closed the connection."""
     await link.channel.wait_for_end()
-
-
-@attrs.define(eq=False)
-class Exchange:
-    """One offer to another node and its progress.
-
-    :ivar granted: set once the request may be on the server.
-    :ivar load: as last reported by the sidecar.
-    :ivar avoid: seconds without requests to the server, as the sidecar asked.
-    """
-
-    offer: Offer
-    granted: asyncio.Event = attrs.field(factory=asyncio.Event)
-    committed: bool = False
-    load: Load | None = None
-    avoid: float = 0
-
-
-class RelayClient:
-    """Offers requests to other nodes over persistent connections."""
-
-    def __init__(self) -> None:
-        """Create a client without connections."""
-        self._idle: dict[Address, collections.deque] = {}
-
-    async def run(
-        self,
-        address: Address,
-        round_trip: float,
-        exchange: Exchange,
-    ) -> HttpResponse:
-        """Offer a request and return the response.
-
-        Cancelling closes the connection. The sidecar then removes the request
-        from its queue, or aborts it on the server if it is repeatable.
-
-        :param round_trip: expected seconds to the node and back.
-        :raises RefusalError: with the known outcome.
-        """
-        link = await self._acquire(address)
-        try:
-            response = await self._exchange(link, round_trip, exchange)
-        except RefusalError as error:
-            if error.relayed and link.is_idle:
-                self._release(address, link)
-            else:
-                link.channel.abort()
-            raise
-        except (ConnectionCutError, ProtocolError) as error:
-            link.channel.abort()
-            raise _build_link_refusal(exchange, Code.LINK_LOST) from error
-        except TimeoutError as error:
-            link.channel.abort()
-            raise _build_link_refusal(exchange, Code.LINK_DOWN) from error
-        except asyncio.CancelledError:
-            link.channel.abort()
-            raise
-        self._release(address, link)
-        return response
-
-    async def call(
-        self,
-        address: Address,
-        frame: bytes,
-        timeout: float,
-    ) -> tuple[Kind, object] | None:
-        """Send a gossip frame and return the reply.
-
-        :param timeout: seconds.
-        :returns: ``None`` if the node cannot be reached.
-        """
-        try:
-            async with asyncio.timeout(timeout):
-                link = await self._acquire(address)
-                try:
-                    link.send(frame)
-                    reply = await link.receive()
-                except BaseException:
-                    link.channel.abort()
-                    raise
-        except (
-            ConnectionCutError,
-            ProtocolError,
-            RefusalError,
-            TimeoutError,
-        ):
-            # The calling code logs and counts what was not delivered.
-            return None
-        self._release(address, link)
-        return reply
-
-    async def _acquire(self, address: Address) -> FrameChannel:
-        idle = self._idle.get(address)
-        while idle:
-            link, since = idle.pop()
-            if link.is_idle and time.monotonic() - since < _MAX_IDLE_SECONDS:
-                return link
-            link.channel.close()
-        try:
-            return FrameChannel(
-                await open_channel(address, _CONNECT_TIMEOUT_SECONDS)
-            )
-        except ConnectionFailedError as error:
-            raise RefusalError(Code.LINK_DOWN) from error
-
-    def _release(self, address: Address, link: FrameChannel) -> None:
-        idle = self._idle.setdefault(address, collections.deque())
-        if len(idle) >= _MAX_IDLE_CONNECTIONS or not link.is_idle:
-            link.channel.close()
-            return
-        idle.append((link, time.monotonic()))
-
-    def remove_closed(self) -> list[Address]:
-        """Remove idle connections closed by their nodes; return the nodes.
-
-        A node keeps the connections of others open until it ends.
-        """
-        closed = []
-        for address, idle in self._idle.items():
-            ended = [each for each in idle if each[0].channel.ended]
-            for each in ended:
-                idle.remove(each)
-                each[0].channel.close()
-            if ended:
-                closed.append(address)
-        return closed
-
-    def close_idle(self, address: Address) -> None:
-        """Close the idle connections to a node that does not answer."""
-        for link, _ in self._idle.pop(address, ()):
-            link.channel.close()
-
-    async def _exchange(
-        self,
-        link: FrameChannel,
-        round_trip: float,
-        exchange: Exchange,
-    ) -> HttpResponse:
-        offer = exchange.offer
-        link.send(frames.encode_offer(offer))
-        async with asyncio.timeout(round_trip + _FIRST_FRAME_SECONDS) as limit:
-            while True:
-                kind, content = await link.receive()
-                if kind is Kind.QUEUED:
-                    exchange.load = content
-                    now = asyncio.get_running_loop().time()
-                    limit.reschedule(
-                        now + offer.max_wait + _QUEUE_MARGIN_SECONDS
-                    )
-                elif kind is Kind.GRANTED:
-                    exchange.load = content
-                    if offer.needs_commit:
-                        exchange.committed = True
-                        link.send(frames.encode_commit(offer.body))
-                    exchange.granted.set()
-                    limit.reschedule(None)
-                else:
-                    return _conclude(exchange, kind, content)
-
-
-def _conclude(exchange: Exchange, kind: Kind, content: object) -> HttpResponse:
-    if kind is Kind.ANSWER:
-        response, exchange.load = content
-        return response
-    if kind is Kind.REFUSAL:
-        refusal: Refusal = content
-        exchange.load = refusal.load
-        exchange.avoid = refusal.avoid
-        raise refusal.error
-    raise ProtocolError(f'unexpected {kind}')
-
-
-def _build_link_refusal(exchange: Exchange, code: Code) -> RefusalError:
-    """Return the known outcome after the link failed.
-
-    A sidecar never runs a request that waits for a commit without one.
-    """
-    if exchange.committed or not exchange.offer.needs_commit:
-        return RefusalError(code, Outcome.MAY_HAVE_RUN)
-    return RefusalError(code)
--- a/godwitknot/platform/store.py
+++ b/godwitknot/platform/store.py
@@ -19,6 +19,7 @@
 from godwitknot.mesh.httpclient import HttpClient
 from godwitknot.mesh.interfaces import MetadataStore, Page, Row
 from godwitknot.mesh.model import HttpRequest, HttpResponse
+from godwitknot.mesh.transfers import Transfer
 from godwitknot.platform import names
 from godwitknot.units import Address
 
@@ -39,6 +40,9 @@
 _VERSIONS = range(2**63)  # noqa: WPS432
 # The store usually responds in 4 ms, but can be 70 times slower under a fault.
 _CALL_TIMEOUT_SECONDS = 2.0
+# For reads, which may be large. 140 nodes that share a link of 30 Mbit/s
+# receive a configuration of 0.5 MB each within 20 s.
+_MAX_READ_SECONDS = 30.0
 _UNREADABLE = Row('', b'', 0)
 _SURROGATE = re.compile('[\ud800-\udfff]')
 
@@ -172,14 +176,19 @@
     ) -> HttpResponse:
         query = urllib.parse.urlencode(parameters)
         request = HttpRequest('GET', f'{path}?{query}', [], b'')
+        transfer = Transfer(
+            wait + _CALL_TIMEOUT_SECONDS,
+            silence_seconds=_CALL_TIMEOUT_SECONDS,
+            max_seconds=_MAX_READ_SECONDS,
+        )
         try:
-            return await self._client.call(
-                self._address, request, wait + _CALL_TIMEOUT_SECONDS
-            )
+            return await self._client.fetch(self._address, request, transfer)
         except (ConnectionFailedError, ConnectionCutError) as error:
-            raise StoreDownError(str(error)) from error
+            raise StoreDownError(str(error), transfer.received_bytes) from error
         except (ProtocolError, TimeoutError) as error:
-            raise StoreDownError(repr(error)) from error
+            raise StoreDownError(
+                repr(error), transfer.received_bytes
+            ) from error
 
 
 def _check(response: HttpResponse) -> Mapping:
--- a/tests/godwitknot/platform/test_odd_responses.py
+++ b/tests/godwitknot/platform/test_odd_responses.py
@@ -46,6 +46,9 @@
             self._bodies.pop(0)
         return HttpResponse(self._status, [], body.encode())
 
+    async def fetch(self, address, request, transfer):
+        return await self.call(address, request, transfer)
+
 
 def make_store(*bodies, status=200):
     return PlatformStore(
