--- a/godwitknot/mesh/messages.py
+++ b/godwitknot/mesh/messages.py
@@ -108,12 +108,15 @@
 
     :param sender: relay address of the sender.
     :param version: of the sender's configuration.
+    :param unreadable: on the receiving side, number of records that were
+        left out.
     """
 
     sender: Address
     members: tuple[Member, ...]
     crashes: tuple[Crash, ...]
     version: int
+    unreadable: int = 0
 
 
 @attrs.frozen
@@ -147,6 +150,8 @@
     :param version: of the replying node's configuration; older nodes do not
         send it.
     :param compressed: whether the configuration is compressed.
+    :param unreadable: on the receiving side, number of records that were
+        left out.
     """
 
     members: tuple[Member, ...]
@@ -154,3 +159,4 @@
     configuration: bytes = attrs.field(repr=False)
     version: int = 0
     compressed: bool = False
+    unreadable: int = 0
--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -7,9 +7,10 @@
 from collections.abc import Awaitable, Callable
 
 from godwitknot.clock import SystemClock
-from godwitknot.errors import ConnectionCutError, PlatformFormatError
+from godwitknot.errors import ConnectionCutError
 from godwitknot.health.crashes import CrashTracker
 from godwitknot.mesh.admissioncontrol import AdmissionControl
+from godwitknot.mesh.backgroundtasks import BackgroundTasks, keep_running
 from godwitknot.mesh.channels import Channel, listen
 from godwitknot.mesh.dispatcher import Dispatcher
 from godwitknot.mesh.endpoints import (
@@ -35,6 +36,7 @@
 from godwitknot.mesh.serverhealth import ServerHealth
 from godwitknot.mesh.serverproxy import Sidecar
 from godwitknot.mesh.serverselector import ServerSelector
+from godwitknot.mesh.settingsreload import SettingsReload
 from godwitknot.mesh.shutdown import Shutdown
 from godwitknot.mesh.storesync import ConfigurationHolder, StoreSync
 from godwitknot.mesh.telemetry import Telemetry
@@ -45,7 +47,6 @@
 # Time limit for refusing requests that arrive just before the exit.
 _FINAL_REFUSAL_SECONDS = 0.05
 _FINAL_REFUSAL_POLL_SECONDS = 0.005
-_SETTINGS_POLL_SECONDS = 2.0
 
 ConnectionHandler = Callable[[Channel], Awaitable[None]]
 
@@ -68,17 +69,18 @@
         self._placement = placement
         self._dialect = dialect
         self._settings = settings
-        self._read_placement = read_placement
         clock = SystemClock()
         self._clock = clock
         self._log = EventLog(placement.node, clock)
+        self._reload = SettingsReload(placement, read_placement, self._log)
         self._telemetry = Telemetry()
         runtime = Runtime(clock, self._log, self._telemetry, random.Random())
         self._stopping = asyncio.Event()
         self._shutdown = Shutdown(clock)
-        self._tasks: set[asyncio.Task] = set()
         self._listeners: list[asyncio.Server] = []
         self._started_ms = int(clock.wall() * _MS_PER_SECOND)
+        self._tasks = BackgroundTasks(runtime)
+        self._runtime = runtime
         self._build_local_server(runtime)
         self._build_fleet_state(runtime, store)
         self._build_request_path(runtime)
@@ -171,17 +173,16 @@
         loop.set_exception_handler(self._handle_loop_error)
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        loop.add_signal_handler(signal.SIGHUP, self._reload.reload)
         await self._start_listeners()
         self._log.write(
             'node started',
             service=self._placement.service,
             zone=self._placement.zone,
         )
-        tasks = [*self._store_sync.start(), *self._gossip.start()]
-        tasks.append(asyncio.ensure_future(self._poll_settings()))
-        for task in tasks:
-            self._track(task)
+        for task in (*self._store_sync.start(), *self._gossip.start()):
+            self._tasks.track(task)
+        self._tasks.spawn(keep_running(self._reload.poll, self._runtime))
         await self._stopping.wait()
         await self._stop()
 
@@ -305,7 +306,7 @@
 
     def _check_health_if_needed(self) -> None:
         if self._server.needs_proof:
-            self._spawn(self._check_health())
+            self._tasks.spawn(self._check_health())
 
     def _handle_record_change(self, member: Member) -> None:
         if member.address == self._placement.relay:
@@ -320,7 +321,7 @@
             self._update_server()
 
     def _start_crash_check(self, fingerprints: tuple[int, ...]) -> None:
-        self._spawn(self._report_crash_if_down(fingerprints))
+        self._tasks.spawn(self._report_crash_if_down(fingerprints))
 
     async def _report_crash_if_down(
         self,
@@ -330,48 +331,6 @@
         if not await self._checks.accepts_connections():
             self._gossip.report_crash(fingerprints)
 
-    def _reload_settings(self) -> None:
-        try:
-            reloaded = self._read_placement()
-        except (PlatformFormatError, OSError) as error:
-            self._log.write('settings unreadable', detail=str(error))
-            return
-        if reloaded == self._placement:
-            self._log.write('settings reloaded', changed=False)
-            return
-        self._log.write('settings reloaded', changed=True)
-        self._placement.service = reloaded.service
-        self._placement.bounds = reloaded.bounds
-
-    async def _poll_settings(self) -> None:
-        """Reload settings that changed without a SIGHUP."""
-        while True:
-            await asyncio.sleep(_SETTINGS_POLL_SECONDS)
-            try:
-                reloaded = self._read_placement()
-            except (PlatformFormatError, OSError) as error:
-                self._log.write('settings unreadable', detail=str(error))
-                continue
-            if reloaded.service != self._placement.service:
-                self._reload_settings()
-
-    def _spawn(self, work: object) -> None:
-        self._track(asyncio.ensure_future(work))
-
-    def _track(self, task: asyncio.Task) -> None:
-        self._tasks.add(task)
-        task.add_done_callback(self._handle_task_end)
-
-    def _handle_task_end(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if task.cancelled() or task.exception() is None:
-            return
-        error = task.exception()
-        self._telemetry.count('unexpected_errors')
-        self._log.write(
-            'task failed', detail=''.join(traceback.format_exception(error))
-        )
-
     def _handle_loop_error(
         self,
         loop: asyncio.AbstractEventLoop,
--- a/godwitknot/mesh/peergossip.py
+++ b/godwitknot/mesh/peergossip.py
@@ -10,6 +10,7 @@
 from godwitknot.errors import ProtocolError
 from godwitknot.health.crashes import CrashTracker
 from godwitknot.mesh import frames
+from godwitknot.mesh.backgroundtasks import keep_running
 from godwitknot.mesh.configurationcopies import ConfigurationCopies
 from godwitknot.mesh.configurationfetcher import ConfigurationFetcher
 from godwitknot.mesh.crashreports import CrashReports
@@ -21,6 +22,7 @@
 from godwitknot.mesh.serverselector import ServerSelector
 from godwitknot.mesh.storesync import ConfigurationHolder
 from godwitknot.mesh.transfers import Transfer
+from godwitknot.mesh.unreadablerows import UnreadableRows
 from godwitknot.units import Address
 
 # Number of peers that receive a rumor, in the same and in other failure
@@ -68,12 +70,14 @@
         self._selector = selector
         self._crash_reports = CrashReports(crashes, runtime.log)
         self._relay = relay
+        self._runtime = runtime
         self._log = runtime.log
         self._telemetry = runtime.telemetry
         self._rng = runtime.rng
         self._pending_members: dict[Address, Member] = {}
         self._pending_crashes: list[Crash] = []
         self._restarting = RestartingNodes(directory, relay, runtime.clock)
+        self._unreadable = UnreadableRows(runtime.log)
         # Called with records that an earlier run of this node left behind.
         self.previous_record_listeners: list[Callable[[Member], None]] = []
         self._push_requested = asyncio.Event()
@@ -88,8 +92,12 @@
         :returns: the tasks, which run until they are cancelled.
         """
         return [
-            asyncio.ensure_future(self._push_changes()),
-            asyncio.ensure_future(self._exchange_digests()),
+            asyncio.ensure_future(
+                keep_running(self._push_changes, self._runtime)
+            ),
+            asyncio.ensure_future(
+                keep_running(self._exchange_digests, self._runtime)
+            ),
         ]
 
     def merge_members(self, members: list[Member], origin: str) -> None:
@@ -159,10 +167,15 @@
     def _apply_rumor(self, rumor: Rumor) -> None:
         self._selector.mark_reachable(rumor.sender)
         self.merge_members(list(rumor.members), 'rumor')
+        self._log_unreadable(rumor.sender, rumor.unreadable)
         for crash in rumor.crashes:
             self._record_crash(crash)
         self._fetcher.announce(rumor.sender, rumor.version)
 
+    def _log_unreadable(self, origin: Address, count: int) -> None:
+        if count:
+            self._unreadable.report(str(origin), f'{count} of a node')
+
     def _record_crash(self, crash: Crash) -> None:
         if self._crash_reports.record(crash):
             self._pending_crashes.append(crash)
@@ -283,6 +296,7 @@
             each.address: each.record_version for each in content.members
         }
         self.merge_members(list(content.members), 'digest')
+        self._log_unreadable(address, content.unreadable)
         self._copies.adopt_copy(content)
         newer_members = tuple(
             each
--- a/godwitknot/mesh/storesync.py
+++ b/godwitknot/mesh/storesync.py
@@ -16,7 +16,9 @@
     StoreRestoredError,
 )
 from godwitknot.mesh import frames
+from godwitknot.mesh.backgroundtasks import keep_running
 from godwitknot.mesh.events import EventLog
+from godwitknot.mesh.framedecoder import decode_member
 from godwitknot.mesh.interfaces import Dialect, MetadataStore, Page, Row
 from godwitknot.mesh.memberdirectory import Directory, Member
 from godwitknot.mesh.model import FleetConfiguration
@@ -30,6 +32,7 @@
     StoreFeed,
 )
 from godwitknot.mesh.transfers import report_abandoned_copy
+from godwitknot.mesh.unreadablerows import UnreadableRows
 
 _MEMBER_TABLE = 'members'
 # Delay between reads of the member feed, so that one read returns several
@@ -47,6 +50,9 @@
         """Create a holder without a configuration."""
         self._dialect = dialect
         self._log = log
+        # The unreadable configuration that was logged last; the store and
+        # each peer may send it.
+        self._unreadable = b''
         self.current: FleetConfiguration | None = None
         self.listeners: list[Callable[[], None]] = []
 
@@ -69,7 +75,9 @@
         try:
             return self._dialect.read_configuration(source)
         except PlatformFormatError as error:
-            self._log.write('configuration unreadable', detail=str(error))
+            if source != self._unreadable:
+                self._unreadable = source
+                self._log.write('configuration unreadable', detail=str(error))
         return None
 
     def activate(self, received: FleetConfiguration, origin: str) -> bool:
@@ -121,6 +129,7 @@
         store.epoch_listeners.append(self._epoch.observe)
         # Epoch in which an outdated configuration was logged last.
         self._outdated_epoch = -1
+        self._unreadable = UnreadableRows(runtime.log)
         self._write_requested = asyncio.Event()
         self.members_loaded = False
 
@@ -130,9 +139,15 @@
         :returns: the tasks, which run until they are cancelled.
         """
         return [
-            asyncio.ensure_future(self._follow_configuration()),
-            asyncio.ensure_future(self._follow_members()),
-            asyncio.ensure_future(self._write_local_member()),
+            asyncio.ensure_future(
+                keep_running(self._follow_configuration, self._runtime)
+            ),
+            asyncio.ensure_future(
+                keep_running(self._follow_members, self._runtime)
+            ),
+            asyncio.ensure_future(
+                keep_running(self._write_local_member, self._runtime)
+            ),
         ]
 
     def request_write(self) -> None:
@@ -221,10 +236,12 @@
         if row.content is None:
             return None
         try:
-            return frames.decode_member(row.content)
+            member = decode_member(row.content)
         except ProtocolError as error:
-            self._log.write('row unreadable', key=row.key, detail=str(error))
-        return None
+            self._unreadable.report(row.key, str(error))
+            return None
+        self._unreadable.clear(row.key)
+        return member
 
     def _rewrite_lost_record(self) -> None:
         """Schedule a write if the store lost the record of this node."""
@@ -242,6 +259,8 @@
         self.request_write()
 
     async def _write_local_member(self) -> None:
+        # After an error it is unknown which record the store has.
+        self._write_requested.set()
         backoff = INITIAL_BACKOFF_SECONDS
         while True:
             await self._write_requested.wait()
@@ -257,8 +276,11 @@
                     self._record.version,
                 )
             except RowChangedError as error:
+                repeated = error.version == self._record.version
                 self._record.version = error.version
                 self._write_requested.set()
+                if repeated:
+                    backoff = await self._connection.back_off(error, backoff)
                 continue
             except StoreError as error:
                 self._write_requested.set()
--- a/godwitknot/units.py
+++ b/godwitknot/units.py
@@ -15,7 +15,17 @@
 _BYTES_PER_UNIT = types.MappingProxyType(
     {'': 1, 'B': 1, 'KiB': KIB, 'MiB': MIB, 'GiB': GIB},
 )
-_MAX_PORT = 65535
+# Visible ASCII characters, then the port.
+_ADDRESS = re.compile('([!-~]+):([0-9]{1,5})')
+# A tab may stand within the text of a header field.
+_CONTROL = re.compile('[\x00-\x08\x0a-\x1f\x7f]')
+# Up to 18 digits fit into 64 bits.
+_COUNT = re.compile('[0-9]{1,18}')
+# Port 0 asks the system to choose one, so no peer can be reached there.
+PORTS = range(1, 65536)  # noqa: WPS432
+# Milliseconds since 1970, until the year 2286.
+UNIX_MS = range(10**13)  # noqa: WPS432
+_HEADER_CHARSET = 'latin-1'
 
 
 def _split_number(text: str) -> tuple[float, str]:
@@ -92,17 +102,34 @@
         return (self.host, self.port)
 
 
+def parse_count(text: str) -> int:
+    """Parse a number of ASCII digits.
+
+    :raises ValueError: for any other text, or more than 18 digits.
+    """
+    if _COUNT.fullmatch(text) is None:
+        raise ValueError(text)
+    return int(text)
+
+
+def is_header_text(text: str) -> bool:
+    """Return whether a text can be sent in a header field."""
+    if text.isascii() and text.isprintable():
+        return True
+    encoded = text.encode(_HEADER_CHARSET, 'ignore')
+    return len(encoded) == len(text) and not _CONTROL.search(text)
+
+
 def parse_address(text: str) -> Address:
     """Parse ``host:port``.
 
-    :raises ValueError: if the port is missing or out of range.
+    :raises ValueError: if the port is missing or out of range, or the host
+        has characters that no address has.
     """
-    host, separator, port = text.strip().rpartition(':')
-    if not (host and separator and port.isdigit()):
-        raise ValueError(text)
-    if int(port) > _MAX_PORT:
+    match = _ADDRESS.fullmatch(text.strip())
+    if match is None or int(match.group(2)) not in PORTS:
         raise ValueError(text)
-    return Address(host, int(port))
+    return Address(match.group(1), int(match.group(2)))
 
 
 def parse_addresses(text: str) -> tuple[Address, ...]:
--- a/tests/godwitknot/mesh/test_restored_store.py
+++ b/tests/godwitknot/mesh/test_restored_store.py
@@ -6,7 +6,7 @@
 import pytest
 
 from bench.meshfleet import make_route, wait_until
-from godwitknot.mesh import frames
+from godwitknot.mesh.framedecoder import decode_member
 from godwitknot.mesh.model import ServerState
 
 NEW_ROUTE = make_route('/new/', 'idempotent', 'booking')
@@ -30,7 +30,7 @@
 
 def read_stored_state(fleet, machine):
     content = fleet.store.read_value('members', machine.address(1))
-    return frames.decode_member(content).state if content else None
+    return decode_member(content).state if content else None
 
 
 def restart(machine):
