Take a refusal as proof only if it answers this sending

Cause: the sidecar took a response without an attempt id as the answer to whatever request was open, also on a connection that had carried other requests, and a second copy of a refusal as the answer to the same attempt when that was sent to the server once more. A server that wrote an earlier refusal again made nodes answer "not run" for requests that it ran, or offer them to a second server.

Change: on a connection that carried a request before, and after a response to another request, a response without an id ends the request as "may have run" and closes the connection; this also holds for successes. An attempt that the server has refused is sent to it again on a new connection only. Other connections are reused as before.

The stand-in server gets the fault, and the fault soak draws it in a lane of its own, so that the other lanes keep their draws.

--- a/bench/faultsoak/faults.py
+++ b/bench/faultsoak/faults.py
@@ -173,6 +173,15 @@
     _inject_server_faults(machine, rng, ServerFaults(stale=True))
 
 
+def server_replays_refusals(
+    fleet: SoakFleet, machine: SoakMachine, rng: random.Random
+) -> None:
+    """Make a server refuse requests and send its refusals again later."""
+    machine.server.faults.replay = rng.choice(('with-id', 'without-id'))
+    _sleep_random(rng)
+    machine.server.faults.replay = ''
+
+
 def _inject_server_faults(
     machine: SoakMachine,
     rng: random.Random,
@@ -223,9 +232,10 @@
     server_fails,
     server_answers_twice,
 )
-# Runs in a separate lane, so that the random draws of the other lanes stay
+# These run in separate lanes, so that the random draws of the other lanes stay
 # the same for each seed.
 STOPS = (stop_together,)
+RESPONSE_FAULTS = (server_replays_refusals,)
 PLANNED = (
     stop_node,
     reload_node,
--- a/bench/faultsoak/script.py
+++ b/bench/faultsoak/script.py
@@ -7,7 +7,12 @@
 
 import attrs
 
-from bench.faultsoak.faults import PLANNED, STOPS, UNPLANNED
+from bench.faultsoak.faults import (
+    PLANNED,
+    RESPONSE_FAULTS,
+    STOPS,
+    UNPLANNED,
+)
 from bench.faultsoak.fleet import SoakFleet
 
 _MAX_GAP_SECONDS = 0.6
@@ -38,8 +43,10 @@
         self._seed = seed
 
     def run_all_events(self, seconds: float) -> None:
-        """Run planned and unplanned events in three lanes."""
-        self._run_lanes(seconds, [UNPLANNED, UNPLANNED, PLANNED])
+        """Run planned and unplanned events in four lanes."""
+        self._run_lanes(
+            seconds, [UNPLANNED, UNPLANNED, PLANNED, RESPONSE_FAULTS]
+        )
 
     def run_planned_events(self, seconds: float) -> None:
         """Run planned events only, in three lanes."""
@@ -78,7 +85,7 @@
             self.count += 1
             start = time.monotonic()
             event(self._fleet, machine, rng)
-            if events is UNPLANNED:
+            if events in {UNPLANNED, RESPONSE_FAULTS}:
                 name = event.__name__
                 failed_server = (
                     machine.name if name.startswith('server') else ''
--- a/godwitknot/mesh/httpclient.py
+++ b/godwitknot/mesh/httpclient.py
@@ -73,15 +73,18 @@
         self,
         address: Address,
         idle_limit: float | None = None,
+        *,
+        fresh: bool = False,
     ) -> ClientConnection:
         """Return an idle connection, or a new one.
 
         :param idle_limit: longest idle time in seconds, instead of that of the
             client.
+        :param fresh: open a new connection instead of reusing one.
         :raises ConnectionFailedError: if no connection could be opened.
         """
         limit = self._max_idle_seconds if idle_limit is None else idle_limit
-        idle = self._idle.get(address)
+        idle = None if fresh else self._idle.get(address)
         while idle:
             connection, since = idle.pop()
             connection.channel.unexpected_data_listener = None
--- a/godwitknot/mesh/httpconnection.py
+++ b/godwitknot/mesh/httpconnection.py
@@ -216,6 +216,7 @@
 class ClientConnection:
     """The client's side of a connection: one request at a time.
 
+    :ivar reused: whether it carried an earlier request.
     :ivar idle_seconds: how long it was idle before the current request.
     """
 
@@ -230,7 +231,7 @@
         """
         self.channel = channel
         self._max_response_bytes = max_response_bytes
-        self.started = False
+        self.reused = False
         self.idle_seconds = float(0)
         # Size of the current response so far, including head and framing.
         self._received_bytes = 0
@@ -243,7 +244,6 @@
         :raises ProtocolError: if the request cannot be expressed.
         """
         self.channel.write(self._encode_request(http_request))
-        self.started = True
 
     def _encode_request(self, http_request: HttpRequest) -> bytes:
         fields = strip_connection(http_request.fields)
@@ -325,6 +325,7 @@
         if self._parser.trailing_data[0]:
             return False
         self._parser.start_next_cycle()
+        self.reused = True
         return self.channel.is_idle
 
     async def _next(self) -> object:
--- a/godwitknot/mesh/serverproxy.py
+++ b/godwitknot/mesh/serverproxy.py
@@ -21,6 +21,7 @@
     HttpResponse,
     ResponseMetadata,
 )
+from godwitknot.mesh.refusedattempts import RefusedAttempts
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.serverhealth import ServerHealth
 from godwitknot.outcomes import Code, Outcome, RefusalError
@@ -59,6 +60,7 @@
         self._client = client
         client.unexpected_data_listeners.append(self._log_unexpected_data)
         self._keep_alive = KeepAliveEstimate(runtime.clock)
+        self._refused = RefusedAttempts(runtime.clock)
         self._clock = runtime.clock
         self._log = runtime.log
         self._telemetry = runtime.telemetry
@@ -136,12 +138,16 @@
         return self._evaluate(reservation, response, metadata, seconds)
 
     async def _connect(self, reservation: SlotReservation) -> ClientConnection:
+        offer = reservation.offer
         idle_limit = self._keep_alive.max_idle_seconds(
-            repeatable=reservation.offer.repeatable
+            repeatable=offer.repeatable
         )
+        # A server may repeat a refusal on a connection that it keeps. It would
+        # carry the id of this attempt.
+        is_refused = offer.attempt_id in self._refused
         try:
             return await self._client.acquire_connection(
-                self._address, idle_limit
+                self._address, idle_limit, fresh=is_refused
             )
         except ConnectionFailedError as error:
             self._record_failure(reservation, 'unreachable', str(error))
@@ -168,12 +174,16 @@
 
         :raises ProtocolError: if it cannot be used.
         """
+        may_lack_id = not connection.reused
         for _ in range(_MAX_RESPONSES):
             response = await connection.read()
             metadata = self._dialect.read_response(response.fields)
+            if not (metadata.attempt_id or may_lack_id):
+                raise ProtocolError('response that may be to another request')
             if metadata.attempt_id in {'', offer.attempt_id}:
                 _check_encoding(response)
                 return response, metadata
+            may_lack_id = False
             self._log.write(
                 'response to another request skipped',
                 request=offer.attempt_id,
@@ -192,6 +202,7 @@
         offer = reservation.offer
         zone = offer.caller_zone
         if response.status == _MISDIRECTED or metadata.not_executed:
+            self._refused.add(offer.attempt_id, reservation.deadline)
             return self._refuse(offer, response, metadata)
         if response.status in SUCCESS and not metadata.sealed:
             self._record_failure(reservation, 'no signature', '')
--- a/standins/meshserver.py
+++ b/standins/meshserver.py
@@ -22,6 +22,9 @@
     :param cut: close the connection after half of the response body.
     :param fail: respond with status 500.
     :param stale: send a response to another request first.
+    :param replay: refuse the first request of each connection, and send the
+        latest refusal again before each later response: ``with-id``, or
+        ``without-id`` for refusals without the id of their request.
     :param endless: name of a flood to send instead of the response, until
         the client closes the connection.
     :param endless_health: send the flood in response to health checks too.
@@ -31,6 +34,7 @@
     cut: bool = False
     fail: bool = False
     stale: bool = False
+    replay: str = ''
     endless: str = ''
     endless_health: bool = False
 
@@ -71,6 +75,8 @@
         self.faults = ServerFaults()
         self.runs: list[Run] = []
         self.cancelled_requests = 0
+        # Header fields of the latest refusal.
+        self.last_refusal: dict[str, str] = {}
         # Floods that are being sent at the moment.
         self.active_floods = 0
         self.draining = False
@@ -160,6 +166,7 @@
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = 'HTTP/1.1'
     owner: MeshServer
+    is_first_request = True
 
     def do_GET(self) -> None:
         """Serve a request without a body."""
@@ -184,10 +191,12 @@
             return
         # A restart during the request does not change the id that ran it.
         server_id = owner.server_id
+        attempt_id = self.headers['Godwitknot-Attempt-Id']
         if self.headers['Godwitknot-Expect-Instance'] != server_id:
-            self._respond(421, b'', {})
+            self._respond(421, b'', {'Godwitknot-Attempt-Id': attempt_id})
+            return
+        if owner.faults.replay and self._refuse_or_replay(attempt_id):
             return
-        attempt_id = self.headers['Godwitknot-Attempt-Id']
         owner.runs.append(
             Run(
                 time.monotonic(),
@@ -220,6 +229,21 @@
             status, response, {**seal, 'Godwitknot-Attempt-Id': attempt_id}
         )
 
+    def _refuse_or_replay(self, attempt_id: str) -> bool:
+        """Refuse a request, or send an earlier refusal before its response.
+
+        :returns: whether the request was refused.
+        """
+        is_refused = self.is_first_request
+        self.is_first_request = False
+        if is_refused:
+            refusal = {'Godwitknot-Not-Executed': 'true'}
+            if self.owner.faults.replay == 'with-id':
+                refusal['Godwitknot-Attempt-Id'] = attempt_id
+            self.owner.last_refusal = refusal
+        self._respond(503, b'', self.owner.last_refusal)
+        return is_refused
+
     def _send_flood(self, attempt_id: str) -> None:
         owner = self.owner
         self.close_connection = True
--- a/tests/godwitknot/mesh/test_mesh_fleet.py
+++ b/tests/godwitknot/mesh/test_mesh_fleet.py
@@ -4,6 +4,8 @@
 import socket
 import time
 
+import pytest
+
 from bench.meshfleet import HOST, make_route, wait_until
 
 
@@ -145,6 +147,26 @@
     assert len(runs_of(fleet, 'a-1')) == 1
 
 
+@pytest.mark.parametrize('replay', ['with-id', 'without-id'])
+def test_repeated_refusal_is_no_proof_that_a_booking_did_not_run(fleet, replay):
+    """Guards against "not run" for bookings that run, and second runs.
+
+    The servers send earlier refusals once more, on connections that are kept.
+    """
+    for machine in fleet.machines:
+        machine.server.faults.replay = replay
+    for number in range(20):
+        attempt_id = f'a-{number}'
+        entry = fleet.machines[number % 3]
+        response, _ = entry.send('/book/1', attempt_id, 'POST', b'')
+        runs = runs_of(fleet, attempt_id)
+        assert len(runs) <= 1
+        if response.status in {408, 421, 429, 503}:
+            assert not runs
+        else:
+            assert response.status in {200, 502}
+
+
 def test_hung_server_ends_at_the_deadline_of_the_caller(fleet):
     for machine in fleet.machines:
         machine.server.faults.hang = True
--- a/tests/godwitknot/mesh/test_serverproxy.py
+++ b/tests/godwitknot/mesh/test_serverproxy.py
@@ -166,3 +166,187 @@
     assert 'bytes after an answer' in logged()
     # The response before them was successful.
     assert not any(each.failed for each in sidecar.admission._health._outcomes)
+
+
+class ScriptedServer:
+    """Sends scripted bytes in response to each request.
+
+    ``%(id)s`` stands for the id of the request.
+
+    :param script: the pieces of each response, for each connection in turn.
+    """
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.received = []
+
+    async def serve(self, reader, writer):
+        self.received.append([])
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(asyncio.IncompleteReadError, OSError),
+        ):
+            for pieces in self.script.pop(0):
+                head = await reader.readuntil(b'\r\n\r\n')
+                attempt_id = head.partition(b'Attempt: ')[2].split()[0]
+                self.received[-1].append(attempt_id.decode())
+                for piece in pieces:
+                    writer.write(piece.replace(b'%(id)s', attempt_id))
+                    await writer.drain()
+                    await asyncio.sleep(0.01)
+            await reader.read()
+
+
+class PlainIdDialect(PlainDialect):
+    """Reads the id of the request and the statement that it did not run."""
+
+    def read_response(self, fields):
+        by_name = {name.lower(): text for name, text in fields}
+        return ResponseMetadata(
+            attempt_id=by_name.get('attempt', ''),
+            server_id='',
+            sealed=True,
+            not_executed='refused' in by_name,
+            waiting=0,
+        )
+
+
+def respond(attempt_id='%(id)s', status='200 OK', body=b'ok', refused=False):
+    lines = [f'HTTP/1.1 {status}', f'Content-Length: {len(body)}']
+    if attempt_id:
+        lines.append(f'Attempt: {attempt_id}')
+    if refused:
+        lines.append('Refused: true')
+    return '\r\n'.join((*lines, '', '')).encode() + body
+
+
+def refuse(attempt_id='%(id)s', status='503 Busy'):
+    return respond(attempt_id, status, b'', refused=True)
+
+
+async def run_attempts(server, build, *attempt_ids):
+    """Send requests that must not be repeated, one after another."""
+    listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+    sidecar = build(listener.sockets[0].getsockname()[1])
+    sidecar._dialect = PlainIdDialect()
+    results = []
+    for attempt_id in attempt_ids:
+        offer = make_offer(
+            attempt_id=attempt_id,
+            caller_zone='z1',
+            repeatable=False,
+            fields=[('Attempt', attempt_id)],
+        )
+        reservation = await sidecar.admission.admit(offer)
+        try:
+            results.append((await sidecar.run(reservation)).body)
+        except RefusalError as refusal:
+            results.append((refusal.code, refusal.outcome))
+    listener.close()
+    return results
+
+
+NOT_RUN = (Code.SERVER_SHED, Outcome.NOT_RUN)
+UNKNOWN = (Code.BAD_ANSWER, Outcome.MAY_HAVE_RUN)
+
+
+@pytest.mark.parametrize('status', ['503 Busy', '429 Busy', '421 Other'])
+def test_repeated_refusal_of_the_same_attempt_is_no_proof(build, status):
+    """Guards against "not run" for a request that the server has run.
+
+    The server refuses an attempt, and sends the refusal once more when the
+    attempt is offered to it again.
+    """
+    refusal = refuse(status=status)
+    server = ScriptedServer(
+        [[refusal], [refusal, respond(body=b'replayed')]], [[respond()]]
+    )
+    results = asyncio.run(run_attempts(server, build, 'a1', 'a1'))
+    assert results[1] == b'ok'
+    assert server.received == [['a1'], ['a1']]
+
+
+def test_refusal_repeated_on_another_connection_is_no_proof(build):
+    """Guards against a server that repeats refusals on any kept connection."""
+    server = ScriptedServer(
+        [[respond()], [refuse()], [refuse('a2'), respond(body=b'replayed')]],
+        [[respond()]],
+    )
+    results = asyncio.run(run_attempts(server, build, 'a1', 'a2', 'a2'))
+    assert results == [b'ok', NOT_RUN, b'ok']
+    assert server.received == [['a1', 'a2'], ['a2']]
+
+
+@pytest.mark.parametrize(
+    'replayed',
+    [
+        refuse(''),
+        respond('', '421 Other', b''),
+        respond('', '400 Bad', b'', refused=True),
+        respond('', '500 Failed', b''),
+        respond('', body=b'other'),
+    ],
+    ids=['503', '421', '400', '500', '200'],
+)
+@pytest.mark.parametrize('early', ['', 'informational', 'other id'])
+def test_answer_without_an_id_on_a_kept_connection_is_not_used(
+    build, replayed, early
+):
+    """Guards against an answer to an earlier request that has no id."""
+    first = {
+        '': b'',
+        'informational': b'HTTP/1.1 102 Processing\r\n\r\n',
+        'other id': refuse('a0'),
+    }[early]
+    server = ScriptedServer(
+        [[respond()], [first + replayed, respond(body=b'late')]], [[respond()]]
+    )
+    results = asyncio.run(run_attempts(server, build, 'a1', 'a2', 'a3'))
+    assert results == [b'ok', UNKNOWN, b'ok']
+    # The connection is not used again.
+    assert server.received == [['a1', 'a2'], ['a3']]
+
+
+def test_answer_without_an_id_on_a_new_connection_is_used(build):
+    """Guards against errors for the only answer that there can be."""
+    server = ScriptedServer([[refuse('')], []], [[respond('')], []])
+    results = asyncio.run(run_attempts(server, build, 'a1', 'a1'))
+    assert results == [NOT_RUN, b'ok']
+
+
+def test_answer_without_an_id_after_one_with_another_id_is_not_used(build):
+    """Guards against a second surplus answer on a new connection."""
+    server = ScriptedServer([[refuse('a0'), refuse('')]])
+    assert asyncio.run(run_attempts(server, build, 'a1')) == [UNKNOWN]
+
+
+@pytest.mark.parametrize('size', [1, 7, 40])
+def test_refusal_of_another_attempt_in_pieces_is_skipped(build, size):
+    """Guards against a replay that is cut into segments."""
+    replayed = refuse('a1') + respond('a2')
+    pieces = [
+        replayed[start : start + size]
+        for start in range(0, len(replayed), size)
+    ]
+    server = ScriptedServer([[refuse()], pieces, [respond()]])
+    results = asyncio.run(run_attempts(server, build, 'a1', 'a2', 'a3'))
+    assert results == [NOT_RUN, b'ok', b'ok']
+    # Reuse goes on after a refusal and after a skipped response.
+    assert server.received == [['a1', 'a2', 'a3']]
+
+
+def test_several_surplus_refusals_end_as_unknown(build):
+    """Guards against "not run" after two surplus answers in a row."""
+    server = ScriptedServer(
+        [[refuse()], [refuse('a1') + refuse('a1') + respond()]], [[respond()]]
+    )
+    results = asyncio.run(run_attempts(server, build, 'a1', 'a2', 'a3'))
+    assert results == [NOT_RUN, UNKNOWN, b'ok']
+
+
+def test_refusal_in_the_same_segment_after_an_answer_is_not_used(build):
+    """Guards against a surplus answer that is read for the next request."""
+    server = ScriptedServer([[respond() + refuse('a2')]], [[respond()]])
+    results = asyncio.run(run_attempts(server, build, 'a1', 'a2'))
+    assert results == [b'ok', b'ok']
+    assert server.received == [['a1'], ['a2']]
