Ignore responses to requests in health checks

Cause: a health check reuses connections to the server and took any response with status 200 as its own. A surplus response to a request could open a server for requests.

Change: a response with an attempt id fails the check, since health checks have none.

Result: the new test failed before the change (the server was opened).

--- a/godwitknot/mesh/serverchecks.py
+++ b/godwitknot/mesh/serverchecks.py
@@ -67,6 +67,9 @@
             self._log.write('health check failed', status=response.status)
             return False
         metadata = self._dialect.read_response(response.fields)
+        if metadata.attempt_id:
+            self._log.write('health check failed', detail='another response')
+            return False
         return self._server.record_health_check(metadata.server_id)
 
     async def accepts_connections(self) -> bool:
