Treat a response that ends within its head as an error

Cause: http.client takes the end of a connection for the end of the header fields, of a chunk line and of the trailers. A server that stopped there was passed on as a complete 200 with an empty or short body; the object store's client returned an empty object, and a write counted as acknowledged.

Change: the connections of the data path of nodes that operators run, of the store clients and of the operator client read lines through a file object that reports the end of the connection within a response. Such a run counts as lost, also on a kept connection, and is not sent again silently, since the server had begun to answer.

Result: three responses are cut at each byte.

--- a/godwitknot/operators/operatorclient.py
+++ b/godwitknot/operators/operatorclient.py
@@ -29,6 +29,7 @@
     Plan,
     StopProgress,
 )
+from godwitknot.strictresponses import StrictConnectionPool
 from godwitknot.units import Address
 
 Answer = TypeVar('Answer')
@@ -85,6 +86,7 @@
             retries=False,
             timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=READ_SECONDS),
         )
+        self._pool.pool_classes_by_scheme = {'http': StrictConnectionPool}
 
     def status(self) -> FleetStatus:
         """Request the state of the fleet."""
--- a/godwitknot/storage/storeclient.py
+++ b/godwitknot/storage/storeclient.py
@@ -18,6 +18,7 @@
     StoreError,
 )
 from godwitknot.storage.store import ObjectStore, Row, TableService, Write
+from godwitknot.strictresponses import StrictConnectionPool
 from godwitknot.units import Address
 
 # Column with the id of the write that created the current version of a row.
@@ -62,7 +63,7 @@
     """Sends requests and translates failures; retries only reads."""
 
     def __init__(self, address: Address, timeout: float) -> None:
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = StrictConnectionPool(
             address.host,
             address.port,
             maxsize=_MAX_POOLED_CONNECTIONS,
--- a/godwitknot/web/connections.py
+++ b/godwitknot/web/connections.py
@@ -10,13 +10,13 @@
 import select
 import socket
 import threading
-from http.client import CONTINUE, OK, HTTPResponse
 
 import attrs
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
 from godwitknot.clock import Clock
+from godwitknot.strictresponses import StrictConnection
 from godwitknot.units import Address
 from godwitknot.web.relay import CHUNK_BYTES
 
@@ -28,21 +28,6 @@
 _MILLISECONDS = 1000
 
 
-class _FinalResponse(HTTPResponse):
-    """Skips all 1xx responses; http.client skips only status 100."""
-
-    def _read_status(self) -> tuple[str, int, str]:
-        version, status, reason = super()._read_status()
-        if status < OK:
-            # begin() skips a 100 response and its header fields.
-            status = CONTINUE
-        return version, status, reason
-
-
-class _Connection(HTTPConnection):
-    response_class = _FinalResponse
-
-
 class ConnectFailedError(OSError):
     """The connection could not be opened, so nothing was sent."""
 
@@ -93,7 +78,7 @@
             channel = self._acquire_idle()
             if channel is not None:
                 return channel
-        connection = _Connection(
+        connection = StrictConnection(
             self.address.host,
             self.address.port,
             timeout=CONNECT_TIMEOUT_SECONDS,
--- a/godwitknot/web/exchange.py
+++ b/godwitknot/web/exchange.py
@@ -10,6 +10,7 @@
 
 from godwitknot.clock import Clock
 from godwitknot.errors import GodwitknotError, ProtocolError
+from godwitknot.strictresponses import TruncatedLineError
 from godwitknot.web.connections import (
     Channel,
     ChannelPool,
@@ -32,6 +33,10 @@
     """The connection failed before the response began."""
 
 
+class TruncatedError(ExchangeError):
+    """The connection ended within the head of the response."""
+
+
 class SilentError(ExchangeError):
     """No response began before the deadline or before the wait was aborted."""
 
@@ -119,6 +124,7 @@
         :raises SilentError: at the deadline.
         :raises CallerLeftError: if the caller closed its connection.
         :raises CutError: if the connection failed.
+        :raises TruncatedError: if it ended within the head of the response.
         """
         try:
             self._wait_readable(call, interval, on_idle)
@@ -127,6 +133,9 @@
             raise
         try:
             self._response = self._channel.connection.getresponse()
+        except TruncatedLineError as error:
+            self.abort()
+            raise TruncatedError(str(error)) from error
         except _TRANSPORT_ERRORS as error:
             self.abort()
             raise CutError(type(error).__name__) from error
--- a/tests/godwitknot/storage/test_storeclient.py
+++ b/tests/godwitknot/storage/test_storeclient.py
@@ -11,11 +11,14 @@
 )
 from godwitknot.storage.store import ABSENT, Row, TableService, Write
 from godwitknot.storage.storeclient import (
+    HttpObjectStore,
     HttpTableService,
     make_write,
     write_and_confirm,
 )
 from godwitknot.units import Address
+from standins.rawserver import RawServer
+from tests.cutresponses import CUT_RESPONSES
 
 
 class LosingTables(HttpTableService):
@@ -146,3 +149,23 @@
     assert tables.read('a').version == 1
     assert tables.read('a').version == 1
     listener.close()
+
+
+@pytest.mark.parametrize('cut', CUT_RESPONSES)
+def test_object_cut_by_the_service_is_an_error(cut):
+    """Guards against an empty object where the head was cut off."""
+    server = RawServer([cut], [cut])
+    with pytest.raises(StoreDownError):
+        HttpObjectStore(server.address, 1.0).get('abc')
+    server.stop()
+
+
+@pytest.mark.parametrize('cut', CUT_RESPONSES)
+def test_write_with_a_cut_response_may_have_taken_effect(cut):
+    """Guards against taking the beginning of a response for all of it."""
+    server = RawServer([cut])
+    tables = HttpTableService(server.address, 1.0)
+    with pytest.raises(LostAnswerError):
+        tables.write([Write('a', ABSENT, {}, 'w1')])
+    assert server.requests == 1
+    server.stop()
