Cut server responses at every byte in tests of the mesh

Reviewed after a report that a response cut within its head looked complete. The mesh is not affected: h11 reports the end of a connection within a head, a chunk line or trailers. The tests try each position on new and on kept connections, with requests that may and may not be repeated: such a run ends as "may have run" and is evidence against the server.

The stand-in server gets the fault, and the fault soak draws it.

--- a/bench/faultsoak/faults.py
+++ b/bench/faultsoak/faults.py
@@ -182,6 +182,15 @@
     machine.server.faults.replay = ''
 
 
+def server_cuts_heads(
+    fleet: SoakFleet, machine: SoakMachine, rng: random.Random
+) -> None:
+    """Make a server close connections within the heads of its responses."""
+    machine.server.faults.cut_head = True
+    _sleep_random(rng)
+    machine.server.faults.cut_head = False
+
+
 def _inject_server_faults(
     machine: SoakMachine,
     rng: random.Random,
@@ -235,7 +244,7 @@
 # These run in separate lanes, so that the random draws of the other lanes stay
 # the same for each seed.
 STOPS = (stop_together,)
-RESPONSE_FAULTS = (server_replays_refusals,)
+RESPONSE_FAULTS = (server_replays_refusals, server_cuts_heads)
 PLANNED = (
     stop_node,
     reload_node,
--- a/standins/meshserver.py
+++ b/standins/meshserver.py
@@ -20,6 +20,8 @@
 
     :param hang: never respond.
     :param cut: close the connection after half of the response body.
+    :param cut_head: close the connection within the head of the response, one
+        byte later each time.
     :param fail: respond with status 500.
     :param stale: send a response to another request first.
     :param replay: refuse the first request of each connection, and send the
@@ -32,6 +34,7 @@
 
     hang: bool = False
     cut: bool = False
+    cut_head: bool = False
     fail: bool = False
     stale: bool = False
     replay: str = ''
@@ -75,6 +78,8 @@
         self.faults = ServerFaults()
         self.runs: list[Run] = []
         self.cancelled_requests = 0
+        # Bytes sent of the latest head that was cut.
+        self.cut_position = 0
         # Header fields of the latest refusal.
         self.last_refusal: dict[str, str] = {}
         # Floods that are being sent at the moment.
@@ -251,12 +256,22 @@
         send_flood(self, owner.faults.endless, attempt_id)
         owner.active_floods -= 1
 
+    def _cut_head(self) -> None:
+        head = b''.join(self._headers_buffer)
+        self._headers_buffer.clear()
+        self.owner.cut_position = self.owner.cut_position % len(head) + 1
+        self.wfile.write(head[: self.owner.cut_position])
+        self.close_connection = True
+
     def _respond(self, status: int, body: bytes, fields: dict) -> None:
         self.send_response(status)
         for name, text in fields.items():
             self.send_header(name, text)
         self.send_header('Godwitknot-Instance-Id', self.owner.server_id)
         self.send_header('Content-Length', str(len(body)))
+        if self.owner.faults.cut_head:
+            self._cut_head()
+            return
         self.end_headers()
         is_truncated = self.owner.faults.cut and body
         self.wfile.write(body[: len(body) // 2] if is_truncated else body)
--- a/tests/godwitknot/mesh/test_httpconnection.py
+++ b/tests/godwitknot/mesh/test_httpconnection.py
@@ -9,6 +9,7 @@
 from godwitknot.mesh.httpconnection import MAX_RESPONSE_BYTES, ClientConnection
 from godwitknot.mesh.model import HttpRequest
 from standins.floods import generate_flood
+from tests.cutresponses import CUT_RESPONSES
 
 
 class ScriptedChannel:
@@ -24,6 +25,16 @@
         return self.pieces.pop(0)
 
 
+class ResetChannel(ScriptedChannel):
+    """Returns the parts of a response, then breaks."""
+
+    async def receive(self):
+        received = await super().receive()
+        if not received:
+            raise ConnectionCutError('reset')
+        return received
+
+
 class FloodedChannel:
     """Returns an endless response; fails the test if too much of it is read."""
 
@@ -67,6 +78,37 @@
         read(*pieces)
 
 
+@pytest.mark.parametrize('cut', CUT_RESPONSES)
+def test_response_cut_at_any_byte_is_a_cut_connection(cut):
+    """Guards against an empty or short body that looks complete."""
+    with pytest.raises(ConnectionCutError):
+        read(cut)
+    with pytest.raises(ConnectionCutError):
+        read(*(cut[at : at + 1] for at in range(len(cut))))
+
+
+@pytest.mark.parametrize('size', [0, 3], ids=['no body', 'some body'])
+def test_response_without_length_that_ends_by_a_reset_is_cut(size):
+    """Guards against taking a reset for the end of the body."""
+    head = b'HTTP/1.1 200 OK\r\n\r\n'
+    channel = ResetChannel(head + b'x' * size)
+    with pytest.raises(ConnectionCutError):
+        read_from(channel)
+
+
+@pytest.mark.parametrize(
+    'head',
+    [
+        b'HTTP/1.1 204 No Content\r\n\r\n',
+        b'HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n',
+    ],
+    ids=['204', '304'],
+)
+def test_response_without_a_body_is_complete(head):
+    """Guards against taking a response without a body for a cut one."""
+    assert read(head).body == b''
+
+
 def test_bytes_that_are_no_response_are_malformed():
     with pytest.raises(ProtocolError):
         read(b'\x00\x01nonsense\r\n\r\n')
--- a/tests/godwitknot/mesh/test_mesh_fleet.py
+++ b/tests/godwitknot/mesh/test_mesh_fleet.py
@@ -167,6 +167,20 @@
             assert response.status in {200, 502}
 
 
+def test_answer_that_ends_within_its_head_is_no_success(fleet):
+    """Guards against a 200 with an empty body, and second runs."""
+    for machine in fleet.machines:
+        machine.server.faults.cut_head = True
+    for number in range(30):
+        attempt_id = f'a-{number}'
+        entry = fleet.machines[number % 3]
+        response, _ = entry.send('/book/1', attempt_id, 'POST', b'')
+        runs = runs_of(fleet, attempt_id)
+        expected = 502 if runs else 503
+        assert response.status == expected
+        assert len(runs) <= 1
+
+
 def test_hung_server_ends_at_the_deadline_of_the_caller(fleet):
     for machine in fleet.machines:
         machine.server.faults.hang = True
--- a/tests/godwitknot/mesh/test_serverproxy.py
+++ b/tests/godwitknot/mesh/test_serverproxy.py
@@ -23,6 +23,7 @@
 from godwitknot.mesh.telemetry import Telemetry
 from godwitknot.outcomes import Code, Outcome, RefusalError
 from godwitknot.units import Address
+from standins.rawserver import RawServer
 
 _RESET = struct.pack('ii', 1, 0)
 _RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
@@ -228,13 +229,19 @@
     """Send requests that must not be repeated, one after another."""
     listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
     sidecar = build(listener.sockets[0].getsockname()[1])
+    results = await send_attempts(sidecar, *attempt_ids)
+    listener.close()
+    return results
+
+
+async def send_attempts(sidecar, *attempt_ids, repeatable=False):
     sidecar._dialect = PlainIdDialect()
     results = []
     for attempt_id in attempt_ids:
         offer = make_offer(
             attempt_id=attempt_id,
             caller_zone='z1',
-            repeatable=False,
+            repeatable=repeatable,
             fields=[('Attempt', attempt_id)],
         )
         reservation = await sidecar.admission.admit(offer)
@@ -242,7 +249,6 @@
             results.append((await sidecar.run(reservation)).body)
         except RefusalError as refusal:
             results.append((refusal.code, refusal.outcome))
-    listener.close()
     return results
 
 
@@ -350,3 +356,22 @@
     results = asyncio.run(run_attempts(server, build, 'a1', 'a2'))
     assert results == [b'ok', b'ok']
     assert server.received == [['a1'], ['a2']]
+
+
+@pytest.mark.parametrize('repeatable', [True, False])
+@pytest.mark.parametrize('size', range(1, len(respond('a2'))))
+def test_response_cut_at_any_byte_may_have_run(build, size, repeatable):
+    """Guards against a cut response that is complete, or no evidence."""
+    cut = respond('a2')[:size]
+    # The connections are a kept one and a new one.
+    server = RawServer([respond('a1'), cut], [cut])
+    sidecar = build(server.address.port)
+    results = asyncio.run(
+        send_attempts(sidecar, 'a1', 'a2', 'a2', repeatable=repeatable)
+    )
+    server.stop()
+    lost = (Code.CONNECTION_LOST, Outcome.MAY_HAVE_RUN)
+    assert results == [b'ok', lost, lost]
+    failed = [each.failed for each in sidecar.admission._health._outcomes]
+    assert failed == [False, True, True]
+    assert (server.connections, server.requests) == (2, 3)
