Check the request id of a server's refusals

Cause: on nodes that operators run themselves, a response of 503 with X-Not-Run was taken as "not run" before its echoed request id was compared, so that a refusal of another request passed for this one's. A success without an id was delivered also on a connection on which the server had echoed ids.

Change: the id is compared first. A response to another request ends as "may have run" instead of "ran", since nothing is known about this one. A success without an id is not delivered on a connection with an echoed id.

Refusals without an id stay valid on kept connections: servers need not echo the id, and only repeatable requests use such connections.

--- a/godwitknot/servers/execution.py
+++ b/godwitknot/servers/execution.py
@@ -125,7 +125,7 @@
         except ProtocolError as error:
             slot_context.close()
             self.end(RunEnd.ABANDONED)
-            raise self._refuse_bad_response() from error
+            raise self._refuse_bad_response(Outcome.RAN) from error
         failed = response.status >= _SERVER_ERROR
         end = RunEnd.FAILED if failed else RunEnd.ANSWERED
         chunks = self._exchange.chunks(self._request.method)
@@ -233,23 +233,35 @@
         )
 
     def _check_response(self, response: HTTPResponse) -> HTTPResponse:
-        shed = response.headers.get(headers.NOT_RUN, '').lower() == 'true'
-        if response.status == _SERVICE_UNAVAILABLE and shed:
+        echoed = response.headers.get(headers.REQUEST_ID, '')
+        if echoed != self._request.request_id and (
+            echoed or self._may_answer_another(response)
+        ):
+            raise self._refuse_bad_response(Outcome.MAY_HAVE_RUN)
+        if _is_shed(response):
             self.end(RunEnd.ABANDONED)
             raise RefusalError(
                 Code.SERVER_SHED,
                 retry_after=_RETRY_AFTER_SECONDS,
             )
-        echoed = response.headers.get(headers.REQUEST_ID)
-        if echoed and echoed != self._request.request_id:
-            raise self._refuse_bad_response()
+        if echoed:
+            self._exchange.record_identified()
         return response
 
-    def _refuse_bad_response(self) -> RefusalError:
+    def _may_answer_another(self, response: HTTPResponse) -> bool:
+        """Return whether a response without an id may be to another request.
+
+        Servers need not echo the id, but one that did so on this connection
+        also does in a success. A refusal on a reused connection may be wrong,
+        which does no harm: only repeatable requests use such connections.
+        """
+        return self._exchange.identified and response.status < _SERVER_ERROR
+
+    def _refuse_bad_response(self, outcome: Outcome) -> RefusalError:
         self._exchange.abort()
         if not self._reported:
             self._report(RunEnd.FAILED)
-        return RefusalError(Code.BAD_ANSWER, Outcome.RAN)
+        return RefusalError(Code.BAD_ANSWER, outcome)
 
     def _make_headers(self) -> headers.HeaderFields:
         remaining = max(0, self._request.deadline - self._server.now())
@@ -271,5 +283,11 @@
         return forwarded
 
 
+def _is_shed(response: HTTPResponse) -> bool:
+    """Return whether the server states that it did not run the request."""
+    not_run = response.headers.get(headers.NOT_RUN, '').lower() == 'true'
+    return not_run and response.status == _SERVICE_UNAVAILABLE
+
+
 class _DeadConnectionError(ExchangeError):
     """A reused connection is dead; the request is sent on a new one."""
--- a/godwitknot/web/connections.py
+++ b/godwitknot/web/connections.py
@@ -38,12 +38,14 @@
 
     :param opened: clock time at which it was opened, in seconds.
     :param reused: whether it carried an earlier request.
+    :param identified: whether a response had the id of its request.
     :param idle_since: clock time of its last release, in seconds.
     """
 
     connection: HTTPConnection
     opened: float
     reused: bool = False
+    identified: bool = False
     idle_since: float = 0
 
     def close(self) -> None:
--- a/godwitknot/web/exchange.py
+++ b/godwitknot/web/exchange.py
@@ -89,6 +89,15 @@
         """Whether the connection carried an earlier request."""
         return self._channel.reused
 
+    @property
+    def identified(self) -> bool:
+        """Whether a response on the connection had the id of its request."""
+        return self._channel.identified
+
+    def record_identified(self) -> None:
+        """Record that the response has the id of its request."""
+        self._channel.identified = True
+
     def send(self, call: Call) -> None:
         """Send the request.
 
--- a/standins/rawserver.py
+++ b/standins/rawserver.py
@@ -40,18 +40,22 @@
             except OSError:
                 return
             self.connections += 1
-            with sock:
-                sock.settimeout(_TIMEOUT_SECONDS)
-                self._serve_connection(sock, responses)
+            sock.settimeout(_TIMEOUT_SECONDS)
+            threading.Thread(
+                target=self._serve_connection,
+                args=(sock, responses),
+                daemon=True,
+            ).start()
 
     def _serve_connection(
         self, sock: socket.socket, responses: list[bytes]
     ) -> None:
-        for response in responses:
-            if not _read_request(sock):
-                return
-            self.requests += 1
-            sock.sendall(response)
+        with sock:
+            for response in responses:
+                if not _read_request(sock):
+                    return
+                self.requests += 1
+                sock.sendall(response)
 
 
 def _read_request(sock: socket.socket) -> bool:
--- a/tests/godwitknot/servers/test_upstream.py
+++ b/tests/godwitknot/servers/test_upstream.py
@@ -119,3 +119,96 @@
     _, upstream = start([head])
     assert run(upstream) == b''
     assert not results[0].failed
+
+
+NOT_RUN = (Code.SERVER_SHED, Outcome.NOT_RUN)
+UNKNOWN = (Code.BAD_ANSWER, Outcome.MAY_HAVE_RUN)
+
+
+def respond(request_id='', status='200 OK', body=b'own', shed=False):
+    lines = [f'HTTP/1.1 {status}', f'Content-Length: {len(body)}']
+    if request_id:
+        lines.append(f'X-Request-Id: {request_id}')
+    if shed:
+        lines.append('X-Not-Run: true')
+    return '\r\n'.join((*lines, '', '')).encode() + body
+
+
+def shed(request_id=''):
+    return respond(request_id, '503 Busy', b'', shed=True)
+
+
+def run_all(upstream, *request_ids, never_repeat=False):
+    """Run requests in turn; return bodies, or codes and outcomes."""
+    answers = []
+    for request_id in request_ids:
+        try:
+            answers.append(run(upstream, request_id, never_repeat=never_repeat))
+        except RefusalError as refusal:
+            answers.append((refusal.code, refusal.outcome))
+    return answers
+
+
+@pytest.mark.parametrize(
+    'first', [respond('r1'), respond()], ids=['after id', 'after no id']
+)
+def test_earlier_refusal_on_a_kept_connection_is_no_proof(start, first):
+    """Guards against "not run" from a refusal with the id of another."""
+    server, upstream = start(
+        [first, shed('r1') + respond('r2', body=b'late')], [respond('r3')]
+    )
+    answers = run_all(upstream, 'r1', 'r2', 'r3')
+    assert answers == [b'own', UNKNOWN, b'own']
+    # The connection is not used again.
+    assert server.connections == 2
+
+
+def test_request_that_must_not_be_repeated_uses_a_new_connection(start):
+    """Guards against "not run" from a refusal without an id, sent again."""
+    server, upstream = start(
+        [respond(), shed() + respond(body=b'late')], [respond()]
+    )
+    answers = [
+        *run_all(upstream, 'r1'),
+        *run_all(upstream, 'r2', never_repeat=True),
+    ]
+    assert answers == [b'own', b'own']
+    assert (server.connections, server.requests) == (2, 2)
+
+
+def test_refusal_of_another_request_is_no_proof(start):
+    """Guards against "not run" where a new connection gets another answer."""
+    _, upstream = start([shed('r0')])
+    assert run_all(upstream, 'r1', never_repeat=True) == [UNKNOWN]
+
+
+def test_success_without_the_id_after_one_with_it_is_not_delivered(start):
+    """Guards against the answer to an earlier request."""
+    server, upstream = start(
+        [
+            respond('r1'),
+            respond('', '500 Failed', b'own'),
+            respond(body=b'other') + respond('r3'),
+        ],
+        [respond('r4')],
+    )
+    answers = run_all(upstream, 'r1', 'r2', 'r3', 'r4')
+    assert answers == [b'own', b'own', UNKNOWN, b'own']
+    assert server.connections == 2
+
+
+def test_server_that_echoes_no_id_keeps_its_connection(start):
+    """Guards against new connections for each request to such a server."""
+    server, upstream = start([respond(), respond(), respond()])
+    assert run_all(upstream, 'r1', 'r2', 'r3') == [b'own', b'own', b'own']
+    assert server.connections == 1
+
+
+def test_refused_request_comes_back_on_a_new_connection(start):
+    """Guards against a second copy of the refusal on the same connection."""
+    server, upstream = start(
+        [respond('r1'), shed('r2'), shed('r2')], [respond('r2')]
+    )
+    answers = run_all(upstream, 'r1', 'r2', 'r2')
+    assert answers == [b'own', NOT_RUN, b'own']
+    assert server.connections == 2
