Do not pass on a status that falsely says "not run"

Cause: a server's 408, 429 or 503 without the statement that it did not run the request was passed on unchanged. Callers take these statuses for that statement, so that a request that must not be repeated could run again.

Change: for such a request the answer is 502 "may have run", and the run counts as evidence against the server.

Result: the new test failed before the change for each of the three statuses.

--- a/godwitknot/mesh/serverproxy.py
+++ b/godwitknot/mesh/serverproxy.py
@@ -30,6 +30,8 @@
 _MISDIRECTED = 421
 # A server's own response when it reaches the deadline that it was given.
 _DEADLINE_STATUS = 504
+# Callers take these for "not run", which the server then has to state.
+_NOT_RUN_STATUSES = frozenset((408, 429, 503))
 # Responses read before giving up on the one to this request. Earlier ones
 # belong to other requests.
 _MAX_RESPONSES = 2
@@ -204,6 +206,9 @@
         if response.status == _MISDIRECTED or metadata.not_executed:
             self._refused.add(offer.attempt_id, reservation.deadline)
             return self._refuse(offer, response, metadata)
+        if response.status in _NOT_RUN_STATUSES and not offer.repeatable:
+            self._record_failure(reservation, f'status {response.status}', '')
+            raise RefusalError(Code.BAD_ANSWER, Outcome.MAY_HAVE_RUN)
         if response.status in SUCCESS and not metadata.sealed:
             self._record_failure(reservation, 'no signature', '')
             raise RefusalError(Code.BAD_ANSWER, Outcome.MAY_HAVE_RUN)
--- a/tests/godwitknot/mesh/test_serverproxy.py
+++ b/tests/godwitknot/mesh/test_serverproxy.py
@@ -326,6 +326,13 @@
     assert asyncio.run(run_attempts(server, build, 'a1')) == [UNKNOWN]
 
 
+@pytest.mark.parametrize('status', ['408 Late', '429 Busy', '503 Busy'])
+def test_refusal_that_does_not_state_not_run_is_no_proof(build, status):
+    """Guards against a status that callers take for "not run"."""
+    server = ScriptedServer([[respond(status=status)]])
+    assert asyncio.run(run_attempts(server, build, 'a1')) == [UNKNOWN]
+
+
 @pytest.mark.parametrize('size', [1, 7, 40])
 def test_refusal_of_another_attempt_in_pieces_is_skipped(build, size):
     """Guards against a replay that is cut into segments."""
