--- a/bench/faultsoak/faults.py
+++ b/bench/faultsoak/faults.py
@@ -203,6 +203,24 @@
     _inject_server_faults(machine, rng, ServerFaults(stale=True))
 
 
+def server_replays_refusals(
+    fleet: SoakFleet, machine: SoakMachine, rng: random.Random
+) -> None:
+    """Make a server refuse requests and send its refusals again later."""
+    machine.server.faults.replay = rng.choice(('with-id', 'without-id'))
+    _sleep_random(rng)
+    machine.server.faults.replay = ''
+
+
+def server_cuts_heads(
+    fleet: SoakFleet, machine: SoakMachine, rng: random.Random
+) -> None:
+    """Make a server close connections within the heads of its responses."""
+    machine.server.faults.cut_head = True
+    _sleep_random(rng)
+    machine.server.faults.cut_head = False
+
+
 def _inject_server_faults(
     machine: SoakMachine,
     rng: random.Random,
@@ -258,6 +276,7 @@
 LINKS = (narrow_link,)
 STOPS = (stop_together,)
 RESTORES = (store_restored,)
+RESPONSE_FAULTS = (server_replays_refusals, server_cuts_heads)
 PLANNED = (
     stop_node,
     reload_node,
--- a/bench/faultsoak/script.py
+++ b/bench/faultsoak/script.py
@@ -10,6 +10,7 @@
 from bench.faultsoak.faults import (
     LINKS,
     PLANNED,
+    RESPONSE_FAULTS,
     RESTORES,
     STOPS,
     UNPLANNED,
@@ -44,8 +45,15 @@
         self._seed = seed
 
     def run_all_events(self, seconds: float) -> None:
-        """Run planned and unplanned events in five lanes."""
-        lanes = [UNPLANNED, UNPLANNED, PLANNED, LINKS, RESTORES]
+        """Run planned and unplanned events in six lanes."""
+        lanes = [
+            UNPLANNED,
+            UNPLANNED,
+            PLANNED,
+            LINKS,
+            RESTORES,
+            RESPONSE_FAULTS,
+        ]
         self._run_lanes(seconds, lanes)
 
     def run_planned_events(self, seconds: float) -> None:
@@ -85,7 +93,7 @@
             self.count += 1
             start = time.monotonic()
             event(self._fleet, machine, rng)
-            if events in {UNPLANNED, RESTORES}:
+            if events in {UNPLANNED, RESTORES, RESPONSE_FAULTS}:
                 name = event.__name__
                 failed_server = (
                     machine.name if name.startswith('server') else ''
--- a/godwitknot/web/exchange.py
+++ b/godwitknot/web/exchange.py
@@ -10,6 +10,7 @@
 
 from godwitknot.clock import Clock
 from godwitknot.errors import GodwitknotError, ProtocolError
+from godwitknot.strictresponses import TruncatedLineError
 from godwitknot.units import parse_count
 from godwitknot.web.connections import (
     Channel,
@@ -33,6 +34,10 @@
     """The connection failed before the response began."""
 
 
+class TruncatedError(ExchangeError):
+    """The connection ended within the head of the response."""
+
+
 class SilentError(ExchangeError):
     """No response began before the deadline or before the wait was aborted."""
 
@@ -85,6 +90,15 @@
         """Whether the connection carried an earlier request."""
         return self._channel.reused
 
+    @property
+    def identified(self) -> bool:
+        """Whether a response on the connection had the id of its request."""
+        return self._channel.identified
+
+    def record_identified(self) -> None:
+        """Record that the response has the id of its request."""
+        self._channel.identified = True
+
     def send(self, call: Call) -> None:
         """Send the request.
 
@@ -120,6 +134,7 @@
         :raises SilentError: at the deadline.
         :raises CallerLeftError: if the caller closed its connection.
         :raises CutError: if the connection failed.
+        :raises TruncatedError: if it ended within the head of the response.
         """
         try:
             self._wait_readable(call, interval, on_idle)
@@ -128,6 +143,9 @@
             raise
         try:
             self._response = self._channel.connection.getresponse()
+        except TruncatedLineError as error:
+            self.abort()
+            raise TruncatedError(str(error)) from error
         except _TRANSPORT_ERRORS as error:
             self.abort()
             raise CutError(type(error).__name__) from error
--- a/standins/meshserver.py
+++ b/standins/meshserver.py
@@ -20,8 +20,13 @@
 
     :param hang: never respond.
     :param cut: close the connection after half of the response body.
+    :param cut_head: close the connection within the head of the response, one
+        byte later each time.
     :param fail: respond with status 500.
     :param stale: send a response to another request first.
+    :param replay: refuse the first request of each connection, and send the
+        latest refusal again before each later response: ``with-id``, or
+        ``without-id`` for refusals without the id of their request.
     :param endless: name of a flood to send instead of the response, until
         the client closes the connection.
     :param endless_health: send the flood in response to health checks too.
@@ -29,8 +34,10 @@
 
     hang: bool = False
     cut: bool = False
+    cut_head: bool = False
     fail: bool = False
     stale: bool = False
+    replay: str = ''
     endless: str = ''
     endless_health: bool = False
 
@@ -71,6 +78,10 @@
         self.faults = ServerFaults()
         self.runs: list[Run] = []
         self.cancelled_requests = 0
+        # Bytes sent of the latest head that was cut.
+        self.cut_position = 0
+        # Header fields of the latest refusal.
+        self.last_refusal: dict[str, str] = {}
         # Floods that are being sent at the moment.
         self.active_floods = 0
         self.draining = False
@@ -160,6 +171,7 @@
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = 'HTTP/1.1'
     owner: MeshServer
+    is_first_request = True
 
     def do_GET(self) -> None:
         """Serve a request without a body."""
@@ -184,10 +196,12 @@
             return
         # A restart during the request does not change the id that ran it.
         server_id = owner.server_id
+        attempt_id = self.headers['Godwitknot-Attempt-Id']
         if self.headers['Godwitknot-Expect-Instance'] != server_id:
-            self._respond(421, b'', {})
+            self._respond(421, b'', {'Godwitknot-Attempt-Id': attempt_id})
+            return
+        if owner.faults.replay and self._refuse_or_replay(attempt_id):
             return
-        attempt_id = self.headers['Godwitknot-Attempt-Id']
         owner.runs.append(
             Run(
                 time.monotonic(),
@@ -220,6 +234,21 @@
             status, response, {**seal, 'Godwitknot-Attempt-Id': attempt_id}
         )
 
+    def _refuse_or_replay(self, attempt_id: str) -> bool:
+        """Refuse a request, or send an earlier refusal before its response.
+
+        :returns: whether the request was refused.
+        """
+        is_refused = self.is_first_request
+        self.is_first_request = False
+        if is_refused:
+            refusal = {'Godwitknot-Not-Executed': 'true'}
+            if self.owner.faults.replay == 'with-id':
+                refusal['Godwitknot-Attempt-Id'] = attempt_id
+            self.owner.last_refusal = refusal
+        self._respond(503, b'', self.owner.last_refusal)
+        return is_refused
+
     def _send_flood(self, attempt_id: str) -> None:
         owner = self.owner
         self.close_connection = True
@@ -227,12 +256,22 @@
         send_flood(self, owner.faults.endless, attempt_id)
         owner.active_floods -= 1
 
+    def _cut_head(self) -> None:
+        head = b''.join(self._headers_buffer)
+        self._headers_buffer.clear()
+        self.owner.cut_position = self.owner.cut_position % len(head) + 1
+        self.wfile.write(head[: self.owner.cut_position])
+        self.close_connection = True
+
     def _respond(self, status: int, body: bytes, fields: dict) -> None:
         self.send_response(status)
         for name, text in fields.items():
             self.send_header(name, text)
         self.send_header('Godwitknot-Instance-Id', self.owner.server_id)
         self.send_header('Content-Length', str(len(body)))
+        if self.owner.faults.cut_head:
+            self._cut_head()
+            return
         self.end_headers()
         is_truncated = self.owner.faults.cut and body
         self.wfile.write(body[: len(body) // 2] if is_truncated else body)
