--- a/tests/bench/faultsoak/test_fault_soak.py
+++ b/tests/bench/faultsoak/test_fault_soak.py
@@ -5,7 +5,8 @@
 from bench.faultsoak.run import run_soak
 
 # Seeds 0, 2 and 9 once found that SIGHUP kills a node that is still loading
-# its program, seeds 0, 2, 5 and 8 that a run is given up when a frame is late.
+# its program. Seeds 0, 2, 5 and 8 once ended runs with link-down; only 8 is
+# traced, to a frame that was late.
 SEEDS = (0, 2, 5, 8, 9)
 
 
