Estimate the faults of a server with a hidden Markov model

A failure that comes at once (2 to 5 ms) is the server's own; requests that fail for a reason of their own, or through a call, do so after their work (median 1 s).

Change: the sidecar keeps the probability that its server fails at once or stalls, towards all callers or one failure domain. Evidence: early and late failures, broken answers, hung runs, runs that outlived early failures, and successes. One early failure ejects; several good runs reinstate; the belief fades. A late failure after a failed call of the server is no evidence. Durations are kept for each objective. 'run failed' logs the seconds and the probability before.

Ruled out: pooling all failures as one rate (it ejects servers for failed calls: 53 of 292 failed runs followed one), and ejection by failure domain only (each domain has to lose a request of its own).

--- a/godwitknot/mesh/admissioncontrol.py
+++ b/godwitknot/mesh/admissioncontrol.py
@@ -7,6 +7,7 @@
 import attrs
 
 from godwitknot.clock import Clock
+from godwitknot.mesh.faultbelief import Evidence
 from godwitknot.mesh.localserver import LocalServer
 from godwitknot.mesh.messages import Load, Offer, Refusal
 from godwitknot.mesh.retrybudget import RetryBudget
@@ -17,9 +18,6 @@
 
 # Refused callers are told to retry after the time of one run at least.
 _MIN_RETRY_SECONDS = 0.2
-# A trial waits this long for a repeatable request. Services that get no such
-# requests are tried with others.
-_TRIAL_WAIT_SECONDS = 1.0
 # A request that is not itself a repeat is never refused as one.
 _MAX_REPEAT_PROBABILITY = 0.9
 # How long aborted runs are remembered, and how many of them.
@@ -174,7 +172,7 @@
     def _typical_run_seconds(self) -> float:
         """Return the typical time of the requests that are running."""
         typical = [
-            self._health.typical_seconds(reservation.offer.objective)
+            self._health.durations.typical_seconds(reservation.offer.objective)
             for reservation in self._running
         ]
         return sum(typical) / max(1, len(typical))
@@ -202,12 +200,30 @@
             return 0
         return min(_MAX_REPEAT_PROBABILITY, sum(repeats) / len(repeats))
 
+    def record_survival(self, reservation: SlotReservation) -> None:
+        """Record that a run has outlived early failures, once."""
+        if not reservation.survived:
+            reservation.survived = True
+            self._health.record_survival(
+                reservation.offer.caller_zone, reservation.granted_at
+            )
+
+    def record_survivals(self) -> None:
+        """Record each run that has outlived early failures."""
+        now = self._clock.now()
+        for reservation in self._runs_on_server():
+            limit = self._health.durations.early_failure_seconds(
+                reservation.offer.objective
+            )
+            if now - reservation.granted_at > limit:
+                self.record_survival(reservation)
+
     def record_hung_runs(self) -> None:
         """Record each run past the hung threshold as a failure, once."""
         now = self._clock.now()
         for reservation in self._runs_on_server():
             if reservation.granted_at and not reservation.counted_as_hung:
-                limit = self._health.hung_threshold_seconds(
+                limit = self._health.durations.hung_threshold_seconds(
                     reservation.offer.objective
                 )
                 if now - reservation.granted_at > limit:
@@ -216,6 +232,7 @@
                         'hung',
                         reservation.offer.caller_zone,
                         reservation.granted_at,
+                        Evidence.HANG,
                     )
 
     def build_refusal(self, error: RefusalError, offer: Offer) -> Refusal:
@@ -230,14 +247,15 @@
     def _check_health(self, offer: Offer) -> None:
         """Refuse a request that must not go to a server in doubtful health.
 
-        A non-repeatable request is lost at a server that hangs, and holds its
-        slot until the deadline; a refusal lets its caller retry. A repeatable
-        request also serves as trial, one at a time, and may bypass an ejection
-        if it has found no other server.
+        A request that may run on no other server is lost at one that fails
+        it; a refusal lets its caller retry. Other requests also serve as
+        trials, one at a time, and may bypass an ejection if they have found no
+        other server.
         """
+        self.record_survivals()
         self.record_hung_runs()
-        if not offer.repeatable:
-            self._check_non_repeatable(offer)
+        if not offer.repeatable or offer.repeat >= 1:
+            self._check_safety(offer)
             return
         zone = offer.caller_zone
         blocked = self._health.ejection_seconds_left(zone)
@@ -247,19 +265,17 @@
         if self._is_suspect() and self._has_recent_run():
             raise RefusalError(Code.EJECTED, retry_after=_MIN_RETRY_SECONDS)
 
-    def _check_non_repeatable(self, offer: Offer) -> None:
+    def _check_safety(self, offer: Offer) -> None:
+        """Refuse a request that may run on no other server after this one."""
+        last_resort = offer.max_wait > 0
         zone = offer.caller_zone
-        blocked = self._health.ejection_seconds_left(zone)
-        if blocked > 0:
-            raise RefusalError(Code.EJECTED, retry_after=blocked)
-        if self._health.on_trial(zone):
-            early = self._health.trial_age(zone) < _TRIAL_WAIT_SECONDS
-            if early or self._has_trial_run(zone):
-                raise RefusalError(
-                    Code.EJECTED, retry_after=_TRIAL_WAIT_SECONDS
-                )
+        if self._health.is_unsafe(zone, last_resort=last_resort):
+            wait = self._health.ejection_seconds_left(zone)
+            raise RefusalError(
+                Code.EJECTED, retry_after=max(wait, _MIN_RETRY_SECONDS)
+            )
         # If no other server has capacity, a false suspicion costs more.
-        threshold = _LAST_RESORT_FACTOR if offer.max_wait > 0 else 1
+        threshold = _LAST_RESORT_FACTOR if last_resort else 1
         if self._is_suspect(threshold):
             raise RefusalError(Code.EJECTED, retry_after=_MIN_RETRY_SECONDS)
 
@@ -269,10 +285,18 @@
         Callers of other domains may use the server in the meantime.
         """
         failed = self._health.last_failure_began(zone)
-        return failed is not None and any(
+        if failed is None:
+            return False
+        return any(
             reservation.granted_at > failed
             for reservation in self._running
             if reservation.offer.caller_zone == zone
+            and not self._has_passed(reservation)
+        )
+
+    def _has_passed(self, reservation: SlotReservation) -> bool:
+        return reservation.survived and self._health.fails_early(
+            reservation.offer.caller_zone
         )
 
     def _has_recent_run(self) -> bool:
@@ -283,7 +307,7 @@
         now = self._clock.now()
         return any(
             now - reservation.granted_at
-            < self._health.suspect_threshold_seconds(
+            < self._health.durations.suspect_threshold_seconds(
                 reservation.offer.objective
             )
             for reservation in self._running
@@ -312,7 +336,7 @@
             if run.granted_at > last_success
             and now - run.ended < _ABORTED_RUN_SECONDS
         ]
-        limit = self._health.suspect_threshold_seconds
+        limit = self._health.durations.suspect_threshold_seconds
         return (
             sum(age / limit(run_objective) for age, run_objective in ages)
             > threshold
@@ -356,4 +380,4 @@
         """Repeat the checks whose result may have changed in the queue."""
         self.check_open(reservation.offer, reservation.deadline)
         if not reservation.offer.repeatable:
-            self._check_non_repeatable(reservation.offer)
+            self._check_safety(reservation.offer)
--- a/godwitknot/mesh/dispatcher.py
+++ b/godwitknot/mesh/dispatcher.py
@@ -61,11 +61,16 @@
         """
         attempts: list[Attempt] = []
         try:
-            return await self._run(context, attempts)
+            response = await self._run(context, attempts)
         except RefusalError:
+            self._record_failed_call(context)
             if context.fallback is None:
                 raise
             return context.fallback
+        else:
+            if response.status >= SERVER_ERROR:
+                self._record_failed_call(context)
+            return response
         finally:
             for attempt in attempts:
                 attempt.task.cancel()
@@ -300,6 +305,11 @@
             objective=context.route.objective,
         )
 
+    def _record_failed_call(self, context: RequestContext) -> None:
+        """Tell the local server's health that a call may have failed."""
+        if context.service != self._placement.service:
+            self._sidecar.record_failed_call()
+
     def _repeat_probability(self, context: RequestContext) -> float:
         """Return the probability that a repeated run made this request.
 
--- a/godwitknot/mesh/serverproxy.py
+++ b/godwitknot/mesh/serverproxy.py
@@ -8,6 +8,7 @@
     ProtocolError,
 )
 from godwitknot.mesh.admissioncontrol import AdmissionControl, SlotReservation
+from godwitknot.mesh.faultbelief import Evidence
 from godwitknot.mesh.httpclient import HttpClient
 from godwitknot.mesh.httpconnection import ClientConnection
 from godwitknot.mesh.interfaces import Dialect
@@ -86,6 +87,10 @@
         task.add_done_callback(self._remove_detached)
         return await asyncio.shield(task)
 
+    def record_failed_call(self) -> None:
+        """Record that a call of the local server failed on another one."""
+        self._health.record_failed_call()
+
     def _end(self, reservation: SlotReservation, task: asyncio.Task) -> None:
         if task.cancelled():
             self.admission.record_aborted_run(reservation)
@@ -217,8 +222,14 @@
                 reservation, 'deadline passed at server', seconds
             )
         elif response.status >= SERVER_ERROR:
-            self._record_failure(reservation, f'status {response.status}', '')
+            self._record_failure(
+                reservation,
+                f'status {response.status}',
+                '',
+                Evidence.LATE_FAILURE,
+            )
         elif not reservation.counted_as_hung:
+            self.admission.record_survival(reservation)
             self._health.record_success(seconds, offer.objective, zone)
         self._telemetry.observe('server_seconds', seconds)
         return response
@@ -252,12 +263,24 @@
         )
 
     def _record_failure(
-        self, reservation: SlotReservation, reason: str, detail: str
+        self,
+        reservation: SlotReservation,
+        reason: str,
+        detail: str,
+        evidence: Evidence = Evidence.BROKEN_ANSWER,
     ) -> None:
-        """Record a failed run as evidence against the server."""
-        zone = reservation.offer.caller_zone
-        self._health.record_failure(reason, zone, reservation.granted_at)
+        """Record a failed run as evidence against the server.
+
+        :param evidence: unless the run failed early.
+        """
         self._log_failure(reservation, reason, detail)
+        offer = reservation.offer
+        age = self._clock.now() - reservation.granted_at
+        if age <= self._health.durations.early_failure_seconds(offer.objective):
+            evidence = Evidence.EARLY_FAILURE
+        self._health.record_failure(
+            reason, offer.caller_zone, reservation.granted_at, evidence
+        )
 
     def _record_timeout(
         self, reservation: SlotReservation, reason: str, seconds: float
@@ -267,22 +290,28 @@
         It is no evidence against the server if the deadline was short, and a
         run that was already counted as hung is not counted again.
         """
-        limit = self._health.hung_threshold_seconds(reservation.offer.objective)
+        limit = self._health.durations.hung_threshold_seconds(
+            reservation.offer.objective
+        )
         if reservation.counted_as_hung or seconds < limit:
             self._log_failure(reservation, reason, 'no evidence')
         else:
-            self._record_failure(reservation, reason, '')
+            self._record_failure(reservation, reason, '', Evidence.HANG)
 
     def _log_failure(
         self, reservation: SlotReservation, reason: str, detail: str
     ) -> None:
+        """Log a failed run and what was believed of the server before."""
         self._telemetry.count('server_failures')
+        offer = reservation.offer
         self._log.write(
             'run failed',
-            request=reservation.offer.attempt_id,
+            request=offer.attempt_id,
             server=self._server.server_id,
             reason=reason,
             detail=detail,
+            seconds=round(self._clock.now() - reservation.granted_at, 4),
+            fault=round(self._health.fault_probability(offer.caller_zone), 3),
         )
 
     def _log_unexpected_data(self, address: Address) -> None:
--- a/godwitknot/mesh/slotqueue.py
+++ b/godwitknot/mesh/slotqueue.py
@@ -30,6 +30,7 @@
     deadline: float
     granted_at: float = 0
     counted_as_hung: bool = False
+    survived: bool = False
     awaits_body: bool = False
 
 
--- a/tests/godwitknot/mesh/test_dispatcher.py
+++ b/tests/godwitknot/mesh/test_dispatcher.py
@@ -51,6 +51,10 @@
 
     def __init__(self, admission):
         self.admission = admission
+        self.failed_calls = 0
+
+    def record_failed_call(self):
+        self.failed_calls += 1
 
 
 class FakeRelay:
