Share slots by time and keep some free for short urgent requests

The queue shared slots by their number, so that views got a third of the slots that became free and nearly all of the time. An order holds its slot while its calls wait, and is lost if one is refused. The expected wait counted all of the queue, also what a call would pass, and a long run for each entry, so that calls were refused that would have been served.

Change: start-time fair queueing over the seconds that slots are held; the expected wait follows the place in the queue; long less urgent runs leave as many slots free as short urgent ones needed in the last 2 s, at most a third.

--- a/godwitknot/mesh/admissioncontrol.py
+++ b/godwitknot/mesh/admissioncontrol.py
@@ -8,6 +8,7 @@
 
 from godwitknot.clock import Clock
 from godwitknot.mesh.faultbelief import Evidence
+from godwitknot.mesh.headroom import Headroom
 from godwitknot.mesh.localserver import LocalServer
 from godwitknot.mesh.messages import Load, Offer, Refusal
 from godwitknot.mesh.retrybudget import RetryBudget
@@ -68,7 +69,8 @@
         self._aborted_runs: collections.deque[_AbortedRun] = collections.deque(
             maxlen=_MAX_ABORTED_RUNS
         )
-        self._queue = SlotQueue()
+        self._queue = SlotQueue(self._estimate_seconds)
+        self._headroom = Headroom(clock, self._estimate_seconds)
 
     @property
     def running(self) -> frozenset[SlotReservation]:
@@ -108,14 +110,14 @@
         deadline = self._clock.now() + offer.seconds_left
         self.check_open(offer, deadline)
         self._check_health(offer)
-        self._check_room(offer)
+        self._check_room(offer, deadline)
         if offer.repeat >= 1 and not self._budget.try_spend(
             self.service_server_count
         ):
             raise RefusalError(Code.RETRY_BUDGET)
         granted = asyncio.get_running_loop().create_future()
         reservation = SlotReservation(offer, granted, deadline)
-        if self._has_room():
+        if self._has_room(offer):
             self._grant(reservation)
             return reservation
         if on_queued is not None:
@@ -126,9 +128,8 @@
                 await reservation.granted
         except TimeoutError:
             self.release(reservation)
-            raise RefusalError(
-                Code.QUEUE_FULL, retry_after=self.expected_wait()
-            ) from None
+            wait = self.expected_wait(offer, deadline)
+            raise RefusalError(Code.QUEUE_FULL, retry_after=wait) from None
         except BaseException:
             self.release(reservation)
             raise
@@ -136,7 +137,12 @@
 
     def release(self, reservation: SlotReservation) -> None:
         """Release a slot, or leave the queue."""
-        self._running.discard(reservation)
+        if reservation in self._running:
+            self._running.discard(reservation)
+            self._headroom.record_run(
+                reservation.offer.priority,
+                self._clock.now() - reservation.granted_at,
+            )
         if not reservation.granted.done():
             reservation.granted.cancel()
         self._serve_queue()
@@ -163,11 +169,15 @@
             )
         )
 
-    def expected_wait(self) -> float:
-        """Return the seconds until a new request would get its slot."""
-        ahead = len(self._running) + len(self._queue) + 1 - self._server.slots
-        rounds = max(0, ahead) / max(1, self._server.slots)
-        return max(_MIN_RETRY_SECONDS, rounds * self._typical_run_seconds())
+    def expected_wait(self, offer: Offer, deadline: float) -> float:
+        """Return the seconds until a new request would get its slot.
+
+        :param deadline: of its response, on the node's clock.
+        """
+        ahead = self._queue.count_ahead(offer.priority, deadline)
+        typical = self._health.durations.typical_seconds(offer.objective)
+        seconds = self._typical_run_seconds() + ahead * typical
+        return max(_MIN_RETRY_SECONDS, seconds / max(1, self._server.slots))
 
     def _typical_run_seconds(self) -> float:
         """Return the typical time of the requests that are running."""
@@ -345,14 +355,22 @@
     def _runs_on_server(self) -> list[SlotReservation]:
         return [each for each in self._running if not each.awaits_body]
 
-    def _has_room(self) -> bool:
-        free = self._server.slots - len(self._running)
-        return free > 0 and not len(self._queue)
+    def _has_room(self, offer: Offer) -> bool:
+        return self._may_take_slot(offer) and not len(self._queue)
+
+    def _may_take_slot(self, offer: Offer) -> bool:
+        """Return whether enough slots are free, also for urgent requests."""
+        slots = self._server.slots
+        free = slots - len(self._running)
+        return free > self._headroom.count_slots(offer, slots)
+
+    def _estimate_seconds(self, offer: Offer) -> float:
+        return self._health.durations.typical_seconds(offer.objective)
 
-    def _check_room(self, offer: Offer) -> None:
-        if self._has_room():
+    def _check_room(self, offer: Offer, deadline: float) -> None:
+        if self._has_room(offer):
             return
-        wait = self.expected_wait()
+        wait = self.expected_wait(offer, deadline)
         if offer.max_wait <= 0 or wait > offer.max_wait:
             raise RefusalError(Code.QUEUE_FULL, retry_after=wait)
 
@@ -366,7 +384,7 @@
 
     def _serve_queue(self) -> None:
         while len(self._running) < self._server.slots:
-            reservation = self._queue.pop()
+            reservation = self._queue.pop(self._may_take_slot)
             if reservation is None:
                 return
             try:
--- a/godwitknot/mesh/slotqueue.py
+++ b/godwitknot/mesh/slotqueue.py
@@ -1,6 +1,7 @@
 """The queue of requests that wait for a slot of the local server."""
 
 import asyncio
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -38,7 +39,6 @@
 class _PriorityLevel:
     """Waiting requests of one priority."""
 
-    credit: float = 0
     reservations: list[SlotReservation] = attrs.field(factory=list)
 
     def prune(self) -> int:
@@ -50,54 +50,104 @@
         ]
         return len(self.reservations)
 
-    def pop(self) -> SlotReservation:
-        """Remove and return the request with the earliest deadline."""
-        first = min(
+    @property
+    def first(self) -> SlotReservation:
+        """The request with the earliest deadline."""
+        return min(
             self.reservations, key=lambda reservation: reservation.deadline
         )
+
+    def pop(self) -> SlotReservation:
+        """Remove and return the request with the earliest deadline."""
+        first = self.first
         self.reservations.remove(first)
         return first
 
 
 class SlotQueue:
-    """Divides free slots among the priorities of the waiting requests.
+    """Divides slots among the priorities of the waiting requests.
 
-    Smooth weighted round robin gives each priority a share that follows the
-    number of its waiting requests, weighted in favor of urgent ones. Within a
-    priority, the earliest deadline is served first.
+    Start-time fair queueing over the time that slots are held: each priority
+    gets a share that follows the number of its waiting requests, weighted in
+    favor of urgent ones. Within a priority, the earliest deadline is served
+    first.
     """
 
-    def __init__(self) -> None:
-        """Create an empty queue."""
+    def __init__(self, estimate_seconds: Callable[[Offer], float]) -> None:
+        """Create an empty queue.
+
+        :param estimate_seconds: returns how long a request will hold its slot.
+        """
+        self._estimate_seconds = estimate_seconds
         self._levels: dict[int, _PriorityLevel] = {}
+        # Slot time that each priority got, divided by its weight.
+        self._progress: dict[int, float] = {}
+        # Progress of the priority that was served last. One that had nothing
+        # waiting continues from there, so that it earns nothing in advance.
+        self._reached = float(0)
 
-    def push(self, reservation: SlotReservation) -> None:
-        """Add a waiting request."""
-        level = self._levels.setdefault(
-            reservation.offer.priority, _PriorityLevel()
+    def count_ahead(self, priority: int, deadline: float) -> float:
+        """Return how many slots others get before a request that would wait.
+
+        :param deadline: of its final response, on the node's clock.
+        """
+        self._remove_empty_levels()
+        own_level = self._levels.get(priority, _PriorityLevel())
+        earlier = sum(
+            each.deadline <= deadline for each in own_level.reservations
         )
-        level.reservations.append(reservation)
+        counts = {
+            number: len(level.reservations)
+            for number, level in self._levels.items()
+        }
+        counts[priority] = counts.get(priority, 0) + 1
+        weights = _compute_weights(counts)
+        share = weights[priority] / sum(weights.values())
+        return min((earlier + 1) / share, sum(counts.values())) - 1
 
-    def pop(self) -> SlotReservation | None:
-        """Remove and return the request that gets the next slot."""
+    def push(self, reservation: SlotReservation) -> None:
+        """Add a waiting request."""
         self._remove_empty_levels()
-        if not self._levels:
+        priority = reservation.offer.priority
+        if priority not in self._levels:
+            progress = self._progress.get(priority, 0)
+            self._progress[priority] = max(progress, self._reached)
+            self._levels[priority] = _PriorityLevel()
+        self._levels[priority].reservations.append(reservation)
+
+    def pop(
+        self, may_take_slot: Callable[[Offer], bool]
+    ) -> SlotReservation | None:
+        """Remove and return the request that gets the next slot.
+
+        :param may_take_slot: returns whether a request may take a slot now.
+        :returns: ``None`` if there is none.
+        """
+        self._remove_empty_levels()
+        eligible = [
+            priority
+            for priority, level in self._levels.items()
+            if may_take_slot(level.first.offer)
+        ]
+        if not eligible:
             return None
-        weight = float(0)
-        total = float(0)
-        more_urgent_count = 0
-        for level in self._levels.values():
-            count = len(level.reservations)
-            weight = _compute_weight(weight, count, more_urgent_count)
-            more_urgent_count = count
-            level.credit += weight
-            total += weight
-        best = max(self._levels.values(), key=lambda each: each.credit)
-        best.credit -= total
-        return best.pop()
+        best = min(
+            eligible, key=lambda priority: (self._progress[priority], priority)
+        )
+        weights = _compute_weights(
+            {
+                priority: len(level.reservations)
+                for priority, level in self._levels.items()
+            }
+        )
+        reservation = self._levels[best].pop()
+        self._reached = max(self._reached, self._progress[best])
+        seconds = self._estimate_seconds(reservation.offer)
+        self._progress[best] += seconds / weights[best]
+        return reservation
 
     def _remove_empty_levels(self) -> None:
-        """Discard priorities without waiting requests and their credit."""
+        """Discard priorities without waiting requests."""
         self._levels = {
             priority: level
             for priority, level in sorted(self._levels.items())
@@ -120,21 +170,20 @@
         return sum(level.prune() for level in self._levels.values())
 
 
-def _compute_weight(
-    more_urgent_weight: float,
-    count: int,
-    more_urgent_count: int,
-) -> float:
-    """Return the weight of a priority.
+def _compute_weights(counts: Mapping[int, int]) -> dict[int, float]:
+    """Return the weight of each priority.
 
-    :param more_urgent_weight: weight of the next more urgent priority that
-        has waiting requests.
-    :param count: waiting requests of this priority.
-    :param more_urgent_count: waiting requests of the next more urgent
-        priority, 0 if there is none.
+    :param counts: waiting requests of each priority, none of them 0.
     """
-    if not more_urgent_count:
-        return 1
-    return more_urgent_weight * min(
-        _MAX_WEIGHT_RATIO, _LESS_URGENT_WEIGHT * count / more_urgent_count
-    )
+    weights: dict[int, float] = {}
+    weight = float(1)
+    more_urgent_count = 0
+    for priority, count in sorted(counts.items()):
+        if more_urgent_count:
+            weight *= min(
+                _MAX_WEIGHT_RATIO,
+                _LESS_URGENT_WEIGHT * count / more_urgent_count,
+            )
+        weights[priority] = weight
+        more_urgent_count = count
+    return weights
--- a/tests/godwitknot/mesh/test_slotqueue.py
+++ b/tests/godwitknot/mesh/test_slotqueue.py
@@ -8,6 +8,16 @@
 from godwitknot.mesh.slotqueue import SlotQueue, SlotReservation
 
 URGENT, ROUTINE, BULK = 1, 2, 3
+# Durations of runs in seconds, by priority.
+DURATIONS = {URGENT: 1, ROUTINE: 1, BULK: 1}
+
+
+def allow_all(offer):
+    return True
+
+
+def estimate_seconds(offer):
+    return DURATIONS[offer.priority]
 
 
 def make_reservation(loop, priority, deadline=1):
@@ -38,7 +48,7 @@
 
 
 def fill(loop, *priorities, count=1):
-    queue = SlotQueue()
+    queue = SlotQueue(estimate_seconds)
     for priority in priorities:
         for _ in range(count):
             queue.push(make_reservation(loop, priority))
@@ -46,7 +56,7 @@
 
 
 def pop_priorities(queue, count):
-    return [queue.pop().offer.priority for _ in range(count)]
+    return [queue.pop(allow_all).offer.priority for _ in range(count)]
 
 
 def test_less_urgent_requests_do_not_starve(loop):
@@ -90,14 +100,14 @@
 
 
 def test_nearest_deadline_is_first_within_a_priority(loop):
-    queue = SlotQueue()
+    queue = SlotQueue(estimate_seconds)
     for deadline in (3, 1, 2):
         queue.push(make_reservation(loop, URGENT, deadline))
-    assert [queue.pop().deadline for _ in range(3)] == [1, 2, 3]
+    assert [queue.pop(allow_all).deadline for _ in range(3)] == [1, 2, 3]
 
 
 def test_requests_that_left_get_no_slot(loop):
-    queue = SlotQueue()
+    queue = SlotQueue(estimate_seconds)
     left, stays = (
         make_reservation(loop, URGENT),
         make_reservation(loop, ROUTINE),
@@ -106,5 +116,36 @@
     queue.push(stays)
     left.granted.cancel()
     assert len(queue) == 1
-    assert queue.pop() is stays
-    assert queue.pop() is None
+    assert queue.pop(allow_all) is stays
+    assert queue.pop(allow_all) is None
+
+
+def test_short_urgent_requests_come_before_long_ones(loop, monkeypatch):
+    """Guards against calls that wait while views take the free slots.
+
+    Shares by number gave views of 2 s a third of the slots that became free,
+    and with them nearly all of the time.
+    """
+    monkeypatch.setitem(DURATIONS, URGENT, 0.2)
+    monkeypatch.setitem(DURATIONS, ROUTINE, 2)
+    queue = fill(loop, ROUTINE, URGENT, count=12)
+    assert pop_priorities(queue, 12).count(ROUTINE) == 1
+
+
+def test_request_that_comes_alone_is_before_less_urgent_ones(loop):
+    """Guards against calls behind views that have waited longer."""
+    queue = fill(loop, ROUTINE, count=20)
+    for _ in range(5):
+        pop_priorities(queue, 2)
+        queue.push(make_reservation(loop, URGENT))
+        assert pop_priorities(queue, 1) == [URGENT]
+
+
+def test_number_ahead_follows_the_order_of_service(loop):
+    """Guards against calls refused for orders that would wait behind them."""
+    queue = SlotQueue(estimate_seconds)
+    for deadline in (1, 2, 12, 12, 12):
+        queue.push(make_reservation(loop, URGENT, deadline))
+    assert queue.count_ahead(URGENT, deadline=0.5) == 0
+    assert queue.count_ahead(URGENT, deadline=3) == 2
+    assert queue.count_ahead(ROUTINE, deadline=0) == 5
