Let requests wait for a server, in their own region first

Cause: a request that four servers had refused joined queues and was then given up. Repeats that were refused for want of a budget walked over all servers.

Change: a request without a server pauses for 0.2 s and is offered again, until it would be late, or for up to 1 s if its objective is shorter (most of these are calls, and a refused call costs the request that made it). Servers in doubtful health are a last resort of later rounds (new field of an offer). In each round come the own region without a wait, a short queue there, one other region, a long queue. Other regions are asked while they accept a third of the offers, otherwise every 0.5 s, and three times for each request. Two refusals for the budget end a repeat.

--- a/godwitknot/mesh/admissioncontrol.py
+++ b/godwitknot/mesh/admissioncontrol.py
@@ -269,7 +269,7 @@
             return
         zone = offer.caller_zone
         blocked = self._health.ejection_seconds_left(zone)
-        if blocked > 0 and offer.max_wait <= 0 or self._has_trial_run(zone):
+        if blocked > 0 and not offer.last_resort or self._has_trial_run(zone):
             wait = max(blocked, _MIN_RETRY_SECONDS)
             raise RefusalError(Code.EJECTED, retry_after=wait)
         if self._is_suspect() and self._has_recent_run():
@@ -277,7 +277,7 @@
 
     def _check_safety(self, offer: Offer) -> None:
         """Refuse a request that may run on no other server after this one."""
-        last_resort = offer.max_wait > 0
+        last_resort = offer.last_resort
         zone = offer.caller_zone
         if self._health.is_unsafe(zone, last_resort=last_resort):
             wait = self._health.ejection_seconds_left(zone)
--- a/godwitknot/mesh/dispatcher.py
+++ b/godwitknot/mesh/dispatcher.py
@@ -14,7 +14,7 @@
 from godwitknot.mesh.requestcontext import RequestContext
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.serverproxy import Sidecar
-from godwitknot.mesh.serverselector import ServerSelector, Target
+from godwitknot.mesh.serverselector import Reach, ServerSelector, Target
 from godwitknot.outcomes import Code, RefusalError
 from godwitknot.units import Address
 
@@ -81,7 +81,7 @@
     ) -> HttpResponse:
         while True:
             if not attempts:
-                self._start_attempt(context, attempts)
+                await self._start_attempt(context, attempts)
             wake_at = min(context.deadline, find_next_hedge(context, attempts))
             timeout = wake_at - self._clock.now()
             done, _ = await asyncio.wait(
@@ -114,6 +114,7 @@
         if attempt.avoided and replied:
             self._selector.mark_reachable(target.member.address)
         if error is None:
+            self._selector.record_reply(target, accepted=True)
             response = attempt.task.result()
             context.may_have_run = True
             if response.status >= SERVER_ERROR and context.repeatable:
@@ -147,6 +148,7 @@
             outcome=str(error.outcome),
             seconds=round(self._clock.now() - attempt.started, 4),
         )
+        self._selector.record_reply(target, accepted=False)
         context.record_refusal(target.member.address, error)
         if error.code is Code.SERVER_SHED:
             self._selector.avoid(target, _SHED_AVOID_SECONDS)
@@ -176,37 +178,45 @@
                 seconds=round(now - attempt.started, 4),
             )
 
-    def _start_attempt(
+    async def _start_attempt(
         self, context: RequestContext, attempts: list[Attempt]
     ) -> None:
-        """Start an attempt.
+        """Start an attempt, once a server may take the request.
 
         :raises RefusalError: if there is no server left to try.
         """
-        self._check_deadline(context, attempts)
-        if context.sends and not context.is_worth_sending(self._clock.now()):
-            raise context.conclude()
-        target, max_wait = self._choose(context)
-        self._send(context, target, max_wait, attempts)
-
-    def _choose(self, context: RequestContext) -> tuple[Target, float]:
+        while not attempts:
+            self._check_deadline(context, attempts)
+            if context.sends and not context.is_worth_sending(
+                self._clock.now()
+            ):
+                raise context.conclude()
+            target, max_wait = self._choose(context)
+            if target is not None:
+                self._send(context, target, max_wait, attempts)
+                return
+            pause = context.begin_pause(self._clock.now())
+            if pause is None:
+                raise context.conclude()
+            await asyncio.sleep(pause)
+
+    def _choose(self, context: RequestContext) -> tuple[Target | None, float]:
         """Return a server, and how long the request may wait there.
 
-        :raises RefusalError: if none is left.
+        Servers of the own region come first, also busy ones: traffic between
+        regions costs more than a short wait.
         """
         if context.may_offer_again:
             target = self._selector.choose(
                 context.service,
                 context.excluded | context.refused_by,
                 avoided=False,
+                reach=Reach.OWN_REGION,
             )
             if target is not None:
                 return target, 0
         # All servers that were asked are busy or ejected.
-        target, max_wait = self._join_queue(context, set())
-        if target is None:
-            raise context.conclude()
-        return target, max_wait
+        return self._join_queue(context, set())
 
     def _join_queue(
         self, context: RequestContext, used: set[Address]
@@ -218,25 +228,67 @@
         max_wait = context.max_queue_seconds(self._clock.now())
         if max_wait <= 0:
             return None, 0
-        target = self._choose_queue(context, used)
-        if target is not None:
-            context.queued_at.add(target.member.address)
-        return target, max_wait
+        short_wait = min(max_wait, context.short_queue_seconds)
+        for wait, choose in (
+            (short_wait, self._choose_queue),
+            (short_wait, self._choose_remote),
+            (max_wait, self._choose_long_queue),
+        ):
+            target = choose(context, used)
+            if target is not None:
+                return target, wait
+        return None, 0
 
     def _choose_queue(
         self, context: RequestContext, used: set[Address]
     ) -> Target | None:
         """Return a server to wait at, preferably one that is not avoided."""
+        if not context.may_join_queue:
+            return None
         refused = context.queued_at | context.barred | used
-        target = self._selector.choose(context.service, refused, avoided=False)
-        if target is None:
+        for avoided in (False, True):
             target = self._selector.choose(
-                context.service, refused, avoided=True
-            )
-        if target is None and context.repeatable:
-            return self._selector.choose(
-                context.service, context.queued_at | used, avoided=True
+                context.service,
+                refused,
+                avoided=avoided,
+                reach=Reach.OWN_REGION,
             )
+            if target is not None:
+                context.queued_at.add(target.member.address)
+                return target
+        return None
+
+    def _choose_long_queue(
+        self, context: RequestContext, used: set[Address]
+    ) -> Target | None:
+        """Return a server to wait at for as long as the request may wait."""
+        if context.asked_long_queue:
+            return None
+        context.asked_long_queue = True
+        barred = context.barred
+        if context.repeatable and context.is_last_resort:
+            barred = context.excluded
+        return self._selector.choose(
+            context.service,
+            barred | used,
+            avoided=True,
+            reach=Reach.OWN_REGION,
+        )
+
+    def _choose_remote(
+        self, context: RequestContext, used: set[Address]
+    ) -> Target | None:
+        """Return a server of another region, if it is likely to accept."""
+        if not context.may_ask_remote:
+            return None
+        target = self._selector.choose(
+            context.service,
+            context.queued_at | context.excluded | context.refused_by | used,
+            avoided=False,
+            reach=Reach.OTHER_REGIONS,
+        )
+        if target is not None:
+            context.record_remote_offer()
         return target
 
     def _send(
@@ -303,6 +355,7 @@
             if context.sends > 1
             else self._repeat_probability(context),
             objective=context.route.objective,
+            last_resort=context.is_last_resort,
         )
 
     def _record_failed_call(self, context: RequestContext) -> None:
@@ -365,11 +418,12 @@
                 context.service,
                 context.excluded | context.refused_by | used,
                 avoided=False,
-                # Traffic between regions costs more than a late response.
-                anywhere=context.rounds == 1,
+                reach=Reach.OWN_REGION,
             )
         if target is None and all(each.is_silent for each in attempts):
             return self._join_queue(context, used)
+        if target is None:
+            target = self._choose_remote(context, used)
         return target, 0
 
     def _check_deadline(
--- a/godwitknot/mesh/framedecoder.py
+++ b/godwitknot/mesh/framedecoder.py
@@ -119,6 +119,7 @@
         two_phase=entry.twoPhase,
         objective=check_seconds(entry.objective, 'objective')
         or DEFAULT_OBJECTIVE_SECONDS,
+        last_resort=entry.lastResort,
     )
 
 
--- a/godwitknot/mesh/frames.py
+++ b/godwitknot/mesh/frames.py
@@ -112,6 +112,7 @@
             'fingerprint': offer.fingerprint,
             'repeat': offer.repeat,
             'objective': offer.objective,
+            'lastResort': offer.last_resort,
         },
     )
 
--- a/godwitknot/mesh/mesh.capnp
+++ b/godwitknot/mesh/mesh.capnp
@@ -26,6 +26,7 @@
   repeat @14 :Float64;     # 1 for a retry, else the probability of being one
   twoPhase @15 :Bool;      # the receiver waits for a commit with the body
   objective @16 :Float64;  # target latency in seconds
+  lastResort @17 :Bool;    # the sender has found no other server
 }
 
 struct Load {
--- a/godwitknot/mesh/messages.py
+++ b/godwitknot/mesh/messages.py
@@ -59,6 +59,7 @@
         repeated run on the caller's server made this request.
     :param two_phase: on the receiving side, whether a commit follows.
     :param objective: target latency of the response, in seconds.
+    :param last_resort: whether the sender has found no other server.
     """
 
     attempt_id: str
@@ -78,6 +79,7 @@
     repeat: float = 0
     two_phase: bool = False
     objective: float = DEFAULT_OBJECTIVE_SECONDS
+    last_resort: bool = False
 
     @property
     def needs_commit(self) -> bool:
--- a/godwitknot/mesh/requestcontext.py
+++ b/godwitknot/mesh/requestcontext.py
@@ -9,14 +9,31 @@
 # Refusals by sidecars are cheap, but each takes a round trip. A hedged send may
 # be offered to as many nodes again in each later round.
 _MAX_REFUSALS_PER_ROUND = 4
-# Servers whose queue a request may try to join. Those that refuse do so at
-# once.
-_MAX_QUEUES = 4
+# Servers whose queue a request may try to join in one round. Those that refuse
+# do so at once.
+_MAX_QUEUES = 2
+# Later rounds follow each other for as long as the request waits.
+_MAX_REFUSALS_PER_LATER_ROUND = 1
+_MAX_QUEUES_PER_LATER_ROUND = 1
 # Share of the objective that a request may wait in a queue. Longer waits would
 # make the response late, while a refusal lets the caller retry.
 _QUEUE_SHARE = 0.6
+# Traffic between regions costs more than some requests are worth.
+_MAX_REMOTE_OFFERS = 3
+# Share of the objective that it may wait in its own region before it asks others.
+_SHORT_QUEUE_SHARE = 0.3
+# Share of the time until the deadline that any request may wait, up to a limit.
+_DEADLINE_WAIT_SHARE = 0.4
+_MIN_WAIT_LIMIT_SECONDS = 1.0
 # Share of the objective that must be left for another send.
 _MIN_REMAINING_SHARE = 0.15
+# Pause before servers that refused a request are asked again, about the time
+# until a slot becomes free or a trial shows that a server has recovered.
+_PAUSE_SECONDS = 0.2
+# From this round on, a request without a server also uses doubtful ones.
+_LAST_RESORT_ROUND = 2
+# A repeat that is refused for want of a budget is hardly covered elsewhere.
+_MAX_BUDGET_REFUSALS = 2
 # Retry time for callers when no server has stated one.
 _DEFAULT_RETRY_SECONDS = 0.5
 
@@ -34,7 +51,13 @@
         capacity.
     :ivar queued_at: nodes whose queue it has tried to join.
     :ivar round_refusals: refusals in this round.
-    :ivar rounds: rounds of offers for a hedged send.
+    :ivar rounds: rounds of offers that were begun after the first one.
+    :ivar asked_remote: whether it was offered to another region in this round.
+    :ivar remote_offers: offers to other regions in all rounds.
+    :ivar asked_long_queue: whether it has tried to wait in its own region for
+        as long as it may.
+    :ivar paused_seconds: total time of the pauses between rounds.
+    :ivar budget_refusals: refusals for want of a retry budget.
     :ivar refusals: refusals in all rounds.
     :ivar hedge_after: earliest time of a hedged send, on the node's clock.
     :ivar sends: attempts that may have reached a server.
@@ -56,6 +79,11 @@
     queued_at: set[Address] = attrs.field(factory=set)
     round_refusals: int = 0
     rounds: int = 0
+    asked_remote: bool = False
+    remote_offers: int = 0
+    asked_long_queue: bool = False
+    paused_seconds: float = 0
+    budget_refusals: int = 0
     refusals: int = 0
     hedge_after: float = 0
     sends: int = 0
@@ -77,7 +105,47 @@
     @property
     def may_offer_again(self) -> bool:
         """Whether it may be offered to another server in this round."""
-        return self.round_refusals < _MAX_REFUSALS_PER_ROUND
+        limit = _MAX_REFUSALS_PER_ROUND
+        if self.paused_seconds:
+            limit = _MAX_REFUSALS_PER_LATER_ROUND
+        return self.round_refusals < limit
+
+    @property
+    def may_join_queue(self) -> bool:
+        """Whether it may try to join another queue in this round."""
+        limit = _MAX_QUEUES
+        if self.paused_seconds:
+            limit = _MAX_QUEUES_PER_LATER_ROUND
+        return len(self.queued_at) < limit
+
+    @property
+    def may_ask_remote(self) -> bool:
+        """Whether it may be offered to another region in this round."""
+        return not self.asked_remote and self.remote_offers < _MAX_REMOTE_OFFERS
+
+    def record_remote_offer(self) -> None:
+        """Record that it is offered to another region."""
+        self.asked_remote = True
+        self.remote_offers += 1
+
+    @property
+    def short_queue_seconds(self) -> float:
+        """Longest wait in a queue before other regions are asked."""
+        return _SHORT_QUEUE_SHARE * self.route.objective
+
+    @property
+    def _wait_limit(self) -> float:
+        """Longest time without a server, in seconds after the arrival.
+
+        A longer wait would make the response late. Requests with a short
+        objective may wait longer: most are calls of servers, and one that is
+        refused costs the request that made it.
+        """
+        allowed = self.deadline - self.arrived
+        return max(
+            _QUEUE_SHARE * self.route.objective,
+            min(_DEADLINE_WAIT_SHARE * allowed, _MIN_WAIT_LIMIT_SECONDS),
+        )
 
     def is_worth_sending(self, now: float) -> bool:
         """Return whether another send is allowed and has enough time left."""
@@ -91,12 +159,38 @@
         self.rounds += 1
         self.refused_by.clear()
         self.round_refusals = 0
+        self.asked_remote = False
+        self.asked_long_queue = False
+
+    def begin_pause(self, now: float) -> float | None:
+        """Return how long to pause before another round of offers.
+
+        :param now: time on the node's clock.
+        :returns: seconds; ``None`` if the request is to be given up, since
+            its response would be late or no other server may run it.
+        """
+        if self.last_refusal is None:
+            return None
+        if self.budget_refusals >= _MAX_BUDGET_REFUSALS:
+            return None
+        waited = max(now - self.arrived, self.paused_seconds)
+        limit = self._wait_limit
+        if waited + _PAUSE_SECONDS > min(limit, self.deadline - self.arrived):
+            return None
+        self.paused_seconds += _PAUSE_SECONDS
+        self.begin_round()
+        self.barred.clear()
+        self.queued_at.clear()
+        return _PAUSE_SECONDS
+
+    @property
+    def is_last_resort(self) -> bool:
+        """Whether servers in doubtful health may be used."""
+        return self.rounds >= _LAST_RESORT_ROUND
 
     def max_queue_seconds(self, now: float) -> float:
         """Return how long it may still queue; 0 or less if it may not."""
-        if len(self.queued_at) >= _MAX_QUEUES:
-            return 0
-        return _QUEUE_SHARE * self.route.objective - (now - self.arrived)
+        return self._wait_limit - (now - self.arrived)
 
     def record_refusal(self, address: Address, error: RefusalError) -> None:
         """Record an attempt that ended without a response.
@@ -115,6 +209,8 @@
             return
         self.round_refusals += 1
         self.refusals += 1
+        if error.code is Code.RETRY_BUDGET:
+            self.budget_refusals += 1
         if error.code is not Code.QUEUE_FULL:
             self.barred.add(address)
         if error.code is Code.SERVER_SHED:
--- a/godwitknot/mesh/serverselector.py
+++ b/godwitknot/mesh/serverselector.py
@@ -1,5 +1,8 @@
 """Selection of a backend server for a request."""
 
+import enum
+import math
+
 import attrs
 
 from godwitknot.mesh.admissioncontrol import AdmissionControl
@@ -32,6 +35,50 @@
 _ROUND_TRIP_SECONDS = (0.002, 0.01, 0.08)
 
 
+# Servers of other regions are asked as long as this share of the offers of the
+# last seconds was accepted there; below it, only now and then.
+_MIN_REMOTE_ACCEPTANCE = 0.35
+_REMOTE_PROBE_SECONDS = 0.5
+_REMOTE_SMOOTHING = 0.3
+_REMOTE_RECOVERY_SECONDS = 4.0
+
+
+class Reach(enum.Enum):
+    """Which regions are considered."""
+
+    OWN_REGION = 'own-region'
+    OTHER_REGIONS = 'other-regions'
+
+
+@attrs.define
+class _RemoteAcceptance:
+    """Share of the offers to other regions that were accepted, by service.
+
+    :ivar share: recent share, which recovers without further offers.
+    """
+
+    share: float = 1
+    updated: float = 0
+    asked: float = -1e9
+
+    def current(self, now: float) -> float:
+        """Return the share, which rises to 1 while nothing is offered."""
+        age = now - self.updated
+        return 1 - (1 - self.share) * math.exp(-age / _REMOTE_RECOVERY_SECONDS)
+
+    def record(self, now: float, *, accepted: bool) -> None:
+        """Count the reply to an offer."""
+        current = self.current(now)
+        self.share = current + _REMOTE_SMOOTHING * (accepted - current)
+        self.updated = now
+
+    def may_ask(self, now: float) -> bool:
+        """Return whether another offer is worth its traffic."""
+        if self.current(now) >= _MIN_REMOTE_ACCEPTANCE:
+            return True
+        return now - self.asked >= _REMOTE_PROBE_SECONDS
+
+
 @attrs.define
 class _ServerStatus:
     """Status of one server, from the requests that this node sent it."""
@@ -76,6 +123,7 @@
         self._log = runtime.log
         self._rng = runtime.rng
         self._statuses: dict[tuple[Address, str], _ServerStatus] = {}
+        self._remote: dict[str, _RemoteAcceptance] = {}
         # Nodes that did not answer, and since when.
         self.unreachable: dict[Address, float] = {}
 
@@ -85,15 +133,17 @@
         excluded: set[Address],
         *,
         avoided: bool,
-        anywhere: bool = True,
+        reach: Reach,
     ) -> Target | None:
         """Return the server with the lowest cost that is not excluded.
 
         :param excluded: nodes that refused the request or were sent it.
         :param avoided: also consider servers that are to be avoided.
-        :param anywhere: also consider servers in other regions.
         """
         now = self._clock.now()
+        local_only = reach is Reach.OWN_REGION
+        if not local_only and not self._may_ask_remote(service, now):
+            return None
         best: Member | None = None
         best_cost = float(0)
         for member in self._directory.find_servers(service):
@@ -102,13 +152,15 @@
             status = self._find_status(member)
             if not avoided and self._is_avoided(member, status, now):
                 continue
-            if not anywhere and member.region != self._placement.region:
+            if local_only != (member.region == self._placement.region):
                 continue
             cost = self._compute_cost(member, status, now)
             if best is None or cost < best_cost:
                 best, best_cost = member, cost
         if best is None:
             return None
+        if not local_only:
+            self._acceptance(service).asked = now
         distance = self._distance(best)
         return Target(best, self._is_local(best), _ROUND_TRIP_SECONDS[distance])
 
@@ -126,6 +178,13 @@
             status.reported_load = load
             status.reported_at = self._clock.now()
 
+    def record_reply(self, target: Target, *, accepted: bool) -> None:
+        """Record whether the sidecar of a server accepted an offer."""
+        if target.member.region != self._placement.region:
+            self._acceptance(target.member.service).record(
+                self._clock.now(), accepted=accepted
+            )
+
     def avoid(self, target: Target, seconds: float) -> None:
         """Avoid a server for some seconds if there are others."""
         status = self._find_status(target.member)
@@ -147,6 +206,12 @@
             seconds = round(self._clock.now() - since, 3)
             self._log.write('node reachable', peer=address, after=seconds)
 
+    def _may_ask_remote(self, service: str, now: float) -> bool:
+        return self._acceptance(service).may_ask(now)
+
+    def _acceptance(self, service: str) -> _RemoteAcceptance:
+        return self._remote.setdefault(service, _RemoteAcceptance())
+
     def _find_status(self, member: Member) -> _ServerStatus:
         key = (member.address, member.server_id)
         status = self._statuses.get(key)
--- a/tests/godwitknot/mesh/test_admissioncontrol.py
+++ b/tests/godwitknot/mesh/test_admissioncontrol.py
@@ -231,7 +231,7 @@
     record_hang(health, 0)
     record_hang(health, 0)
     assert expect_refusal(admission, make_offer()).code is Code.EJECTED
-    asyncio.run(admission.admit(make_offer(max_wait=1)))
+    asyncio.run(admission.admit(make_offer(last_resort=True)))
 
 
 def test_trial_waits_for_what_may_be_repeated(admission, health, clock):
@@ -250,7 +250,7 @@
     record_hang(health, 0)
     record_hang(health, 0)
     booking = make_offer(repeatable=False)
-    last_booking = make_offer(repeatable=False, max_wait=1)
+    last_booking = make_offer(repeatable=False, last_resort=True)
     assert expect_refusal(admission, last_booking).code is Code.EJECTED
     clock.advance(4)
     assert expect_refusal(admission, booking).code is Code.EJECTED
@@ -276,7 +276,7 @@
     """Guards against a burst of bookings to hung servers with free slots."""
     record_hang(health, 0)
     record_hang(health, 0)
-    offer = make_offer(repeatable=False, max_wait=1)
+    offer = make_offer(repeatable=False, max_wait=1, last_resort=True)
     refusal = expect_refusal(admission, offer)
     assert refusal.code is Code.EJECTED
     assert refusal.retry_after > 0
@@ -286,7 +286,7 @@
     """Guards against lookups that fill a hung server in a burst."""
     record_hang(health, 0)
     record_hang(health, 0)
-    last_resort = make_offer(max_wait=1)
+    last_resort = make_offer(last_resort=True)
     asyncio.run(admission.admit(last_resort))
     assert expect_refusal(admission, last_resort).code is Code.EJECTED
 
--- a/tests/godwitknot/mesh/test_frames.py
+++ b/tests/godwitknot/mesh/test_frames.py
@@ -31,9 +31,10 @@
     assert (kind, body) == (Kind.COMMIT, b'abc')
 
 
-def test_offer_without_body_needs_no_commit_if_repeatable():
-    _, decoded = frames.decode(frames.encode_offer(make_offer()))
-    assert decoded == make_offer()
+@pytest.mark.parametrize('last_resort', [True, False])
+def test_offer_without_body_needs_no_commit_if_repeatable(last_resort):
+    offer = make_offer(last_resort=last_resort)
+    assert frames.decode(frames.encode_offer(offer)) == (Kind.OFFER, offer)
 
 
 def test_member_survives_its_row():
