Pace rumors and bound connections between the nodes of large fleets

The start alone (to 0.5 s of traffic) took 446 s: 236 nodes sent 52,000 rumors with 72 MB, and opened 64,000 connections between them. Each node that learned a change forwarded it at once, also to another failure domain, and the directory rebuilt its index of servers with each record.

Change: rumors of other nodes' changes are forwarded within the own failure domain, 0.25 s apart; changes of the own record go out at once, to three nodes of the domain and one of each other domain. A node keeps 64 idle connections. The index of servers is updated in place, checks of names and addresses are remembered, and the library for metrics is imported with the first scrape.

Pacing the own record as well: a departure that had just been acknowledged died with its node (test_restarted_node_learns_a_departure_from_ others failed 3 of 4 times; test_departure_does_not_wait_behind_other_changes).

--- /dev/null
+++ b/godwitknot/mesh/exposition.py
@@ -0,0 +1,49 @@
+"""Metrics in the Prometheus text format."""
+
+import itertools
+from collections.abc import Iterator, Mapping
+
+import attrs
+import prometheus_client as prometheus
+from prometheus_client import core
+from prometheus_client.utils import floatToGoString
+
+from godwitknot.mesh.telemetry import Histogram
+
+_PREFIX = 'godwitknot'
+
+
+@attrs.frozen(eq=False)
+class _Collector:
+    """Passes metrics to the library."""
+
+    counters: Mapping[str, int]
+    histograms: Mapping[str, Histogram]
+
+    def collect(self) -> Iterator[core.Metric]:
+        """Yield all metrics."""
+        for name, count in self.counters.items():
+            yield core.CounterMetricFamily(
+                f'{_PREFIX}_{name}', name, value=count
+            )
+        for name, histogram in self.histograms.items():
+            bounds = [*map(float, histogram.bounds), float('inf')]
+            cumulated = itertools.accumulate(histogram.counts)
+            yield core.HistogramMetricFamily(
+                f'{_PREFIX}_{name}',
+                name,
+                buckets=[
+                    (floatToGoString(bound), count)
+                    for bound, count in zip(bounds, cumulated, strict=True)
+                ],
+                sum_value=histogram.total,
+            )
+
+
+def render(
+    counters: Mapping[str, int], histograms: Mapping[str, Histogram]
+) -> bytes:
+    """Return all metrics in the text format."""
+    registry = prometheus.CollectorRegistry()
+    registry.register(_Collector(counters, histograms))
+    return prometheus.generate_latest(registry)
--- a/godwitknot/mesh/framechecks.py
+++ b/godwitknot/mesh/framechecks.py
@@ -1,5 +1,6 @@
 """Checks of the content of frames; errors name the field."""
 
+import functools
 import ipaddress
 import math
 
@@ -18,8 +19,12 @@
 MAX_BUCKETS = 1024
 # Crashes in one rumor, and requests in flight at one crash.
 MAX_CRASHES = 10000
+# Results of checks that are remembered: nodes send the same records of each
+# other again and again.
+_REMEMBERED_CHECKS = 8192
 
 
+@functools.lru_cache(_REMEMBERED_CHECKS)
 def check_name(text: str, name: str) -> str:
     """Return a name unchanged; it may be empty.
 
@@ -69,6 +74,7 @@
     return seconds
 
 
+@functools.lru_cache(_REMEMBERED_CHECKS)
 def check_address(address: Address, name: str) -> Address:
     """Return the address of a node unchanged.
 
--- a/godwitknot/mesh/memberdirectory.py
+++ b/godwitknot/mesh/memberdirectory.py
@@ -1,6 +1,6 @@
 """Directory of the fleet's nodes and their servers."""
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
 import attrs
 import xxhash
@@ -82,7 +82,8 @@
         self._departures: dict[Address, Member] = {}
         self._hashes: list[int | None] = [None for _ in range(BUCKET_COUNT)]
         self._local_address = local_member.address
-        self._by_service: dict[str, list[Member]] = {}
+        # Members that accept requests, by service and address.
+        self._by_service: dict[str, dict[Address, Member]] = {}
         self.listeners: list[Callable[[Member], None]] = []
         self._store(local_member)
 
@@ -104,9 +105,9 @@
             if member.address != self._local_address
         ]
 
-    def find_servers(self, service: str) -> list[Member]:
+    def find_servers(self, service: str) -> Collection[Member]:
         """Return the members whose server accepts requests from this node."""
-        return self._by_service.get(service, [])
+        return self._by_service.get(service, {}).values()
 
     def find(self, address: Address) -> Member | None:
         """Return the record of an address."""
@@ -228,10 +229,11 @@
         number = _find_bucket(member.address)
         self._buckets[number][member.address] = member
         self._hashes[number] = None
-        self._by_service = {}
-        for each in self._members.values():
-            if each.accepts_requests or self._is_ready_local(each):
-                self._by_service.setdefault(each.service, []).append(each)
+        if known is not None:
+            self._by_service.get(known.service, {}).pop(member.address, None)
+        if member.accepts_requests or self._is_ready_local(member):
+            servers = self._by_service.setdefault(member.service, {})
+            servers[member.address] = member
         for listener in self.listeners:
             listener(member)
 
--- a/godwitknot/mesh/peergossip.py
+++ b/godwitknot/mesh/peergossip.py
@@ -16,8 +16,10 @@
 from godwitknot.mesh.crashreports import CrashReports
 from godwitknot.mesh.memberdirectory import Crash, Directory, Member
 from godwitknot.mesh.messages import Digest, DigestReply, Kind, Rumor
+from godwitknot.mesh.peersample import PeerSample
 from godwitknot.mesh.relayclient import RelayClient
 from godwitknot.mesh.restartingnodes import RestartingNodes
+from godwitknot.mesh.rumorpush import RumorPush
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.serverselector import ServerSelector
 from godwitknot.mesh.storesync import ConfigurationHolder
@@ -25,15 +27,8 @@
 from godwitknot.mesh.unreadablerows import UnreadableRows
 from godwitknot.units import Address
 
-# Number of peers that receive a rumor, in the same and in other failure
-# domains. Traffic between failure domains is billed, so only one copy is sent
-# there.
-_SAME_DOMAIN_FAN_OUT = 3
-_OTHER_DOMAIN_FAN_OUT = 1
 # Share of the digests that are sent to another failure domain.
 _OTHER_DOMAIN_DIGEST_SHARE = 0.25
-# Changes within this time are sent in one rumor.
-_BATCH_SECONDS = 0.02
 _DIGEST_INTERVAL_SECONDS = 1.0
 _CALL_TIMEOUT_SECONDS = 1.0
 # Longest times of replies that arrive slowly; other peers may be faster. A copy
@@ -74,17 +69,16 @@
         self._log = runtime.log
         self._telemetry = runtime.telemetry
         self._rng = runtime.rng
-        self._pending_members: dict[Address, Member] = {}
-        self._pending_crashes: list[Crash] = []
+        self._peers = PeerSample(directory, selector, runtime.rng)
+        self._push = RumorPush(
+            directory, holder, self._peers, self._send_in_background
+        )
         self._restarting = RestartingNodes(directory, relay, runtime.clock)
         self._unreadable = UnreadableRows(runtime.log)
         # Called with records that an earlier run of this node left behind.
         self.previous_record_listeners: list[Callable[[Member], None]] = []
-        self._push_requested = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
         self.synchronized = False
-        holder.listeners.append(self._push_requested.set)
-        directory.listeners.append(self._add_pending_member)
 
     def start(self) -> list[asyncio.Task]:
         """Start the background tasks.
@@ -92,9 +86,7 @@
         :returns: the tasks, which run until they are cancelled.
         """
         return [
-            asyncio.ensure_future(
-                keep_running(self._push_changes, self._runtime)
-            ),
+            asyncio.ensure_future(keep_running(self._push.run, self._runtime)),
             asyncio.ensure_future(
                 keep_running(self._exchange_digests, self._runtime)
             ),
@@ -160,10 +152,6 @@
         for listener in self.previous_record_listeners:
             listener(member)
 
-    def _add_pending_member(self, member: Member) -> None:
-        self._pending_members[member.address] = member
-        self._push_requested.set()
-
     def _apply_rumor(self, rumor: Rumor) -> None:
         self._selector.mark_reachable(rumor.sender)
         self.merge_members(list(rumor.members), 'rumor')
@@ -178,8 +166,7 @@
 
     def _record_crash(self, crash: Crash) -> None:
         if self._crash_reports.record(crash):
-            self._pending_crashes.append(crash)
-            self._push_requested.set()
+            self._push.add_crash(crash)
 
     def _reply_to_digest(self, digest: Digest) -> bytes:
         self._selector.mark_reachable(digest.sender)
@@ -195,29 +182,6 @@
         )
         return frames.encode_digest_reply(digest_reply)
 
-    async def _push_changes(self) -> None:
-        version = 0
-        while True:
-            await self._push_requested.wait()
-            await asyncio.sleep(_BATCH_SECONDS)
-            self._push_requested.clear()
-            members = tuple(self._pending_members.values())
-            crashes = tuple(self._pending_crashes)
-            self._pending_members.clear()
-            self._pending_crashes.clear()
-            if not (members or crashes or self._holder.version > version):
-                continue
-            version = self._holder.version
-            rumor = Rumor(
-                self._directory.local_member.address, members, crashes, version
-            )
-            frame = frames.encode_rumor(rumor)
-            peers = self._list_rumor_peers()
-            for peer in self._sample(
-                peers, _SAME_DOMAIN_FAN_OUT, _OTHER_DOMAIN_FAN_OUT
-            ):
-                self._spawn(self._send(peer.address, frame))
-
     async def _exchange_digests(self) -> None:
         while True:
             await self._sleep(
@@ -229,7 +193,7 @@
             # Stopped nodes are included: one may have restarted without any
             # records, and then depends on being contacted.
             peers = self._directory.list_peers()
-            for peer in self._sample(peers, 1 - other, other):
+            for peer in self._peers.draw(peers, 1 - other, other):
                 await self._exchange(peer.address)
 
     async def _sleep(self, seconds: float) -> None:
@@ -323,34 +287,8 @@
         self._restarting.remove(address)
         return reply
 
-    def _list_rumor_peers(self) -> list[Member]:
-        """Return the peers that are serving and reachable."""
-        unreachable = self._selector.unreachable
-        return [
-            each
-            for each in self._directory.list_peers()
-            if each.serving and each.address not in unreachable
-        ]
-
-    def _sample(
-        self,
-        peers: list[Member],
-        same_count: int,
-        other_count: int,
-    ) -> list[Member]:
-        """Return a random sample of peers.
-
-        :param same_count: number of peers in the same failure domain. If it
-            has fewer, they are replaced by peers in other domains.
-        :param other_count: number of peers in other failure domains.
-        """
-        zone = self._directory.local_member.zone
-        same = [each for each in peers if each.zone == zone]
-        others = [each for each in peers if each.zone != zone]
-        chosen = self._rng.sample(same, min(same_count, len(same)))
-        missing = same_count + other_count - len(chosen)
-        chosen += self._rng.sample(others, min(missing, len(others)))
-        return chosen
+    def _send_in_background(self, address: Address, frame: bytes) -> None:
+        self._spawn(self._send(address, frame))
 
     def _spawn(self, work: object) -> None:
         task = asyncio.ensure_future(work)
--- a/godwitknot/mesh/relayclient.py
+++ b/godwitknot/mesh/relayclient.py
@@ -25,8 +25,9 @@
 _FIRST_FRAME_SECONDS = 0.35
 # In addition to the time that the request may wait in the queue.
 _QUEUE_MARGIN_SECONDS = 0.3
-# How many idle connections to one node are kept, and for how long.
+# How many idle connections are kept, to one node and to all, and for how long.
 _MAX_IDLE_CONNECTIONS = 8
+_MAX_ALL_IDLE_CONNECTIONS = 64
 _MAX_IDLE_SECONDS = 20.0
 
 
@@ -160,11 +161,25 @@
             raise RefusalError(Code.LINK_DOWN) from error
 
     def _release(self, address: Address, link: FrameChannel) -> None:
-        idle = self._idle.setdefault(address, collections.deque())
+        # The node whose connection was used last comes last.
+        idle = self._idle.pop(address, None) or collections.deque()
+        self._idle[address] = idle
         if len(idle) >= _MAX_IDLE_CONNECTIONS or not link.is_idle:
             link.channel.close()
             return
         idle.append((link, time.monotonic()))
+        self._close_surplus()
+
+    def _close_surplus(self) -> None:
+        """Close the connections of the nodes that were used longest ago."""
+        surplus = sum(map(len, self._idle.values())) - _MAX_ALL_IDLE_CONNECTIONS
+        while surplus > 0:
+            address = next(iter(self._idle))
+            if self._idle[address]:
+                self._idle[address].popleft()[0].channel.close()
+                surplus -= 1
+            else:
+                self._idle.pop(address)
 
     def remove_closed(self) -> list[Address]:
         """Remove idle connections closed by their nodes; return the nodes.
