Start no attempt and take no run that outlives a stopping node

Cause: what a stopping node took was decided by the deadline alone, and only once callers could have been sent elsewhere. With deadlines of 20 to 50 s and a grace period of 6 s, runs of 1 to 2 s for other nodes, second attempts and requests from a queue began too late and were cut by the exit.

Change: a stopping sidecar takes a run of others only if a long run of its kind ends before the exit, since they have other servers. Second attempts, hedged ones and requests that have waited are started only if most runs of their route end before it; otherwise the caller gets the response of the first attempt, or a refusal as not run. Waits in queues end in time for the run.

Ruled out: refusing first attempts from the SIGTERM on; callers learn of the stop after two readiness checks, and a refusal is final for many of them.

Test: test_stopping_node_starts_no_attempt_that_outlives_it, test_request_that_waits_at_a_stopping_node_is_refused_in_time, test_queue_is_left_in_time_for_the_run, test_stopping_node_takes_no_long_run_of_others; they fail before.

--- a/bench/gray/fleet.py
+++ b/bench/gray/fleet.py
@@ -301,12 +301,10 @@
             )
         )
         health = self._rule.make_health(self._clock, self._log)
+        shutdown = Shutdown(self._clock)
+        budget = RetryBudget(_BOUNDS, self._clock)
         admission = AdmissionControl(
-            local,
-            health,
-            RetryBudget(_BOUNDS, self._clock),
-            Shutdown(self._clock),
-            self._clock,
+            local, health, budget, shutdown, self._clock
         )
         sidecar = Sidecar(
             local,
@@ -335,7 +333,9 @@
             placement, directory, admission, runtime
         )
         relay = _Relay(self, zone, region)
-        dispatcher = Dispatcher(placement, selector, sidecar, relay, runtime)
+        dispatcher = Dispatcher(
+            placement, selector, sidecar, relay, shutdown, runtime
+        )
         node = _Node(
             placement, server, health, sidecar, dispatcher, member, directory
         )
--- a/godwitknot/mesh/admissioncontrol.py
+++ b/godwitknot/mesh/admissioncontrol.py
@@ -87,7 +87,7 @@
         :param deadline: of its response, on the node's clock.
         :raises RefusalError: not run, with the reason.
         """
-        if not self._shutdown.admits(deadline):
+        if not self._ends_before_exit(offer, deadline):
             raise RefusalError(Code.DRAINING, retry_after=_CLOSED_SECONDS)
         server = self._server
         if offer.server_id and offer.server_id != server.server_id:
@@ -187,6 +187,20 @@
         ]
         return sum(typical) / max(1, len(typical))
 
+    def _ends_before_exit(self, offer: Offer, deadline: float) -> bool:
+        """Return whether a run would end before this process exits.
+
+        Other servers take what this one refuses, so that even a long run
+        must fit.
+        """
+        if not self._shutdown.admits(deadline):
+            return False
+        long_run = self._health.durations.hung_threshold_seconds(
+            offer.objective
+        )
+        until_deadline = deadline - self._clock.now()
+        return min(long_run, until_deadline) <= self._shutdown.seconds_left
+
     def refuse_queued(self) -> None:
         """Refuse all queued requests, since the server closes."""
         for reservation in self._queue.clear():
--- a/godwitknot/mesh/dispatcher.py
+++ b/godwitknot/mesh/dispatcher.py
@@ -9,12 +9,19 @@
     reopen_hedges,
 )
 from godwitknot.mesh.messages import Offer
-from godwitknot.mesh.model import SERVER_ERROR, HttpResponse, Placement
+from godwitknot.mesh.model import (
+    SERVER_ERROR,
+    SUCCESS,
+    HttpResponse,
+    Placement,
+)
 from godwitknot.mesh.relayclient import Exchange, RelayClient
 from godwitknot.mesh.requestcontext import RequestContext
+from godwitknot.mesh.rundurations import RunDurations
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.serverproxy import Sidecar
 from godwitknot.mesh.serverselector import Reach, ServerSelector, Target
+from godwitknot.mesh.shutdown import Shutdown
 from godwitknot.outcomes import Code, RefusalError
 from godwitknot.units import Address
 
@@ -23,6 +30,8 @@
 # The deadline given to the server is this much earlier, so that its own
 # response at that deadline still arrives in time.
 _RESPONSE_MARGIN_SECONDS = 0.03
+# An attempt takes at most about this multiple of its typical time.
+_LONG_RUN = 1.5
 # A server that sheds load is avoided for about the time of one run.
 _SHED_AVOID_SECONDS = 0.25
 _LINK_CODES = frozenset((Code.LINK_DOWN, Code.LINK_LOST))
@@ -37,17 +46,21 @@
         selector: ServerSelector,
         sidecar: Sidecar,
         relay: RelayClient,
+        shutdown: Shutdown,
         runtime: Runtime,
     ) -> None:
         """Create a dispatcher.
 
         :param sidecar: of the local server.
         :param relay: to the sidecars of other nodes.
+        :param shutdown: of this process.
         """
         self._placement = placement
         self._selector = selector
         self._sidecar = sidecar
         self._relay = relay
+        self._shutdown = shutdown
+        self._durations = RunDurations()
         self._clock = runtime.clock
         self._log = runtime.log
         self._telemetry = runtime.telemetry
@@ -117,6 +130,11 @@
             self._selector.record_reply(target, accepted=True)
             response = attempt.task.result()
             context.may_have_run = True
+            if response.status in SUCCESS:
+                self._durations.add(
+                    self._clock.now() - attempt.started,
+                    context.route.objective,
+                )
             if response.status >= SERVER_ERROR and context.repeatable:
                 context.fallback = response
                 context.excluded.add(target.member.address)
@@ -191,6 +209,8 @@
                 self._clock.now()
             ):
                 raise context.conclude()
+            if self._is_too_late(context):
+                raise context.conclude_stopping()
             target, max_wait = self._choose(context)
             if target is not None:
                 self._send(context, target, max_wait, attempts)
@@ -200,6 +220,23 @@
                 raise context.conclude()
             await asyncio.sleep(pause)
 
+    def _is_too_late(self, context: RequestContext) -> bool:
+        """Return whether an attempt would outlive this process.
+
+        The first one of a request is started anyway, since its caller may
+        have no other node.
+        """
+        is_first = not context.sends and not context.paused_seconds
+        if is_first:
+            return False
+        left = context.deadline - self._clock.now()
+        return min(self._long_run(context), left) > self._shutdown.seconds_left
+
+    def _long_run(self, context: RequestContext) -> float:
+        """Return the seconds that most runs of the route stay below."""
+        typical = self._durations.typical_seconds(context.route.objective)
+        return _LONG_RUN * typical
+
     def _choose(self, context: RequestContext) -> tuple[Target | None, float]:
         """Return a server, and how long the request may wait there.
 
@@ -225,7 +262,10 @@
 
         :param used: nodes that have the request already.
         """
-        max_wait = context.max_queue_seconds(self._clock.now())
+        max_wait = min(
+            context.max_queue_seconds(self._clock.now()),
+            self._shutdown.seconds_left - self._long_run(context),
+        )
         if max_wait <= 0:
             return None, 0
         short_wait = min(max_wait, context.short_queue_seconds)
@@ -387,7 +427,7 @@
         now = self._clock.now()
         if now < find_next_hedge(context, attempts):
             return
-        if not context.is_worth_sending(now):
+        if self._is_too_late(context) or not context.is_worth_sending(now):
             context.hedge_after = context.deadline
             return
         if not context.rounds:
--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -152,6 +152,7 @@
             self._selector,
             self._sidecar,
             self._relay,
+            self._shutdown,
             runtime,
         )
         self._frontend = Frontend(
--- a/godwitknot/mesh/requestcontext.py
+++ b/godwitknot/mesh/requestcontext.py
@@ -232,6 +232,12 @@
             return RefusalError(code, Outcome.MAY_HAVE_RUN)
         return RefusalError(last.code, Outcome.NOT_RUN, self.retry_after)
 
+    def conclude_stopping(self) -> RefusalError:
+        """Return the refusal for the caller of a node that is about to exit."""
+        if self.may_have_run:
+            return self.conclude()
+        return RefusalError(Code.DRAINING, retry_after=self.retry_after)
+
     def conclude_late(self) -> RefusalError:
         """Return the refusal for the caller at the deadline."""
         if self.may_have_run:
--- a/godwitknot/mesh/shutdown.py
+++ b/godwitknot/mesh/shutdown.py
@@ -1,5 +1,7 @@
 """Graceful shutdown: which requests are still accepted, and when to exit."""
 
+import math
+
 from godwitknot.clock import Clock
 from godwitknot.mesh.model import Bounds
 
@@ -65,6 +67,15 @@
             return True
         return deadline <= self._exit_at - _RESPONSE_SECONDS
 
+    @property
+    def seconds_left(self) -> float:
+        """Seconds in which accepted work has to end, infinite if not stopping."""
+        if not self.stopping:
+            return math.inf
+        if self._closed:
+            return 0
+        return self._exit_at - _RESPONSE_SECONDS - self._clock.now()
+
     def may_exit(self, *, busy: bool) -> bool:
         """Return whether a stopping process may exit.
 
--- a/tests/godwitknot/mesh/test_admissioncontrol.py
+++ b/tests/godwitknot/mesh/test_admissioncontrol.py
@@ -101,6 +101,24 @@
     asyncio.run(admission.admit(make_offer(seconds_left=1.0)))
 
 
+def test_stopping_node_takes_no_long_run_of_others(
+    admission, health, shutdown, clock, bounds
+):
+    """Guards against long runs that the end of a short grace period cuts.
+
+    Their deadlines are later than the exit, and other servers are free.
+    """
+    for _ in range(40):
+        health.record_success(1.0, 4.0, 'z1')
+    long_offer = make_offer(objective=4.0, seconds_left=25)
+    shutdown.begin(bounds)
+    clock.advance(1)
+    asyncio.run(admission.admit(long_offer))
+    clock.advance(1)
+    assert expect_refusal(admission, long_offer).code is Code.DRAINING
+    asyncio.run(admission.admit(make_offer(objective=0.5, seconds_left=25)))
+
+
 def test_run_that_waited_into_a_stop_is_refused(
     admission, shutdown, clock, bounds
 ):
--- a/tests/godwitknot/mesh/test_attempts.py
+++ b/tests/godwitknot/mesh/test_attempts.py
@@ -117,7 +117,10 @@
         admission = AdmissionControl(server, None, None, Shutdown(clock), clock)
         selector = ServerSelector(placement, directory, admission, runtime)
         sidecar = FakeSidecar(admission)
-        return Dispatcher(placement, selector, sidecar, RelayClient(), runtime)
+        shutdown = Shutdown(runtime.clock)
+        return Dispatcher(
+            placement, selector, sidecar, RelayClient(), shutdown, runtime
+        )
 
     return make
 
--- a/tests/godwitknot/mesh/test_dispatcher.py
+++ b/tests/godwitknot/mesh/test_dispatcher.py
@@ -101,10 +101,12 @@
     admission = AdmissionControl(server, None, None, Shutdown(clock), clock)
     selector = ServerSelector(placement, directory, admission, runtime)
     sidecar = FakeSidecar(admission)
-    return Dispatcher(placement, selector, sidecar, relay, runtime)
+    return Dispatcher(
+        placement, selector, sidecar, relay, Shutdown(clock), runtime
+    )
 
 
-def make_context(clock, kind):
+def make_context(clock, kind, deadline=3, objective=1):
     route = Route(
         'r',
         'h',
@@ -112,8 +114,8 @@
         kind,
         (Share('booking', 1),),
         attempts=2,
-        timeout=3,
-        objective=1,
+        timeout=deadline,
+        objective=objective,
         priority=1,
     )
     return RequestContext(
@@ -122,7 +124,7 @@
         route,
         'booking',
         clock.now(),
-        clock.now() + 3,
+        clock.now() + deadline,
         1,
     )
 
--- a/tests/godwitknot/mesh/test_offerorder.py
+++ b/tests/godwitknot/mesh/test_offerorder.py
@@ -34,6 +34,8 @@
 GIVEN_UP_SECONDS, AT_ONCE_SECONDS = 1.01, 0.1
 # Time until a server recovers.
 TRIAL_SECONDS = 0.3
+# Time between SIGTERM and SIGKILL.
+GRACE_SECONDS = 6
 # Longest wait in the own region before others are asked.
 SHORT_WAIT_SECONDS = 0.3
 
@@ -72,10 +74,16 @@
 
 
 @pytest.fixture
-def run(placement, log, relay):
+def stops():
+    """Seconds after the start at which the node gets SIGTERM."""
+    return []
+
+
+@pytest.fixture
+def run(placement, log, relay, stops):
     """Dispatch requests, one after the other, and return the results."""
 
-    async def dispatch_all(kinds):
+    async def dispatch_all(kinds, **changes):
         # The pipe is not read.
         log.prepare()
         clock = LoopClock()
@@ -95,25 +103,34 @@
         )
         server = LocalServer(placement, log, 1)
         admission = AdmissionControl(server, None, None, Shutdown(clock), clock)
+        shutdown = Shutdown(clock)
         dispatcher = Dispatcher(
             placement,
             ServerSelector(placement, directory, admission, runtime),
             FakeSidecar(admission),
             relay,
+            shutdown,
             runtime,
         )
+        for seconds in stops:
+            asyncio.get_running_loop().call_later(
+                seconds, shutdown.begin, placement.bounds
+            )
         results = []
         for kind in kinds:
             try:
                 results.append(
-                    await dispatcher.dispatch(make_context(clock, kind))
+                    await dispatcher.dispatch(
+                        make_context(clock, kind, **changes)
+                    )
                 )
             except RefusalError as error:
                 results.append(error)
         return results, clock.now()
 
-    def run_all(kind, count=1):
-        return run_virtually(dispatch_all(itertools.repeat(kind, count)))
+    def run_all(kind, count=1, **changes):
+        kinds = itertools.repeat(kind, count)
+        return run_virtually(dispatch_all(kinds, **changes))
 
     return run_all
 
@@ -213,3 +230,44 @@
     assert results[0].status == 500
     assert sum(offer.repeat for offer in relay.offers) <= 3
     assert seconds - START < AT_ONCE_SECONDS
+
+
+def test_stopping_node_starts_no_attempt_that_outlives_it(run, relay, stops):
+    """Guards against a second attempt that the end of the grace period cuts.
+
+    The first one was sent before the SIGTERM and failed 5 s later.
+    """
+    stops.append(0.1)
+
+    async def fail_late(address, round_trip, exchange):
+        relay.offers.append(exchange.offer)
+        await asyncio.sleep(5.3)
+        return HttpResponse(500, [], b'')
+
+    relay.run = fail_late
+    results, _ = run(RouteKind.IDEMPOTENT, deadline=25, objective=20)
+    assert results[0].status == 500
+    assert len(relay.offers) == 1
+
+
+def test_request_that_waits_at_a_stopping_node_is_refused_in_time(
+    run, relay, stops
+):
+    """Guards against callers that learn of the stop by a closed connection."""
+    stops.append(0.1)
+    relay.replies = dict.fromkeys(OWN_REGION + OTHER_REGION, FULL)
+    results, seconds = run(RouteKind.AT_MOST_ONCE, deadline=25, objective=10)
+    assert results[0].code is Code.DRAINING
+    assert results[0].status == 503
+    assert seconds - START < GRACE_SECONDS
+
+
+def test_queue_is_left_in_time_for_the_run(run, relay, stops):
+    stops.append(0)
+
+    def admit_waiting(offer):
+        return None if offer.max_wait > 0 else FULL
+
+    relay.replies = dict.fromkeys(OWN_REGION, admit_waiting)
+    run(RouteKind.AT_MOST_ONCE, deadline=25, objective=10)
+    assert relay.offers[-1].max_wait < GRACE_SECONDS - 2
