Compress frames between failure domains and send compact offers

Cause: bytes between regions and between domains were the largest price of the search fleets. Most offers to another region are refused, and each had carried the whole head of its request; digests went to other regions as often as to other domains of the own one.

Change: frames to another failure domain are compressed as one stream for each connection (zlib, a bit of the frame length marks them). Offers to other regions, and others that need a commit, leave the head of the request to the commit. A version of the protocol in the member record keeps both from nodes that do not have them yet. One digest in twenty goes to another region, one in five to another domain of the own region.

--- a/godwitknot/mesh/dispatcher.py
+++ b/godwitknot/mesh/dispatcher.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import attrs
+
 from godwitknot.mesh.attempts import (
     Attempt,
     find_next_hedge,
@@ -376,7 +378,8 @@
         max_wait: float,
     ) -> Offer:
         http_request = context.http_request
-        return Offer(
+        has_new_protocol = target.member.protocol >= 1
+        offer = Offer(
             attempt_id=context.attempt_id,
             method=http_request.method,
             target=http_request.target,
@@ -396,7 +399,11 @@
             else self._repeat_probability(context),
             objective=context.route.objective,
             last_resort=context.is_last_resort,
+            # Most offers to other regions are refused.
+            two_phase=target.remote and has_new_protocol,
         )
+        head_follows = offer.needs_commit and has_new_protocol
+        return attrs.evolve(offer, head_follows=head_follows)
 
     def _record_failed_call(self, context: RequestContext) -> None:
         """Tell the local server's health that a call may have failed."""
--- a/godwitknot/mesh/framedecoder.py
+++ b/godwitknot/mesh/framedecoder.py
@@ -34,7 +34,12 @@
     Refusal,
     Rumor,
 )
-from godwitknot.mesh.model import Fields, HttpResponse, ServerState
+from godwitknot.mesh.model import (
+    Fields,
+    HttpRequest,
+    HttpResponse,
+    ServerState,
+)
 from godwitknot.outcomes import Code, Outcome, RefusalError
 from godwitknot.units import UNIX_MS, Address, is_header_text
 
@@ -102,9 +107,8 @@
 def _unpack_offer(entry: typing.Any) -> Offer:
     return Offer(
         attempt_id=entry.attemptId,
-        method=check_word(entry.method, 'method'),
-        target=check_word(entry.target, 'target'),
-        fields=_unpack_fields(entry.fields),
+        **_unpack_head(entry, is_missing=entry.headFollows),
+        head_follows=entry.headFollows,
         body=bytes(entry.body),
         service=check_name(entry.service, 'service'),
         server_id=check_name(entry.serverId, 'serverId'),
@@ -123,6 +127,24 @@
     )
 
 
+def _unpack_head(entry: typing.Any, *, is_missing: bool) -> dict:
+    """Return method, target and fields of a request."""
+    if is_missing:
+        if not entry.twoPhase:
+            raise ProtocolError('offer without a head and a commit')
+        return {'method': '', 'target': '', 'fields': []}
+    return {
+        'method': check_word(entry.method, 'method'),
+        'target': check_word(entry.target, 'target'),
+        'fields': _unpack_fields(entry.fields),
+    }
+
+
+def _unpack_request(entry: typing.Any) -> HttpRequest:
+    head = _unpack_head(entry, is_missing=False)
+    return HttpRequest(**head, body=bytes(entry.body))
+
+
 def _unpack_refusal(entry: typing.Any) -> Refusal:
     error = RefusalError(
         Code(entry.code),
@@ -158,6 +180,7 @@
         incarnation=check_range(entry.incarnation, 'incarnation', UNIX_MS),
         revision=entry.revision,
         serving=entry.serving,
+        protocol=entry.protocol,
     )
 
 
@@ -233,6 +256,7 @@
     Kind.QUEUED: _unpack_load,
     Kind.GRANTED: _unpack_load,
     Kind.COMMIT: bytes,
+    Kind.REQUEST: _unpack_request,
     Kind.REFUSAL: _unpack_refusal,
     Kind.ANSWER: _unpack_answer,
     Kind.RUMOR: _unpack_rumor,
--- a/godwitknot/mesh/frames.py
+++ b/godwitknot/mesh/frames.py
@@ -1,6 +1,7 @@
 """Encoding of frames between mesh nodes.
 
-A frame is a big-endian 32-bit length and a Cap'n Proto message.
+A frame is a big-endian 32-bit length and a Cap'n Proto message. The highest
+bit of the length marks a compressed message.
 """
 
 import struct
@@ -10,6 +11,10 @@
 
 from godwitknot.errors import ConnectionCutError, ProtocolError
 from godwitknot.mesh.channels import Channel
+from godwitknot.mesh.framecompression import (
+    FrameCompressor,
+    FrameDecompressor,
+)
 from godwitknot.mesh.framedecoder import decode
 from godwitknot.mesh.frameschema import SCHEMA
 from godwitknot.mesh.memberdirectory import Member
@@ -27,22 +32,33 @@
 _LENGTH = struct.Struct('>I')
 # The largest request body, 64 MiB, and space for the header fields.
 MAX_FRAME_BYTES = 68157440
+_COMPRESSED = 0x80000000
 
 
 class FrameChannel:
     """Sends and receives frames over a connection."""
 
-    def __init__(self, channel: Channel) -> None:
-        """Wrap a connection."""
+    def __init__(self, channel: Channel, *, compress: bool = False) -> None:
+        """Wrap a connection.
+
+        :param compress: compress the frames that are sent. Otherwise they are
+            from the first compressed frame on that is received.
+        """
         self.channel = channel
         self._buffer = bytearray()
+        self._compressor = FrameCompressor() if compress else None
+        self._decompressor = FrameDecompressor(MAX_FRAME_BYTES)
 
     def send(self, frame: bytes) -> None:
         """Send an encoded frame.
 
         :raises ConnectionCutError: if the connection is closed.
         """
-        self.channel.write(_LENGTH.pack(len(frame)) + frame)
+        marker = 0
+        if self._compressor is not None:
+            frame = self._compressor.compress(frame)
+            marker = _COMPRESSED
+        self.channel.write(_LENGTH.pack(len(frame) | marker) + frame)
 
     async def receive(self) -> tuple[Kind, typing.Any]:
         """Receive the next frame and return its kind and decoded content.
@@ -67,7 +83,8 @@
     def _pop_frame(self) -> bytes | None:
         if len(self._buffer) < _LENGTH.size:
             return None
-        (size,) = _LENGTH.unpack_from(self._buffer)
+        (header,) = _LENGTH.unpack_from(self._buffer)
+        size = header & ~_COMPRESSED
         if size > MAX_FRAME_BYTES:
             raise ProtocolError(f'frame too large: {size} bytes')
         end = _LENGTH.size + size
@@ -75,7 +92,12 @@
             return None
         frame = bytes(self._buffer[_LENGTH.size : end])
         del self._buffer[:end]
-        return frame
+        return self._decompress(frame) if header & _COMPRESSED else frame
+
+    def _decompress(self, frame: bytes) -> bytes:
+        if self._compressor is None:
+            self._compressor = FrameCompressor()
+        return self._decompressor.decompress(frame)
 
 
 def _pack_fields(fields: Fields) -> list[dict]:
@@ -91,14 +113,16 @@
 
 
 def encode_offer(offer: Offer) -> bytes:
-    """Encode a request; its body is left to the commit if there is one."""
+    """Encode an offer; what the commit carries is left out."""
+    has_head = not offer.head_follows
     return _encode_frame(
         Kind.OFFER,
         {
             'attemptId': offer.attempt_id,
-            'method': offer.method,
-            'target': offer.target,
-            'fields': _pack_fields(offer.fields),
+            'method': offer.method if has_head else '',
+            'target': offer.target if has_head else '',
+            'fields': _pack_fields(offer.fields if has_head else []),
+            'headFollows': offer.head_follows,
             'body': b'' if offer.needs_commit else offer.body,
             'twoPhase': offer.needs_commit,
             'service': offer.service,
@@ -122,9 +146,19 @@
     return _encode_frame(kind, _pack_load(load))
 
 
-def encode_commit(body: bytes) -> bytes:
-    """Encode the commit of an offer, which carries the request body."""
-    return _encode_frame(Kind.COMMIT, body)
+def encode_commit(offer: Offer) -> bytes:
+    """Encode the commit of an offer, with what the offer has left out."""
+    if not offer.head_follows:
+        return _encode_frame(Kind.COMMIT, offer.body)
+    return _encode_frame(
+        Kind.REQUEST,
+        {
+            'method': offer.method,
+            'target': offer.target,
+            'fields': _pack_fields(offer.fields),
+            'body': offer.body,
+        },
+    )
 
 
 def encode_same() -> bytes:
@@ -224,6 +258,7 @@
         'incarnation': member.incarnation,
         'revision': member.revision,
         'serving': member.serving,
+        'protocol': member.protocol,
     }
 
 
--- a/godwitknot/mesh/memberdirectory.py
+++ b/godwitknot/mesh/memberdirectory.py
@@ -9,6 +9,10 @@
 from godwitknot.units import Address
 
 
+# Version 1 has compressed frames, and offers whose head follows.
+PROTOCOL_VERSION = 1
+
+
 @attrs.frozen
 class Member:
     """A node and its local server.
@@ -19,6 +23,8 @@
     :param incarnation: of the node, higher after each restart.
     :param revision: number of changes within the incarnation.
     :param serving: whether the node accepts requests from other nodes.
+    :param protocol: newest version of the protocol that the node speaks; 0
+        before there were versions.
     """
 
     node: str
@@ -33,6 +39,7 @@
     incarnation: int
     revision: int
     serving: bool
+    protocol: int = 0
 
     @property
     def record_version(self) -> tuple[int, int]:
--- a/godwitknot/mesh/mesh.capnp
+++ b/godwitknot/mesh/mesh.capnp
@@ -27,6 +27,14 @@
   twoPhase @15 :Bool;      # the receiver waits for a commit with the body
   objective @16 :Float64;  # target latency in seconds
   lastResort @17 :Bool;    # the sender has found no other server
+  headFollows @18 :Bool;   # method, target and fields come with the commit
+}
+
+struct Request {
+  method @0 :Text;
+  target @1 :Text;
+  fields @2 :List(Field);
+  body @3 :Data;
 }
 
 struct Load {
@@ -65,6 +73,7 @@
   incarnation @10 :Int64;  # of the node
   revision @11 :UInt32;    # number of changes within the incarnation
   serving @12 :Bool;       # whether the node accepts requests
+  protocol @13 :UInt16;    # features of the protocol that the node has
 }
 
 struct Crash {
@@ -113,5 +122,6 @@
     digest @7 :Digest;
     knowledge @8 :Knowledge;
     same @9 :Void;
+    request @10 :Request;  # a commit with the head of the request
   }
 }
--- a/godwitknot/mesh/messages.py
+++ b/godwitknot/mesh/messages.py
@@ -21,6 +21,7 @@
     QUEUED = 'queued'
     GRANTED = 'granted'
     COMMIT = 'commit'
+    REQUEST = 'request'
     REFUSAL = 'refusal'
     ANSWER = 'answer'
     RUMOR = 'rumor'
@@ -57,7 +58,10 @@
     :param fingerprint: identifies the request in crash reports.
     :param repeat: 1 for a retry or hedge; otherwise the probability that a
         repeated run on the caller's server made this request.
-    :param two_phase: on the receiving side, whether a commit follows.
+    :param two_phase: whether a commit follows, even if the request may be
+        repeated and has no body.
+    :param head_follows: whether method, target and fields come with the
+        commit.
     :param objective: target latency of the response, in seconds.
     :param last_resort: whether the sender has found no other server.
     """
@@ -80,6 +84,7 @@
     two_phase: bool = False
     objective: float = DEFAULT_OBJECTIVE_SECONDS
     last_resort: bool = False
+    head_follows: bool = False
 
     @property
     def needs_commit(self) -> bool:
@@ -89,7 +94,7 @@
         proves that they have not run. Requests with a body need one, so that
         the body is not sent with an offer that may be refused.
         """
-        return not self.repeatable or bool(self.body)
+        return self.two_phase or not self.repeatable or bool(self.body)
 
 
 @attrs.frozen
--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -25,7 +25,11 @@
 from godwitknot.mesh.interfaces import Dialect, MetadataStore
 from godwitknot.mesh.keepalive import DEFAULT_MAX_IDLE_SECONDS
 from godwitknot.mesh.localserver import LocalServer
-from godwitknot.mesh.memberdirectory import Directory, Member
+from godwitknot.mesh.memberdirectory import (
+    PROTOCOL_VERSION,
+    Directory,
+    Member,
+)
 from godwitknot.mesh.model import NodeSettings, Placement, ServerState
 from godwitknot.mesh.noderelay import RelayServer
 from godwitknot.mesh.peergossip import PeerGossip
@@ -122,7 +126,7 @@
             self._server, self._holder, self._dialect, self._client, runtime
         )
         self._crashes = CrashTracker(self._clock)
-        self._relay = RelayClient()
+        self._relay = RelayClient(self._compresses_to)
         self._selector = ServerSelector(
             self._placement, self._directory, self._admission, runtime
         )
@@ -259,6 +263,16 @@
             return False
         return self._store_sync.members_loaded or self._gossip.synchronized
 
+    def _compresses_to(self, address: Address) -> bool:
+        """Return whether frames to a node are compressed.
+
+        Traffic within a failure domain is not billed.
+        """
+        member = self._directory.find(address)
+        if member is None or member.protocol < 1:
+            return False
+        return member.zone != self._placement.zone
+
     def _make_initial_member(self) -> Member:
         placement = self._placement
         return Member(
@@ -274,6 +288,7 @@
             incarnation=self._started_ms,
             revision=0,
             serving=True,
+            protocol=PROTOCOL_VERSION,
         )
 
     def _update_server(self) -> None:
--- a/godwitknot/mesh/noderelay.py
+++ b/godwitknot/mesh/noderelay.py
@@ -126,8 +126,7 @@
             progress.granted_at = time.monotonic()
             if offer.two_phase:
                 reservation.awaits_body = True
-                body = await _receive_commit(link, offer.seconds_left)
-                reservation.offer = attrs.evolve(offer, body=body)
+                reservation.offer = await _receive_commit(link, offer)
                 admission.start_run(reservation)
             # After a pause of this process, the sender may have left.
             if link.channel.ended:
@@ -152,26 +151,35 @@
         return round(time.monotonic() - moment, 4)
 
 
-async def _receive_commit(link: FrameChannel, max_seconds: float) -> bytes:
-    """Return the body that is sent with the commit.
+async def _receive_commit(link: FrameChannel, offer: Offer) -> Offer:
+    """Return the offer with what was sent with the commit.
+
+    A body that is under way may take until the deadline.
 
-    :param max_seconds: longest time for a body that is under way.
     :raises RefusalError: not run, if no commit arrives.
     """
     transfer = Transfer(
         _COMMIT_TIMEOUT_SECONDS,
         silence_seconds=_COMMIT_TIMEOUT_SECONDS,
-        max_seconds=max_seconds,
+        max_seconds=offer.seconds_left,
     )
     try:
         async with transfer.limit_time():
             with transfer.watch(link.channel):
-                kind, body = await link.receive()
+                kind, content = await link.receive()
     except TimeoutError:
         raise RefusalError(Code.LINK_LOST) from None
-    if kind is not Kind.COMMIT:
-        raise ProtocolError(f'{kind} instead of a commit')
-    return body
+    if kind is Kind.COMMIT and not offer.head_follows:
+        return attrs.evolve(offer, body=content)
+    if kind is Kind.REQUEST and offer.head_follows:
+        return attrs.evolve(
+            offer,
+            method=content.method,
+            target=content.target,
+            fields=content.fields,
+            body=content.body,
+        )
+    raise ProtocolError(f'{kind} instead of a commit')
 
 
 async def _wait_for_close(link: FrameChannel) -> None:
--- a/godwitknot/mesh/peergossip.py
+++ b/godwitknot/mesh/peergossip.py
@@ -27,8 +27,10 @@
 from godwitknot.mesh.unreadablerows import UnreadableRows
 from godwitknot.units import Address
 
-# Share of the digests that are sent to another failure domain.
-_OTHER_DOMAIN_DIGEST_SHARE = 0.25
+# Shares of the digests that are sent to another failure domain of the region,
+# and to another region.
+_OTHER_DOMAIN_DIGEST_SHARE = 0.2
+_OTHER_REGION_DIGEST_SHARE = 0.05
 _DIGEST_INTERVAL_SECONDS = 1.0
 _CALL_TIMEOUT_SECONDS = 1.0
 # Longest times of replies that arrive slowly; other peers may be faster. A copy
@@ -189,13 +191,28 @@
             )
             for address in self._list_nodes_to_probe():
                 self._spawn(self._exchange(address))
-            other = int(self._rng.random() < _OTHER_DOMAIN_DIGEST_SHARE)
-            # Stopped nodes are included: one may have restarted without any
-            # records, and then depends on being contacted.
-            peers = self._directory.list_peers()
-            for peer in self._peers.draw(peers, 1 - other, other):
+            peer = self._draw_digest_peer()
+            if peer is not None:
                 await self._exchange(peer.address)
 
+    def _draw_digest_peer(self) -> Member | None:
+        """Return the node to compare digests with.
+
+        Stopped nodes are included: one may have restarted without any records,
+        and then depends on being contacted.
+        """
+        peers = self._directory.list_peers()
+        region = self._directory.local_member.region
+        draw = self._rng.random()
+        other = int(draw < _OTHER_DOMAIN_DIGEST_SHARE)
+        if draw > 1 - _OTHER_REGION_DIGEST_SHARE:
+            remote = [each for each in peers if each.region != region]
+            if remote:
+                return self._rng.choice(remote)
+        near = [each for each in peers if each.region == region]
+        drawn = self._peers.draw(near or peers, 1 - other, other)
+        return drawn[0] if drawn else None
+
     async def _sleep(self, seconds: float) -> None:
         """Sleep, and record by how much this process was held up."""
         loop = asyncio.get_running_loop()
--- a/godwitknot/mesh/relayclient.py
+++ b/godwitknot/mesh/relayclient.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import time
+from collections.abc import Callable
 
 import attrs
 
@@ -71,8 +72,15 @@
 class RelayClient:
     """Offers requests to other nodes over persistent connections."""
 
-    def __init__(self) -> None:
-        """Create a client without connections."""
+    def __init__(
+        self, compresses_to: Callable[[Address], bool] | None = None
+    ) -> None:
+        """Create a client without connections.
+
+        :param compresses_to: returns whether frames to a node are compressed;
+            none are by default.
+        """
+        self._compresses_to = compresses_to
         self._idle: dict[Address, collections.deque] = {}
 
     async def run(
@@ -155,11 +163,15 @@
             link.channel.close()
         try:
             return FrameChannel(
-                await open_channel(address, _CONNECT_TIMEOUT_SECONDS)
+                await open_channel(address, _CONNECT_TIMEOUT_SECONDS),
+                compress=self._compresses(address),
             )
         except ConnectionFailedError as error:
             raise RefusalError(Code.LINK_DOWN) from error
 
+    def _compresses(self, address: Address) -> bool:
+        return self._compresses_to is not None and self._compresses_to(address)
+
     def _release(self, address: Address, link: FrameChannel) -> None:
         # The node whose connection was used last comes last.
         idle = self._idle.pop(address, None) or collections.deque()
@@ -222,7 +234,7 @@
                     exchange.load = content
                     if offer.needs_commit:
                         exchange.committed = True
-                        link.send(frames.encode_commit(offer.body))
+                        link.send(frames.encode_commit(offer))
                     exchange.stop_timer()
                     limit.reschedule(None)
                 else:
--- a/godwitknot/mesh/serverselector.py
+++ b/godwitknot/mesh/serverselector.py
@@ -95,11 +95,13 @@
     """A server to send a request to.
 
     :param round_trip: expected seconds to its node and back.
+    :param remote: whether it is in another region.
     """
 
     member: Member
     local: bool
     round_trip: float
+    remote: bool = False
 
 
 class ServerSelector:
@@ -162,7 +164,12 @@
         if not local_only:
             self._acceptance(service).asked = now
         distance = self._distance(best)
-        return Target(best, self._is_local(best), _ROUND_TRIP_SECONDS[distance])
+        return Target(
+            best,
+            self._is_local(best),
+            _ROUND_TRIP_SECONDS[distance],
+            remote=not local_only,
+        )
 
     def record_sent(self, target: Target) -> None:
         """Record a request that was sent."""
--- a/tests/godwitknot/mesh/test_frames.py
+++ b/tests/godwitknot/mesh/test_frames.py
@@ -8,6 +8,7 @@
 
 from godwitknot.errors import ProtocolError
 from godwitknot.mesh import framedecoder, frames
+from godwitknot.mesh.model import HttpRequest
 from godwitknot.mesh.messages import Digest, DigestReply, Kind
 from test_admissioncontrol import make_offer
 from test_memberdirectory import LOCAL
@@ -27,8 +28,33 @@
 
 
 def test_commit_carries_the_body():
-    kind, body = frames.decode(frames.encode_commit(b'abc'))
-    assert (kind, body) == (Kind.COMMIT, b'abc')
+    offer = make_offer(body=b'abc')
+    commit = frames.decode(frames.encode_commit(offer))
+    assert commit == (Kind.COMMIT, b'abc')
+
+
+def test_commit_carries_the_head_that_the_offer_has_left_out():
+    fields = [('Accept', 'text/plain'), ('Content-Length', '3')]
+    offer = make_offer(
+        method='POST',
+        target='/orders/17?x=1',
+        fields=fields,
+        body=b'abc',
+        two_phase=True,
+        head_follows=True,
+    )
+    _, decoded = frames.decode(frames.encode_offer(offer))
+    assert (decoded.method, decoded.target, decoded.fields) == ('', '', [])
+    commit = frames.decode(frames.encode_commit(offer))
+    request = HttpRequest('POST', '/orders/17?x=1', fields, b'abc')
+    assert commit == (Kind.REQUEST, request)
+
+
+def test_offer_without_head_and_commit_is_refused():
+    """Guards against a run of a request without method and target."""
+    offer = make_offer(head_follows=True)
+    with pytest.raises(ProtocolError):
+        frames.decode(frames.encode_offer(offer))
 
 
 @pytest.mark.parametrize('last_resort', [True, False])
--- a/tests/godwitknot/mesh/test_odd_frames.py
+++ b/tests/godwitknot/mesh/test_odd_frames.py
@@ -57,7 +57,8 @@
 
 FRAMES = [
     frames.encode_offer(make_offer()),
-    frames.encode_commit(b'abc'),
+    frames.encode_commit(make_offer(body=b'abc')),
+    frames.encode_commit(make_offer(body=b'abc', head_follows=True)),
     frames.encode_load(Kind.QUEUED, LOAD),
     frames.encode_refusal(make_refusal()),
     frames.encode_answer(RESPONSE, LOAD),
--- a/tests/godwitknot/mesh/test_peergossip.py
+++ b/tests/godwitknot/mesh/test_peergossip.py
@@ -1,6 +1,7 @@
 """Gossip reaches all nodes, mostly those of the same failure domain."""
 
 import asyncio
+import collections
 import random
 
 import attrs
@@ -136,6 +137,26 @@
     asyncio.run(scenario())
 
 
+def test_digests_go_mostly_to_the_own_region(build):
+    """Guards against avoidable traffic between regions, which is dear."""
+    same = [make_member(number) for number in range(2, 8)]
+    near = [make_member(number, 'z2') for number in range(10, 16)]
+    far = [make_member(number, 'z9', region='r9') for number in range(20, 60)]
+    gossip = build(make_member(1), [*same, *near, *far])
+    drawn = [gossip._draw_digest_peer() for _ in range(400)]
+    zones = collections.Counter(peer.zone for peer in drawn)
+    assert zones['z1'] > 250
+    assert 40 < zones['z2'] < 120
+    assert 5 < zones['z9'] < 40
+
+
+def test_only_node_of_a_region_compares_with_others(build):
+    far = [make_member(number, 'z9', region='r9') for number in range(20, 25)]
+    gossip = build(make_member(1), far)
+    assert gossip._draw_digest_peer() in far
+    assert build(make_member(1))._draw_digest_peer() is None
+
+
 def test_stopped_node_is_compared_with_but_gets_no_news(build):
     """Guards against a restarted node that nobody contacts.
 
