Check the permission to run again once the connection is open

The sidecar checked deadline, departure and id of the server, then opened a connection, which can take seconds, as can a pause of the process, and sent the request whatever had changed meanwhile.

Change: the same checks follow the connect; a request that fails them ends as not run, since no byte was written.

Measured: test_pause_while_connecting_ends_the_permission_to_run fails on the old code in all three cases.

--- a/godwitknot/mesh/serverproxy.py
+++ b/godwitknot/mesh/serverproxy.py
@@ -105,11 +105,14 @@
     async def _run(self, reservation: SlotReservation) -> HttpResponse:
         offer = reservation.offer
         deadline = reservation.deadline
-        self.admission.check_open(offer, deadline)
-        if self._clock.now() >= deadline:
-            # After a pause of this process, nobody waits for the response.
-            raise RefusalError(Code.DEADLINE_PASSED)
+        self._check_permission(offer, deadline)
         connection = await self._connect(reservation)
+        try:
+            # This process may have been paused while it connected.
+            self._check_permission(offer, deadline)
+        except RefusalError:
+            connection.channel.close()
+            raise
         sent = self._clock.now()
         http_request = self._build_request(offer, deadline - sent)
         try:
@@ -144,6 +147,16 @@
         seconds = self._clock.now() - sent
         return self._evaluate(reservation, response, metadata, seconds)
 
+    def _check_permission(self, offer: Offer, deadline: float) -> None:
+        """Refuse a run that the server must not get, or that comes too late.
+
+        :raises RefusalError: not run.
+        """
+        self.admission.check_open(offer, deadline)
+        if self._clock.now() >= deadline:
+            # After a pause of this process, nobody waits for the response.
+            raise RefusalError(Code.DEADLINE_PASSED)
+
     async def _connect(self, reservation: SlotReservation) -> ClientConnection:
         offer = reservation.offer
         idle_limit = self._keep_alive.max_idle_seconds(
--- a/tests/godwitknot/mesh/test_serverproxy.py
+++ b/tests/godwitknot/mesh/test_serverproxy.py
@@ -394,3 +394,64 @@
     assert results == [b'ok', lost, lost]
     assert sidecar.admission._health.failed == [False, True, True]
     assert (server.connections, server.requests) == (2, 3)
+
+
+class PausedClient(HttpClient):
+    """Is held up while it connects, or just after.
+
+    :param on_connect: what happens meanwhile.
+    """
+
+    def __init__(self, on_connect):
+        super().__init__(DEFAULT_MAX_IDLE_SECONDS)
+        self.on_connect = on_connect
+
+    async def acquire_connection(self, *arguments, **options):
+        connection = await super().acquire_connection(*arguments, **options)
+        self.on_connect()
+        return connection
+
+
+def let_deadline_pass(sidecar, clock):
+    clock.advance(3600)
+
+
+def drain_server(sidecar, clock):
+    sidecar._server.state = ServerState.DRAINING
+
+
+def replace_server(sidecar, clock):
+    sidecar._server.server_id = 's2'
+
+
+@pytest.mark.parametrize(
+    ('change', 'code'),
+    [
+        (let_deadline_pass, Code.DEADLINE_PASSED),
+        (drain_server, Code.DRAINING),
+        (replace_server, Code.WRONG_INCARNATION),
+    ],
+)
+def test_pause_while_connecting_ends_the_permission_to_run(
+    build, clock, change, code
+):
+    """Guards against a run after the caller or the server has left.
+
+    The process was paused between its checks and the first byte.
+    """
+    server = RawServer([_RESPONSE])
+
+    async def scenario():
+        sidecar = build(server.address.port)
+        sidecar._client = PausedClient(lambda: change(sidecar, clock))
+        offer = make_offer(attempt_id='a1', server_id='s1')
+        reservation = await sidecar.admission.admit(offer)
+        with pytest.raises(RefusalError) as refusal:
+            await sidecar.run(reservation)
+        await asyncio.sleep(0.05)
+        return refusal.value
+
+    error = asyncio.run(scenario())
+    server.stop()
+    assert (error.code, error.outcome) == (code, Outcome.NOT_RUN)
+    assert not server.requests
