Skip servers of other regions first when one is chosen

Cause: a choice among the 195 servers of the large fleet looked up the state of all of them, and each lookup computed the hash of an address anew.

Measured: 527 to 298 us of processor time for a choice among 195 servers, half of them in another region (best of 15 times 100 choices).

--- a/godwitknot/mesh/serverselector.py
+++ b/godwitknot/mesh/serverselector.py
@@ -120,6 +120,7 @@
         """
         self._placement = placement
         self._directory = directory
+        self._local_address = directory.local_member.address
         self._admission = admission
         self._clock = runtime.clock
         self._log = runtime.log
@@ -146,16 +147,17 @@
         local_only = reach is Reach.OWN_REGION
         if not local_only and not self._may_ask_remote(service, now):
             return None
+        region = self._placement.region
         best: Member | None = None
         best_cost = float(0)
         for member in self._directory.find_servers(service):
+            if local_only != (member.region == region):
+                continue
             if member.address in excluded:
                 continue
             status = self._find_status(member)
             if not avoided and self._is_avoided(member, status, now):
                 continue
-            if local_only != (member.region == self._placement.region):
-                continue
             cost = self._compute_cost(member, status, now)
             if best is None or cost < best_cost:
                 best, best_cost = member, cost
@@ -236,7 +238,7 @@
         return since is not None and now - since < _UNREACHABLE_SECONDS
 
     def _is_local(self, member: Member) -> bool:
-        return member.address == self._directory.local_member.address
+        return member.address == self._local_address
 
     def _distance(self, member: Member) -> int:
         if member.zone == self._placement.zone:
--- a/godwitknot/units.py
+++ b/godwitknot/units.py
@@ -81,7 +81,7 @@
     return text == 'yes'
 
 
-@attrs.frozen(order=True)
+@attrs.frozen(order=True, cache_hash=True)
 class Address:
     """An IP address and port.
 
