Close the connections of test servers before the loop ends

Cause: handlers of ResettingServer and FloodingServer were cancelled with their writers open; a later garbage collection closed these on a loop that had ended.

--- a/tests/godwitknot/mesh/test_serverproxy.py
+++ b/tests/godwitknot/mesh/test_serverproxy.py
@@ -42,6 +42,10 @@
 
     async def serve(self, reader, writer):
         self.connections += 1
+        with contextlib.closing(writer.transport):
+            await self._serve_two(reader, writer)
+
+    async def _serve_two(self, reader, writer):
         await reader.readuntil(b'\r\n\r\n')
         writer.write(_RESPONSE)
         await reader.readuntil(b'\r\n\r\n')
@@ -64,6 +68,10 @@
         self.flooding = 0
 
     async def serve(self, reader, writer):
+        with contextlib.closing(writer.transport):
+            await self._flood(reader, writer)
+
+    async def _flood(self, reader, writer):
         await reader.readuntil(b'\r\n\r\n')
         writer.write(_RESPONSE)
         await asyncio.sleep(self.pause)
