Share the reads of the member feed within a failure domain

While servers are replaced, each node read the feed every 1.5 s, although gossip delivers the changes sooner.

Change: the nodes of a failure domain together read it as often as four nodes, each at least every 12.5 s, before the store forgets changes.

--- a/godwitknot/mesh/storesync.py
+++ b/godwitknot/mesh/storesync.py
@@ -38,6 +38,12 @@
 # Delay between reads of the member feed, so that one read returns several
 # changes: each read is billed, and gossip delivers the changes sooner anyway.
 _FEED_INTERVAL_SECONDS = 1.5
+# In a large failure domain, the nodes together read the feed as often as this
+# number of nodes: what one of them has read, the others get by gossip.
+_READERS_PER_DOMAIN = 4
+# The store forgets changes after a while, and all rows are read again then.
+_MAX_FEED_INTERVAL_SECONDS = 10.0
+_FEED_JITTER = 0.25
 
 
 class ConfigurationHolder:
@@ -122,6 +128,7 @@
         self._runtime = runtime
         self._log = runtime.log
         self._telemetry = runtime.telemetry
+        self._rng = runtime.rng
         self._epoch = EpochTracker(runtime)
         self._connection = StoreConnection(self._epoch, runtime)
         self._record = StoredRecord(str(directory.local_member.address))
@@ -210,9 +217,22 @@
             self.members_loaded = True
             with contextlib.suppress(StoreRestoredError):
                 await self._epoch.interrupt_on_restore(
-                    asyncio.sleep(_FEED_INTERVAL_SECONDS)
+                    asyncio.sleep(self._draw_feed_interval())
                 )
 
+    def _draw_feed_interval(self) -> float:
+        """Return the delay until the next read of the member feed."""
+        zone = self._directory.local_member.zone
+        nodes = sum(
+            member.serving and member.zone == zone
+            for member in self._directory.members
+        )
+        seconds = min(
+            _FEED_INTERVAL_SECONDS * max(1, nodes / _READERS_PER_DOMAIN),
+            _MAX_FEED_INTERVAL_SECONDS,
+        )
+        return seconds * self._rng.uniform(1 - _FEED_JITTER, 1 + _FEED_JITTER)
+
     def _open_feed(
         self, table: str, read: ReadPage
     ) -> AsyncIterator[tuple[Page, bool]]:
