--- a/bench/gray/__main__.py
+++ b/bench/gray/__main__.py
@@ -8,6 +8,7 @@
 import itertools
 import pathlib
 import statistics
+import textwrap
 from collections.abc import Callable, Sequence
 from concurrent import futures
 
@@ -26,6 +27,7 @@
 _PLOT = pathlib.Path(__file__).parents[2] / 'docs/plots/gray-served.png'
 _SIZES = (24, 72, 236)
 _PLAY_SECONDS = 30
+_LABEL_WIDTH = 18
 _WORKLOADS: dict[str, Callable[[int, float], Workload]] = {
     'search': make_search_workload,
     'market': make_market_workload,
@@ -181,12 +183,14 @@
         axes.bar(places, served, width, label=each.name)
     axes.set_xticks(
         [index + 0.3 for index in range(len(cases))],
-        [f'{workload}\n{PATTERNS[index].name}' for workload, index in cases],
-        fontsize=7,
+        [
+            textwrap.fill(f'{workload}: {PATTERNS[index].name}', _LABEL_WIDTH)
+            for workload, index in cases
+        ],
     )
-    axes.set_ylabel(f'orders served, {nodes} nodes')
-    axes.set_ylim(0.5, 1)
-    axes.legend()
+    axes.set_ylabel(f'share of the orders served, {nodes} nodes')
+    axes.set_ylim(0, 1)
+    figure.legend(loc='outside upper center', ncols=len(RULES))
     figure.savefig(path)
 
 
