--- a/godwitknot/mesh/dispatcher.py
+++ b/godwitknot/mesh/dispatcher.py
@@ -22,18 +22,16 @@
 from godwitknot.mesh.rundurations import RunDurations
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.serverproxy import Sidecar
-from godwitknot.mesh.serverselector import Reach, ServerSelector, Target
+from godwitknot.mesh.serverselector import ServerSelector, Target
 from godwitknot.mesh.shutdown import Shutdown
+from godwitknot.mesh.targetsearch import TargetSearch
 from godwitknot.outcomes import Code, RefusalError
-from godwitknot.units import Address
 
 # Delay after a round of refusals, about the time until a slot becomes free.
 _HEDGE_RETRY_SECONDS = 0.2
 # The deadline given to the server is this much earlier, so that its own
 # response at that deadline still arrives in time.
 _RESPONSE_MARGIN_SECONDS = 0.03
-# An attempt takes at most about this multiple of its typical time.
-_LONG_RUN = 1.5
 # A server that sheds load is avoided for about the time of one run.
 _SHED_AVOID_SECONDS = 0.25
 _LINK_CODES = frozenset((Code.LINK_DOWN, Code.LINK_LOST))
@@ -61,8 +59,10 @@
         self._selector = selector
         self._sidecar = sidecar
         self._relay = relay
-        self._shutdown = shutdown
         self._durations = RunDurations()
+        self._search = TargetSearch(
+            selector, self._durations, shutdown, runtime.clock
+        )
         self._clock = runtime.clock
         self._log = runtime.log
         self._telemetry = runtime.telemetry
@@ -211,9 +211,9 @@
                 self._clock.now()
             ):
                 raise context.conclude()
-            if self._is_too_late(context):
+            if self._search.is_too_late(context):
                 raise context.conclude_stopping()
-            target, max_wait = self._choose(context)
+            target, max_wait = self._search.choose(context)
             if target is not None:
                 self._send(context, target, max_wait, attempts)
                 return
@@ -222,117 +222,6 @@
                 raise context.conclude()
             await asyncio.sleep(pause)
 
-    def _is_too_late(self, context: RequestContext) -> bool:
-        """Return whether an attempt would outlive this process.
-
-        The first one of a request is started anyway, since its caller may
-        have no other node.
-        """
-        is_first = not context.sends and not context.paused_seconds
-        if is_first:
-            return False
-        left = context.deadline - self._clock.now()
-        return min(self._long_run(context), left) > self._shutdown.seconds_left
-
-    def _long_run(self, context: RequestContext) -> float:
-        """Return the seconds that most runs of the route stay below."""
-        typical = self._durations.typical_seconds(context.route.objective)
-        return _LONG_RUN * typical
-
-    def _choose(self, context: RequestContext) -> tuple[Target | None, float]:
-        """Return a server, and how long the request may wait there.
-
-        Servers of the own region come first, also busy ones: traffic between
-        regions costs more than a short wait.
-        """
-        if context.may_offer_again:
-            target = self._selector.choose(
-                context.service,
-                context.excluded | context.refused_by,
-                avoided=False,
-                reach=Reach.OWN_REGION,
-            )
-            if target is not None:
-                return target, 0
-        # All servers that were asked are busy or ejected.
-        return self._join_queue(context, set())
-
-    def _join_queue(
-        self, context: RequestContext, used: set[Address]
-    ) -> tuple[Target | None, float]:
-        """Return a server whose queue the request may join, and how long.
-
-        :param used: nodes that have the request already.
-        """
-        max_wait = min(
-            context.max_queue_seconds(self._clock.now()),
-            self._shutdown.seconds_left - self._long_run(context),
-        )
-        if max_wait <= 0:
-            return None, 0
-        short_wait = min(max_wait, context.short_queue_seconds)
-        for wait, choose in (
-            (short_wait, self._choose_queue),
-            (short_wait, self._choose_remote),
-            (max_wait, self._choose_long_queue),
-        ):
-            target = choose(context, used)
-            if target is not None:
-                return target, wait
-        return None, 0
-
-    def _choose_queue(
-        self, context: RequestContext, used: set[Address]
-    ) -> Target | None:
-        """Return a server to wait at, preferably one that is not avoided."""
-        if not context.may_join_queue:
-            return None
-        refused = context.queued_at | context.barred | used
-        for avoided in (False, True):
-            target = self._selector.choose(
-                context.service,
-                refused,
-                avoided=avoided,
-                reach=Reach.OWN_REGION,
-            )
-            if target is not None:
-                context.queued_at.add(target.member.address)
-                return target
-        return None
-
-    def _choose_long_queue(
-        self, context: RequestContext, used: set[Address]
-    ) -> Target | None:
-        """Return a server to wait at for as long as the request may wait."""
-        if context.asked_long_queue:
-            return None
-        context.asked_long_queue = True
-        barred = context.barred
-        if context.repeatable and context.is_last_resort:
-            barred = context.excluded
-        return self._selector.choose(
-            context.service,
-            barred | used,
-            avoided=True,
-            reach=Reach.OWN_REGION,
-        )
-
-    def _choose_remote(
-        self, context: RequestContext, used: set[Address]
-    ) -> Target | None:
-        """Return a server of another region, if it is likely to accept."""
-        if not context.may_ask_remote:
-            return None
-        target = self._selector.choose(
-            context.service,
-            context.queued_at | context.excluded | context.refused_by | used,
-            avoided=False,
-            reach=Reach.OTHER_REGIONS,
-        )
-        if target is not None:
-            context.record_remote_offer()
-        return target
-
     def _send(
         self,
         context: RequestContext,
@@ -434,12 +323,14 @@
         now = self._clock.now()
         if now < find_next_hedge(context, attempts):
             return
-        if self._is_too_late(context) or not context.is_worth_sending(now):
+        if self._search.is_too_late(context) or not context.is_worth_sending(
+            now
+        ):
             context.hedge_after = context.deadline
             return
         if not context.rounds:
             context.begin_round()
-        target, max_wait = self._choose_hedge(context, attempts)
+        target, max_wait = self._search.choose_hedge(context, attempts)
         if target is None:
             context.begin_round()
             context.hedge_after = now + _HEDGE_RETRY_SECONDS
@@ -449,30 +340,6 @@
         self._telemetry.count('hedged_requests')
         self._send(context, target, max_wait, attempts)
 
-    def _choose_hedge(
-        self,
-        context: RequestContext,
-        attempts: list[Attempt],
-    ) -> tuple[Target | None, float]:
-        """Return a server for a hedged send, and how long it may wait there.
-
-        It joins a queue only if no node has replied.
-        """
-        used = {each.target.member.address for each in attempts}
-        target = None
-        if context.may_offer_again:
-            target = self._selector.choose(
-                context.service,
-                context.excluded | context.refused_by | used,
-                avoided=False,
-                reach=Reach.OWN_REGION,
-            )
-        if target is None and all(each.is_silent for each in attempts):
-            return self._join_queue(context, used)
-        if target is None:
-            target = self._choose_remote(context, used)
-        return target, 0
-
     def _check_deadline(
         self, context: RequestContext, attempts: list[Attempt]
     ) -> None:
