Keep no slot free for urgent runs that take hardly any time

Cause: since a server kept a slot free for any short urgent runs of the last 2 s. Runs that fail within milliseconds count as short, so that servers of three slots left one idle as soon as a fault began.

Change: a demand of less than half a slot keeps none free.

--- a/godwitknot/mesh/headroom.py
+++ b/godwitknot/mesh/headroom.py
@@ -16,6 +16,9 @@
 _WINDOW_SECONDS = 2.0
 # Largest share of the slots that is kept free.
 _MAX_SHARE = 1 / 3
+# A lower demand is not worth a whole slot: urgent runs that fail at once need
+# hardly any time, and a slot is a third of a small server.
+_MIN_DEMAND_SLOTS = 0.5
 # Runs count as short below this share of the duration of the request that
 # they would come before.
 _SHORT_SHARE = 1 / 3
@@ -66,5 +69,7 @@
             for run in self._runs
             if run.priority < offer.priority and run.seconds < limit
         )
-        needed = math.ceil(demand / _WINDOW_SECONDS)
-        return min(needed, int(_MAX_SHARE * slots))
+        needed = demand / _WINDOW_SECONDS
+        if needed < _MIN_DEMAND_SLOTS:
+            return 0
+        return min(math.ceil(needed), int(_MAX_SHARE * slots))
--- a/tests/godwitknot/mesh/test_headroom.py
+++ b/tests/godwitknot/mesh/test_headroom.py
@@ -36,6 +36,18 @@
     assert headroom.count_slots(make_offer(priority=URGENT), SLOTS) == 0
 
 
+def test_runs_that_fail_at_once_take_no_slot(headroom, clock):
+    """Guards against a third of a small server that stays idle.
+
+    Pattern of the market fleets: servers of three slots, on which urgent
+    requests fail within milliseconds.
+    """
+    for _ in range(20):
+        clock.advance(0.1)
+        headroom.record_run(URGENT, 0.002)
+    assert headroom.count_slots(make_offer(priority=ROUTINE), 3) == 0
+
+
 def test_long_runs_keep_most_slots(headroom, clock):
     record_calls(headroom, clock, 100)
     assert headroom.count_slots(make_offer(priority=ROUTINE), SLOTS) == 2
