Log a departure that is acknowledged without copies

Change: 'departure not copied' says what is missing, once for each record.

Measured: test_departure_without_copies_is_in_the_log fails on the old code.

--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -149,7 +149,9 @@
             runtime,
         )
         self._directory.listeners.append(self._handle_record_change)
-        self._record_copies = RecordCopies(self._directory, self._gossip.peers)
+        self._record_copies = RecordCopies(
+            self._directory, self._gossip.peers, self._log
+        )
         self._gossip.delivery_listeners.append(
             self._record_copies.mark_delivered
         )
--- a/godwitknot/mesh/recordcopies.py
+++ b/godwitknot/mesh/recordcopies.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from godwitknot.mesh.events import EventLog
 from godwitknot.mesh.memberdirectory import Directory, Member
 from godwitknot.mesh.peersample import PeerSample
 
@@ -16,13 +17,16 @@
     take the departure with it.
     """
 
-    def __init__(self, directory: Directory, peers: PeerSample) -> None:
+    def __init__(
+        self, directory: Directory, peers: PeerSample, log: EventLog
+    ) -> None:
         """Create an object that knows of no copies.
 
         :param peers: nodes that may have a copy.
         """
         self._directory = directory
         self._peers = peers
+        self._log = log
         self._stored = (0, 0)
         self._delivered = (0, 0)
         self._abandoned = (0, 0)
@@ -52,6 +56,12 @@
                 await self._wait_for_copies(member)
         except TimeoutError:
             self._abandoned = member.record_version
+            self._log.write(
+                'departure not copied',
+                server=member.server_id,
+                stored=self._stored >= member.record_version,
+                delivered=self._delivered >= member.record_version,
+            )
 
     async def _wait_for_copies(self, member: Member) -> None:
         while not self._is_copied(member):
--- a/tests/godwitknot/mesh/test_recordcopies.py
+++ b/tests/godwitknot/mesh/test_recordcopies.py
@@ -57,7 +57,7 @@
     ],
     ids=['stays', 'no copy', 'store', 'peer', 'both', 'no peers'],
 )
-def test_departure_waits_for_copies(member, marks, peers, expected):
+def test_departure_waits_for_copies(log, member, marks, peers, expected):
     """Guards against a departure that is lost with the node that took it.
 
     The node was killed just after it had acknowledged the departure, and the
@@ -65,7 +65,7 @@
     """
 
     async def scenario():
-        copies = RecordCopies(Directory(member), Peers(peers))
+        copies = RecordCopies(Directory(member), Peers(peers), log)
         telling = asyncio.ensure_future(tell_later(copies, *marks))
         waited = await measure_wait(copies)
         await telling
@@ -74,21 +74,21 @@
     assert run_virtually(scenario()) == pytest.approx(expected, abs=0.01)
 
 
-def test_later_announcements_do_not_wait_again():
+def test_later_announcements_do_not_wait_again(log):
     """Guards against slow acknowledgements while the store is down."""
 
     async def scenario():
-        copies = RecordCopies(Directory(LEAVING), Peers())
+        copies = RecordCopies(Directory(LEAVING), Peers(), log)
         await copies.wait()
         return await measure_wait(copies)
 
     assert run_virtually(scenario()) == 0
 
 
-def test_copy_of_an_older_record_does_not_count():
+def test_copy_of_an_older_record_does_not_count(log):
     async def scenario():
         directory = Directory(attrs.evolve(LEAVING, state=ServerState.READY))
-        copies = RecordCopies(directory, Peers())
+        copies = RecordCopies(directory, Peers(), log)
         older = directory.local_member
         directory.update_local_member(state=ServerState.GONE)
         copies.mark_stored(older)
@@ -97,3 +97,16 @@
 
     waited = run_virtually(scenario())
     assert waited == pytest.approx(LONGEST_SECONDS, abs=0.01)
+
+
+def test_departure_without_copies_is_in_the_log(log, logged):
+    """Guards against a departure that nobody can see to be at risk."""
+    log.prepare()
+
+    async def scenario():
+        copies = RecordCopies(Directory(LEAVING), Peers(), log)
+        await copies.wait()
+        await copies.wait()
+
+    run_virtually(scenario())
+    assert logged().count('departure not copied') == 1
