Review case 2: slow callers lose their downloads (LOST)

Eight callers on kept connections read 540,000 bytes at 50,000 bytes/s, without pausing. The node's TCP_USER_TIMEOUT of 4 s resets their connections midway, though the servers answered in full and no link or process is disturbed.

--- a/review/harness.py
+++ b/review/harness.py
@@ -87,12 +87,17 @@
 class BackendServer:
     """A sound backend server: slots, heartbeats, drain and deregister."""
 
-    def __init__(self, record, server_id, service, host, work_seconds=0.3):
+    def __init__(
+        self, record, server_id, service, host, work_seconds=0.3, zone='vl-gent'
+    ):
         self.record = record
         self.server_id = server_id
         self.service = service
         self.host = host
+        self.zone = zone
         self.work_seconds = work_seconds
+        # Size of each answer, 0 for a short one.
+        self.answer_bytes = 0
         self.address = f'{host}:{_APP_PORT}'
         self.control = f'{host}:{_PORTS["control"]}'
         self.slots = threading.Semaphore(4)
@@ -100,6 +105,7 @@
         self.sequence = 0
         self.state = 'ready'
         self.runs = []
+        self.connections = set()
         self.lock = threading.Lock()
         self.stopped = threading.Event()
         handler = type('Handler', (_BackendHandler,), {'owner': self})
@@ -120,7 +126,7 @@
             content = {
                 'service': self.service,
                 'address': self.address,
-                'zone': 'vl-gent',
+                'zone': self.zone,
                 'version': 'v1',
                 'slots': 4,
                 'state': self.state,
@@ -150,10 +156,19 @@
         return 200 <= status < 300
 
     def stop(self):
+        if self.stopped.is_set():
+            return
         self.stopped.set()
         self.http.shutdown()
         self.http.server_close()
 
+    def crash(self):
+        """End at once: nothing that runs is answered."""
+        self.stop()
+        for connection in list(self.connections):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
 
 class _BackendHandler(BaseHTTPRequestHandler):
     protocol_version = 'HTTP/1.1'
@@ -162,6 +177,15 @@
     wbufsize = -1
     owner: BackendServer
 
+    def setup(self):
+        super().setup()
+        self.owner.connections.add(self.connection)
+
+    def finish(self):
+        self.owner.connections.discard(self.connection)
+        with contextlib.suppress(OSError):
+            super().finish()
+
     def log_message(self, *args):
         """Discard the line."""
 
@@ -209,7 +233,9 @@
         finally:
             owner.slots.release()
         fields['Godwitknot-Server-Seal'] = f'{owner.server_id}.{attempt_id}'
-        self.answer(200, f'{owner.server_id} {attempt_id}'.encode(), fields)
+        content = f'{owner.server_id} {attempt_id}'.encode()
+        content += b'.' * max(0, owner.answer_bytes - len(content))
+        self.answer(200, content, fields)
 
     def answer(self, status, body, fields):
         self.send_response(status)
@@ -236,7 +262,7 @@
         self.process = None
         self.ends = []
         self.server = BackendServer(
-            fleet.record, f'i-{number}', service, self.host, work_seconds
+            fleet.record, f'i-{number}', service, self.host, work_seconds, zone
         )
 
     def address(self, port):
