Tell callers apart in the schedule of returns

Cause: places were kept by the fingerprint of the request alone. After one refusal, the same request of any other caller, such as a lookup of a popular item, counted as an early return and waited for no slot.

Change: a place belongs to the caller's address, its client account and the fingerprint.

--- a/godwitknot/mesh/channels.py
+++ b/godwitknot/mesh/channels.py
@@ -73,6 +73,14 @@
         if self._serve is not None:
             self._task = asyncio.ensure_future(self._serve(self))
 
+    @property
+    def peer_host(self) -> str:
+        """Address of the peer, empty if it is not known."""
+        if self._transport is None:
+            return ''
+        peer = self._transport.get_extra_info('peername')
+        return peer[0] if peer else ''
+
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes until they are read."""
         if self.unexpected_data_listener is not None:
--- a/godwitknot/mesh/dispatcher.py
+++ b/godwitknot/mesh/dispatcher.py
@@ -78,10 +78,10 @@
         """
         attempts: list[Attempt] = []
         context.returning = self._returns.redeem(
-            context.service, context.fingerprint
+            context.service, context.caller
         )
         context.returns_early = self._returns.is_early(
-            context.service, context.fingerprint
+            context.service, context.caller
         )
         if context.returning:
             self._telemetry.count('scheduled_returns')
@@ -347,7 +347,7 @@
             return
         error.retry_after = self._returns.reserve(
             context.service,
-            context.fingerprint,
+            context.caller,
             error.retry_after or 0,
             context.deadline - self._clock.now(),
         )
--- a/godwitknot/mesh/frontend.py
+++ b/godwitknot/mesh/frontend.py
@@ -61,10 +61,12 @@
     """A request that was read and has no response yet.
 
     :param read_at: on the node's clock.
+    :param host: address of the caller.
     :ivar account: name of its client account, empty without a valid key.
     """
 
     read_at: float
+    host: str = ''
     attempt_id: str = ''
     account: str = ''
 
@@ -164,7 +166,9 @@
             return False
         if http_request is None:
             return False
-        pending = _PendingRequest(self._clock.now())
+        pending = _PendingRequest(
+            self._clock.now(), connection.channel.peer_host
+        )
         self._pending.add(pending)
         try:
             with self._ledger.callers.hold(_count_held(http_request)):
@@ -284,6 +288,7 @@
             deadline=now + allowed_seconds,
             fingerprint=fingerprint,
             key=key,
+            caller_host=pending.host,
         )
 
     def _make_forwarded(self, http_request: HttpRequest) -> HttpRequest:
--- a/godwitknot/mesh/requestcontext.py
+++ b/godwitknot/mesh/requestcontext.py
@@ -56,6 +56,7 @@
     :param deadline: of the final response, on the node's clock.
     :param fingerprint: identifies the request in crash reports.
     :param key: of the caller's client account, ``None`` without a valid one.
+    :param caller_host: address from which the caller has connected.
     :ivar excluded: nodes whose server it was sent to.
     :ivar refused_by: nodes that refused it in this round of offers.
     :ivar barred: nodes that refused it for a reason other than lack of
@@ -93,6 +94,7 @@
     deadline: float
     fingerprint: int
     key: PresentedKey | None = None
+    caller_host: str = ''
     excluded: set[Address] = attrs.field(factory=set)
     refused_by: set[Address] = attrs.field(factory=set)
     barred: set[Address] = attrs.field(factory=set)
@@ -126,6 +128,11 @@
         """Client account of the caller, if it has a valid key."""
         return None if self.key is None else self.key.account
 
+    @property
+    def caller(self) -> tuple[str, str, int]:
+        """What tells a caller that returns from others with the same request."""
+        return (self.caller_host, self.account_name, self.fingerprint)
+
     @property
     def is_revoked(self) -> bool:
         """Whether the caller's key is no longer valid."""
--- a/godwitknot/overload/returnschedule.py
+++ b/godwitknot/overload/returnschedule.py
@@ -1,6 +1,7 @@
 """Schedule of the returns of callers that were refused for want of a slot."""
 
 import collections
+from collections.abc import Hashable
 
 import attrs
 
@@ -25,9 +26,9 @@
 
 @attrs.define
 class _ServiceSchedule:
-    """Places of one service, by the fingerprint of the request."""
+    """Places of one service, by the caller and its request."""
 
-    places: dict[int, float] = attrs.field(factory=dict)
+    places: dict[Hashable, float] = attrs.field(factory=dict)
     served: collections.deque[float] = attrs.field(
         factory=lambda: collections.deque(maxlen=_MAX_SERVED)
     )
@@ -42,8 +43,8 @@
     def forget_missed(self, now: float) -> None:
         """Forget places whose callers did not return."""
         self.places = {
-            fingerprint: place
-            for fingerprint, place in self.places.items()
+            caller: place
+            for caller, place in self.places.items()
             if place > now - _KEPT_SECONDS
         }
 
@@ -66,18 +67,19 @@
         self._find(service).served.append(self._clock.now())
 
     def reserve(
-        self, service: str, fingerprint: int, wait: float, left: float
+        self, service: str, caller: Hashable, wait: float, left: float
     ) -> float:
         """Return the seconds after which a refused caller is to return.
 
-        :param fingerprint: identifies the request.
+        :param caller: identifies the caller and its request. Different
+            callers may send the same request.
         :param wait: seconds until there may be a slot, as servers expect.
         :param left: seconds until the caller's deadline.
         """
         now = self._clock.now()
         schedule = self._find(service)
         schedule.forget_missed(now)
-        known = schedule.places.get(fingerprint)
+        known = schedule.places.get(caller)
         if known is not None and known > now:
             # One that returns early keeps its place.
             return known - now
@@ -88,32 +90,32 @@
             return seconds
         schedule.last_place = now + seconds
         if len(schedule.places) < _MAX_PLACES:
-            schedule.places[fingerprint] = schedule.last_place
+            schedule.places[caller] = schedule.last_place
         return seconds
 
-    def redeem(self, service: str, fingerprint: int) -> bool:
+    def redeem(self, service: str, caller: Hashable) -> bool:
         """Return whether a request returns at its place, which it then uses.
 
-        :param fingerprint: identifies the request.
+        :param caller: identifies the caller and its request.
         """
         schedule = self._services.get(service)
         if schedule is None:
             return False
-        place = schedule.places.get(fingerprint)
+        place = schedule.places.get(caller)
         if place is None or place - _EARLY_SECONDS > self._clock.now():
             return False
-        schedule.places.pop(fingerprint)
+        schedule.places.pop(caller)
         return place > self._clock.now() - _KEPT_SECONDS
 
-    def is_early(self, service: str, fingerprint: int) -> bool:
+    def is_early(self, service: str, caller: Hashable) -> bool:
         """Return whether a request returns before its place.
 
-        :param fingerprint: identifies the request.
+        :param caller: identifies the caller and its request.
         """
         schedule = self._services.get(service)
         if schedule is None:
             return False
-        place = schedule.places.get(fingerprint, 0)
+        place = schedule.places.get(caller, 0)
         return place > self._clock.now()
 
     def _find(self, service: str) -> _ServiceSchedule:
--- a/tests/godwitknot/overload/test_returnschedule.py
+++ b/tests/godwitknot/overload/test_returnschedule.py
@@ -75,3 +75,14 @@
         schedule.reserve('seat', number, WAIT, 1e6)
     assert len(schedule._services) <= 64
     assert len(schedule._find('seat').places) <= 512
+
+
+def test_other_caller_with_the_same_request_is_new(schedule):
+    """Guards against popular requests that wait for no slot.
+
+    After one refusal, the same request of every other caller counted as an
+    early return.
+    """
+    reserve(schedule, ('10.0.0.1', 7))
+    assert schedule.is_early('seat', ('10.0.0.1', 7))
+    assert not schedule.is_early('seat', ('10.0.0.2', 7))
