Count requests by service and route: who waits, who is refused and why

Cause: refusals were counted by code for the whole node, so that operators could not tell which class of work waits or is refused, nor which region serves it.

Change: WorkCounts keeps bounded counts by service and route; metrics for results, place of the server, requests without a slot and their longest wait, and for returns that were missed.

--- a/godwitknot/mesh/attempts.py
+++ b/godwitknot/mesh/attempts.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from godwitknot.mesh.messages import Offer
+from godwitknot.mesh.model import Placement
 from godwitknot.mesh.relayclient import Exchange
 from godwitknot.mesh.requestcontext import RequestContext
 from godwitknot.mesh.serverselector import Target
@@ -13,6 +15,9 @@
 # another server, so that the second response can still arrive in time.
 _HEDGE_SHARE = 0.5
 _MIN_HEDGE_SECONDS = 0.1
+# The deadline given to the server is this much earlier, so that its own
+# response at that deadline still arrives in time.
+_RESPONSE_MARGIN_SECONDS = 0.03
 
 
 @attrs.define(eq=False)
@@ -82,3 +87,63 @@
     """Allow another hedged send, since an attempt has ended."""
     for attempt in attempts:
         attempt.hedged = False
+
+
+def has_no_slot(attempts: Sequence[Attempt]) -> bool:
+    """Return whether no server has taken the request."""
+    return not any(each.exchange.granted for each in attempts)
+
+
+def remove_without_slot(attempts: list[Attempt]) -> list[Attempt]:
+    """Remove and return the attempts that no server has taken."""
+    removed = [each for each in attempts if not each.exchange.granted]
+    for attempt in removed:
+        attempts.remove(attempt)
+    return removed
+
+
+def make_offer(
+    context: RequestContext,
+    target: Target,
+    placement: Placement,
+    left: float,
+    max_wait: float,
+    repeat: float,
+) -> Offer:
+    """Return the offer of a request to a server.
+
+    :param placement: of this node.
+    :param left: seconds until the deadline.
+    :param max_wait: seconds for which it may wait for a slot.
+    :param repeat: probability that it repeats a run.
+    """
+    http_request = context.http_request
+    has_new_protocol = target.member.protocol >= 1
+    offer = Offer(
+        attempt_id=context.attempt_id,
+        method=http_request.method,
+        target=http_request.target,
+        fields=http_request.fields,
+        body=http_request.body,
+        service=context.service,
+        server_id=target.member.server_id,
+        repeatable=context.repeatable,
+        priority=context.priority,
+        seconds_left=left - target.round_trip - _RESPONSE_MARGIN_SECONDS,
+        max_wait=max_wait,
+        caller_service=placement.service,
+        caller_zone=placement.zone,
+        fingerprint=context.fingerprint,
+        repeat=repeat,
+        objective=context.route.objective,
+        last_resort=context.is_last_resort,
+        account=context.account_name,
+        max_doubt=context.max_doubt,
+        returning=context.returning,
+        # Most offers to other regions are refused.
+        two_phase=target.remote and has_new_protocol,
+        body_bytes=http_request.stream.size if http_request.stream else 0,
+        stream=http_request.stream,
+    )
+    head_follows = offer.needs_commit and has_new_protocol
+    return attrs.evolve(offer, head_follows=head_follows)
--- a/godwitknot/mesh/dispatcher.py
+++ b/godwitknot/mesh/dispatcher.py
@@ -1,16 +1,17 @@
 """Sends a caller's request to servers until there is a final response."""
 
 import asyncio
-
-import attrs
+import functools
 
 from godwitknot.mesh.attempts import (
     Attempt,
     find_next_hedge,
+    has_no_slot,
     list_wakers,
+    make_offer,
+    remove_without_slot,
     reopen_hedges,
 )
-from godwitknot.mesh.messages import Offer
 from godwitknot.mesh.model import (
     SERVER_ERROR,
     SUCCESS,
@@ -25,14 +26,13 @@
 from godwitknot.mesh.serverselector import ServerSelector, Target
 from godwitknot.mesh.shutdown import Shutdown
 from godwitknot.mesh.targetsearch import TargetSearch
+from godwitknot.mesh.telemetry import Family, add_work_metrics
 from godwitknot.outcomes import Code, Outcome, RefusalError
 from godwitknot.overload.returnschedule import ReturnSchedule
+from godwitknot.overload.workcounts import WorkCounts
 
 # Delay after a round of refusals, about the time until a slot becomes free.
 _HEDGE_RETRY_SECONDS = 0.2
-# The deadline given to the server is this much earlier, so that its own
-# response at that deadline still arrives in time.
-_RESPONSE_MARGIN_SECONDS = 0.03
 # A server that sheds load is avoided for about the time of one run.
 _SHED_AVOID_SECONDS = 0.25
 _LINK_CODES = frozenset((Code.LINK_DOWN, Code.LINK_LOST))
@@ -68,6 +68,13 @@
         self._clock = runtime.clock
         self._log = runtime.log
         self._telemetry = runtime.telemetry
+        self._counts = WorkCounts(
+            placement.zone, placement.region, runtime.clock
+        )
+        add_work_metrics(self._telemetry, self._counts)
+        self._telemetry.add_family(
+            'missed_returns', Family((), self._returns.count_missed)
+        )
 
     async def dispatch(self, context: RequestContext) -> HttpResponse:
         """Return the response of a server.
@@ -85,19 +92,30 @@
         )
         if context.returning:
             self._telemetry.count('scheduled_returns')
+        context.active = self._counts.begin(
+            context.service,
+            context.route.name,
+            functools.partial(has_no_slot, attempts),
+        )
+        outcome = ''
         try:
             response = await self._run(context, attempts)
         except RefusalError as error:
             self._record_failed_call(context)
+            outcome = 'failed'
             if context.fallback is None:
+                outcome = str(error.code)
                 self._schedule_return(context, error)
                 raise
             return context.fallback
         else:
+            outcome = 'good'
             if response.status >= SERVER_ERROR:
+                outcome = 'failed'
                 self._record_failed_call(context)
             return response
         finally:
+            self._counts.end(context.active, outcome)
             for attempt in attempts:
                 attempt.task.cancel()
                 self._selector.record_ended(attempt.target, None)
@@ -146,6 +164,10 @@
             response = attempt.task.result()
             context.may_have_run = True
             self._returns.record_served(context.service)
+            member = target.member
+            self._counts.count_answer(
+                context.active, member.zone, member.region
+            )
             if response.status in SUCCESS:
                 self._durations.add(
                     self._clock.now() - attempt.started,
@@ -198,10 +220,7 @@
 
         Those that have one are finished.
         """
-        for attempt in list(attempts):
-            if attempt.exchange.granted:
-                continue
-            attempts.remove(attempt)
+        for attempt in remove_without_slot(attempts):
             attempt.task.cancel()
             self._selector.record_ended(attempt.target, None)
             context.may_have_run |= attempt.may_run
@@ -269,7 +288,10 @@
     ) -> None:
         context.sends += 1
         left = context.deadline - self._clock.now()
-        offer = self._make_offer(context, target, left, max_wait)
+        repeat = 1 if context.sends > 1 else self._repeat_probability(context)
+        offer = make_offer(
+            context, target, self._placement, left, max_wait, repeat
+        )
         exchange = Exchange(offer)
         if target.local:
             work = self._run_locally(exchange)
@@ -297,46 +319,6 @@
             )
         )
 
-    def _make_offer(
-        self,
-        context: RequestContext,
-        target: Target,
-        left: float,
-        max_wait: float,
-    ) -> Offer:
-        http_request = context.http_request
-        has_new_protocol = target.member.protocol >= 1
-        offer = Offer(
-            attempt_id=context.attempt_id,
-            method=http_request.method,
-            target=http_request.target,
-            fields=http_request.fields,
-            body=http_request.body,
-            service=context.service,
-            server_id=target.member.server_id,
-            repeatable=context.repeatable,
-            priority=context.priority,
-            seconds_left=left - target.round_trip - _RESPONSE_MARGIN_SECONDS,
-            max_wait=max_wait,
-            caller_service=self._placement.service,
-            caller_zone=self._placement.zone,
-            fingerprint=context.fingerprint,
-            repeat=1
-            if context.sends > 1
-            else self._repeat_probability(context),
-            objective=context.route.objective,
-            last_resort=context.is_last_resort,
-            account=context.account_name,
-            max_doubt=context.max_doubt,
-            returning=context.returning,
-            # Most offers to other regions are refused.
-            two_phase=target.remote and has_new_protocol,
-            body_bytes=http_request.stream.size if http_request.stream else 0,
-            stream=http_request.stream,
-        )
-        head_follows = offer.needs_commit and has_new_protocol
-        return attrs.evolve(offer, head_follows=head_follows)
-
     def _schedule_return(
         self, context: RequestContext, error: RefusalError
     ) -> None:
--- a/godwitknot/mesh/exposition.py
+++ b/godwitknot/mesh/exposition.py
@@ -8,7 +8,7 @@
 from prometheus_client import core
 from prometheus_client.utils import floatToGoString
 
-from godwitknot.mesh.telemetry import Histogram, Labelled
+from godwitknot.mesh.telemetry import Family, Histogram, Labelled
 
 _PREFIX = 'godwitknot'
 
@@ -21,10 +21,12 @@
     histograms: Mapping[str, Histogram]
     gauges: Mapping[str, Callable[[], int]]
     labelled: Mapping[str, Labelled]
+    families: Mapping[str, Family]
 
     def collect(self) -> Iterator[core.Metric]:
         """Yield all metrics."""
         yield from map(_make_family, self.labelled, self.labelled.values())
+        yield from map(_read_family, self.families, self.families.values())
         for name, count in self.counters.items():
             yield core.CounterMetricFamily(
                 f'{_PREFIX}_{name}', name, value=count
@@ -57,13 +59,26 @@
     return family
 
 
+def _read_family(name: str, family: Family) -> core.Metric:
+    make = core.CounterMetricFamily
+    if family.is_level:
+        make = core.GaugeMetricFamily
+    metric = make(f'{_PREFIX}_{name}', name, labels=family.labels)
+    for label_values, number in family.read().items():
+        metric.add_metric(label_values, number)
+    return metric
+
+
 def render(
     counters: Mapping[str, int],
     histograms: Mapping[str, Histogram],
     gauges: Mapping[str, Callable[[], int]],
     labelled: Mapping[str, Labelled],
+    families: Mapping[str, Family],
 ) -> bytes:
     """Return all metrics in the text format."""
     registry = prometheus.CollectorRegistry()
-    registry.register(_Collector(counters, histograms, gauges, labelled))
+    registry.register(
+        _Collector(counters, histograms, gauges, labelled, families)
+    )
     return prometheus.generate_latest(registry)
--- a/godwitknot/mesh/requestcontext.py
+++ b/godwitknot/mesh/requestcontext.py
@@ -8,6 +8,7 @@
 from godwitknot.mesh.messages import Load
 from godwitknot.mesh.model import HttpRequest, HttpResponse, Route
 from godwitknot.outcomes import Code, Outcome, RefusalError
+from godwitknot.overload.workcounts import ActiveRequest
 from godwitknot.units import Address
 
 # Refusals by sidecars are cheap, but each takes a round trip. A hedged send may
@@ -83,6 +84,7 @@
         that it waits for no slot.
     :ivar accepts_doubtful: whether the servers that are not doubtful have no
         room.
+    :ivar active: its entry in the counts of work.
     :ivar fallback: response for the caller if no better one arrives.
     """
 
@@ -113,6 +115,7 @@
     last_refusal: RefusalError | None = None
     retry_after: float = _DEFAULT_RETRY_SECONDS
     may_have_run: bool = False
+    active: ActiveRequest | None = None
     fallback: HttpResponse | None = None
     accepts_doubtful: bool = False
     returning: bool = False
--- a/godwitknot/mesh/telemetry.py
+++ b/godwitknot/mesh/telemetry.py
@@ -7,12 +7,16 @@
 
 import attrs
 
+from godwitknot.overload.workcounts import WorkCounts
+
 # Upper bounds that cover the objectives of 0.2 to 8 s that operators declare.
 _BUCKET_SECONDS = (0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 8)
 
 
 # Counts by account and result.
 Labelled = Mapping[str, Mapping[str, int]]
+# Values by those of the labels.
+LabelledValues = Mapping[tuple[str, ...], float]
 # Accounts with counters of their own; each has one for each result. The others
 # are counted together.
 _MAX_ACCOUNTS = 200
@@ -42,6 +46,20 @@
         self.total += seconds
 
 
+@attrs.frozen
+class Family:
+    """Counters or levels that differ in their labels.
+
+    :param labels: names of the labels.
+    :param read: returns the values, when the metrics are rendered.
+    :param is_level: whether values may fall.
+    """
+
+    labels: tuple[str, ...]
+    read: Callable[[], LabelledValues]
+    is_level: bool = False
+
+
 class Telemetry:
     """Counters and histograms of one node."""
 
@@ -51,6 +69,7 @@
         self._histograms: dict[str, Histogram] = {}
         self._gauges: dict[str, Callable[[], int]] = {}
         self._labelled: dict[str, Labelled] = {}
+        self._families: dict[str, Family] = {}
         # Requests by account and result.
         self._account_requests: dict[str, collections.Counter[str]] = {}
         self.add_labelled('account_requests', self._account_requests)
@@ -99,9 +118,35 @@
         """
         self._labelled[name] = counts
 
+    def add_family(self, name: str, family: Family) -> None:
+        """Add counters or levels with labels.
+
+        :param name: in snake case, without prefix.
+        """
+        self._families[name] = family
+
     def render(self) -> bytes:
         """Return all metrics in the text format."""
         renderer = importlib.import_module(_RENDERER)
         return renderer.render(
-            self._counters, self._histograms, self._gauges, self._labelled
+            self._counters,
+            self._histograms,
+            self._gauges,
+            self._labelled,
+            self._families,
         )
+
+
+def add_work_metrics(telemetry: Telemetry, counts: WorkCounts) -> None:
+    """Add the counts of requests by service and route."""
+    work = ('service', 'route')
+    for name, family in (
+        ('work_requests', Family((*work, 'result'), counts.read_results)),
+        ('work_answers', Family((*work, 'place'), counts.read_places)),
+        ('work_waiting', Family(work, counts.count_waiting, is_level=True)),
+        (
+            'work_longest_wait_seconds',
+            Family(work, counts.find_longest_waits, is_level=True),
+        ),
+    ):
+        telemetry.add_family(name, family)
--- a/godwitknot/overload/returnschedule.py
+++ b/godwitknot/overload/returnschedule.py
@@ -1,7 +1,7 @@
 """Schedule of the returns of callers that were refused for want of a slot."""
 
 import collections
-from collections.abc import Hashable
+from collections.abc import Hashable, Mapping
 
 import attrs
 
@@ -40,13 +40,15 @@
             self.served.popleft()
         return max(_MIN_RETURNS_PER_SECOND, len(self.served) / _WINDOW_SECONDS)
 
-    def forget_missed(self, now: float) -> None:
-        """Forget places whose callers did not return."""
+    def forget_missed(self, now: float) -> int:
+        """Forget places whose callers did not return; return how many."""
+        before = len(self.places)
         self.places = {
             caller: place
             for caller, place in self.places.items()
             if place > now - _KEPT_SECONDS
         }
+        return before - len(self.places)
 
 
 class ReturnSchedule:
@@ -61,6 +63,7 @@
         """Create a schedule without places."""
         self._clock = clock
         self._services: dict[str, _ServiceSchedule] = {}
+        self._missed = 0
 
     def record_served(self, service: str) -> None:
         """Count a request that got a slot."""
@@ -78,7 +81,7 @@
         """
         now = self._clock.now()
         schedule = self._find(service)
-        schedule.forget_missed(now)
+        self._missed += schedule.forget_missed(now)
         known = schedule.places.get(caller)
         if known is not None and known > now:
             # One that returns early keeps its place.
@@ -118,6 +121,10 @@
         place = schedule.places.get(caller, 0)
         return place > self._clock.now()
 
+    def count_missed(self) -> Mapping[tuple[()], int]:
+        """Return how many callers did not return in time for their place."""
+        return {(): self._missed}
+
     def _find(self, service: str) -> _ServiceSchedule:
         schedule = self._services.get(service)
         if schedule is None:
