Pass bodies of unstated length on in parts

Cause: a chunked request body was read whole before it was sent. Eight of 16 MiB at once exceeded the node's budget, and their callers got 503 and a reset (tests/godwitknot/mesh/test_large_bodies.py, the case "split", failed with ConnectionResetError).

Change: from 256 KiB on, such a body is passed on while it arrives: in chunks to the server, and in parts that end with an empty one to another node (Offer.bodyUnstated, protocol 3). Nodes of protocol 2 get the whole body, as before. Short chunks are joined into parts of up to 64 KiB. A body beyond max_body_bytes ends its run and gets 413 with the outcome may-have-run. The check for room while a body is read whole is gone, since with a budget no large body is read whole; requests are still refused by priority before they start.

Measured: the test passes.

--- a/godwitknot/errors.py
+++ b/godwitknot/errors.py
@@ -188,6 +188,10 @@
     """The rest of a request body does not arrive, for want of its sender."""
 
 
+class BodyTooLargeError(BodyLostError):
+    """A request body of unstated length exceeds the limit."""
+
+
 class HistoryLostError(StoreError):
     """The store no longer has the history that a feed needs."""
 
--- a/godwitknot/mesh/admissioncontrol.py
+++ b/godwitknot/mesh/admissioncontrol.py
@@ -258,8 +258,8 @@
         """
         if not (offer.body_bytes and self.server_bytes):
             return
-        held = sum(each.offer.body_bytes for each in self._running)
-        if held and held + offer.body_bytes > self.server_bytes:
+        held = sum(each.offer.held_bytes for each in self._running)
+        if held and held + offer.held_bytes > self.server_bytes:
             raise RefusalError(Code.QUEUE_FULL, retry_after=_MIN_RETRY_SECONDS)
 
     def _grant(self, reservation: SlotReservation) -> None:
--- a/godwitknot/mesh/bodystream.py
+++ b/godwitknot/mesh/bodystream.py
@@ -6,9 +6,14 @@
 import typing
 from collections.abc import Callable, Coroutine
 
-from godwitknot.errors import BodyLostError, ConnectionCutError, ProtocolError
+from godwitknot.errors import (
+    BodyLostError,
+    BodyTooLargeError,
+    ConnectionCutError,
+    ProtocolError,
+)
 from godwitknot.memory.ledger import UNCOUNTED, HeldBytes
-from godwitknot.outcomes import Code, RefusalError
+from godwitknot.outcomes import Code, Outcome, RefusalError
 
 # Bytes of one body that a node holds: read ahead, a part, and one that is sent.
 WINDOW_BYTES = 1048576
@@ -27,34 +32,52 @@
 
 
 class BodyStream(abc.ABC):
-    """A request body of known size, which can be read only once.
+    """A request body that can be read only once.
 
+    :ivar size: bytes of the whole body; if its length is not stated, the most
+        that it may have.
+    :ivar is_stated: whether its length is stated.
+    :ivar received: bytes that have arrived.
     :ivar started: whether a part was read, so that the body can no longer be
         sent to another server.
     :ivar prefix: its first bytes, for the fingerprint of the request.
     """
 
-    def __init__(self, size: int, held: HeldBytes = UNCOUNTED) -> None:
+    def __init__(
+        self,
+        size: int,
+        held: HeldBytes = UNCOUNTED,
+        *,
+        is_stated: bool = True,
+    ) -> None:
         """Create a stream of which nothing has been read.
 
-        :param size: bytes of the whole body.
+        :param size: bytes of the whole body, or the most that it may have.
         :param held: charged with the body if it is gathered.
+        :param is_stated: whether the body has exactly ``size`` bytes.
         """
         self._held = held
         self._charged = 0
         self.size = size
+        self.is_stated = is_stated
+        self.received = 0
         self.started = False
         self.prefix = b''
         self._early_parts: list[bytes] = []
-        # Bytes that have not arrived yet.
-        self._left = size
+        self._has_arrived = is_stated and not size
         self._given_up = False
         self._limit: asyncio.Timeout | None = None
 
     @property
     def ended(self) -> bool:
         """Whether the whole body has been read."""
-        return not (self._left or self._early_parts)
+        return self._has_arrived and not self._early_parts
+
+    def hold_early(self, parts: list[bytes]) -> None:
+        """Take the first bytes, which were read before the stream existed."""
+        self._early_parts = parts
+        self.prefix = b''.join(parts)[:_PREFIX_BYTES]
+        self.received = sum(map(len, parts))
 
     async def hold_prefix(self) -> None:
         """Receive the first bytes, which stay part of the body.
@@ -76,7 +99,7 @@
             raise BodyLostError('request has ended')
         if self._early_parts:
             return self._early_parts.pop(0)
-        return await self._receive() if self._left else b''
+        return b'' if self._has_arrived else await self._receive()
 
     async def _receive(self) -> bytes:
         limit = asyncio.timeout(_SILENCE_SECONDS)
@@ -86,27 +109,47 @@
                 part = await self._read_part()
         except (ConnectionCutError, ProtocolError, TimeoutError) as error:
             raise BodyLostError(repr(error)) from error
-        if not part or len(part) > self._left:
-            raise BodyLostError('body of another size than stated')
-        self._left -= len(part)
+        self._count(len(part))
         return part
 
+    def _count(self, size: int) -> None:
+        """Count the bytes of a part; an empty one ends an unstated length.
+
+        :raises BodyLostError: if the body has another size than stated.
+        :raises BodyTooLargeError: if it exceeds its limit.
+        """
+        self.received += size
+        if not self.is_stated:
+            self._has_arrived = not size
+            if self.received > self.size:
+                raise BodyTooLargeError('body exceeds the limit')
+            return
+        if not size or self.received > self.size:
+            raise BodyLostError('body of another size than stated')
+        self._has_arrived = self.received == self.size
+
     async def gather(self) -> bytes:
         """Return the whole body, which is charged until :meth:`release`.
 
         :raises BodyLostError: if it will not arrive.
         :raises RefusalError: not run, if there is no room for it.
         """
-        size = _GATHERED_COPIES * self.size
-        if not self._held.ledger.admits(size, _GATHERED_PRIORITY):
-            raise RefusalError(Code.MEMORY_FULL, retry_after=1)
-        self._held.charge(size)
-        self._charged += size
+        if self.is_stated:
+            self._charge_gathered(self.size)
         parts = []
         while part := await self.read():
+            if not self.is_stated:
+                self._charge_gathered(len(part))
             parts.append(part)
         return b''.join(parts)
 
+    def _charge_gathered(self, body_bytes: int) -> None:
+        size = _GATHERED_COPIES * body_bytes
+        if not self._held.ledger.admits(size, _GATHERED_PRIORITY):
+            raise RefusalError(Code.MEMORY_FULL, retry_after=1)
+        self._held.charge(size)
+        self._charged += size
+
     def give_up(self) -> None:
         """End all reads, since the request has its final response.
 
@@ -134,6 +177,17 @@
         """
 
 
+def build_body_refusal(error: BodyLostError) -> RefusalError:
+    """Return the refusal of a request whose body was passed on in part.
+
+    A server may take the part for the whole.
+    """
+    code = Code.CONNECTION_LOST
+    if isinstance(error, BodyTooLargeError):
+        code = Code.BODY_TOO_LARGE
+    return RefusalError(code, Outcome.MAY_HAVE_RUN)
+
+
 async def exchange_body(
     sending: Coroutine[typing.Any, typing.Any, None],
     receiving: Coroutine[typing.Any, typing.Any, _Answer],
--- a/godwitknot/mesh/clientconnection.py
+++ b/godwitknot/mesh/clientconnection.py
@@ -12,7 +12,7 @@
     encode_fields,
     strip_connection,
 )
-from godwitknot.mesh.model import HttpRequest, HttpResponse
+from godwitknot.mesh.model import Fields, HttpRequest, HttpResponse
 
 # Largest response of a server, including head and framing. Bodies have a few
 # hundred kilobytes; 16 slots at this bound take 64 of a node's 300 MiB.
@@ -81,15 +81,9 @@
             raise ConnectionCutError(str(error)) from error
 
     def _encode_request(self, http_request: HttpRequest) -> bytes:
-        fields = strip_connection(http_request.fields)
         stream = http_request.stream
-        size = stream.size if stream else len(http_request.body)
-        if size or http_request.method not in {
-            'GET',
-            'HEAD',
-            'DELETE',
-        }:
-            fields.append(('Content-Length', str(size)))
+        fields = strip_connection(http_request.fields)
+        fields.extend(_frame_body(http_request))
         try:
             head = h11.Request(
                 method=http_request.method.encode(CHARSET),
@@ -200,5 +194,16 @@
                 raise ConnectionCutError(str(error)) from error
 
 
+def _frame_body(http_request: HttpRequest) -> Fields:
+    """Return the field that tells where the body of a request ends."""
+    stream = http_request.stream
+    if stream is not None and not stream.is_stated:
+        return [('Transfer-Encoding', 'chunked')]
+    size = stream.size if stream else len(http_request.body)
+    if size or http_request.method not in {'GET', 'HEAD', 'DELETE'}:
+        return [('Content-Length', str(size))]
+    return []
+
+
 def _client_parser() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
--- a/godwitknot/mesh/dispatcher.py
+++ b/godwitknot/mesh/dispatcher.py
@@ -10,7 +10,7 @@
     list_wakers,
     reopen_hedges,
 )
-from godwitknot.mesh.messages import Offer
+from godwitknot.mesh.messages import Offer, describe_stream
 from godwitknot.mesh.model import (
     SERVER_ERROR,
     SUCCESS,
@@ -251,7 +251,7 @@
                 raise context.conclude()
             target, max_wait = self._search.choose(context)
             if target is not None:
-                if context.http_request.stream and not target.takes_streams:
+                if not target.takes(context.http_request.stream):
                     await context.gather_body()
                 self._send(context, target, max_wait, attempts)
                 return
@@ -331,8 +331,7 @@
             returning=context.returning,
             # Most offers to other regions are refused.
             two_phase=target.remote and has_new_protocol,
-            body_bytes=http_request.stream.size if http_request.stream else 0,
-            stream=http_request.stream,
+            **describe_stream(http_request.stream),
         )
         head_follows = offer.needs_commit and has_new_protocol
         return attrs.evolve(offer, head_follows=head_follows)
--- a/godwitknot/mesh/framedecoder.py
+++ b/godwitknot/mesh/framedecoder.py
@@ -137,6 +137,7 @@
         last_resort=entry.lastResort,
         account=check_name(entry.account, 'account'),
         body_bytes=entry.bodyMebibytes * MEBIBYTE,
+        body_unstated=entry.bodyUnstated,
         max_doubt=check_seconds(entry.maxDoubt, 'maxDoubt'),
         returning=entry.returning,
     )
--- a/godwitknot/mesh/frames.py
+++ b/godwitknot/mesh/frames.py
@@ -168,6 +168,7 @@
             'lastResort': offer.last_resort,
             'account': offer.account,
             'bodyMebibytes': -(-offer.body_bytes // MEBIBYTE),
+            'bodyUnstated': offer.body_unstated,
             'maxDoubt': offer.max_doubt,
             'returning': offer.returning,
         },
@@ -182,7 +183,8 @@
 def encode_commit(offer: Offer) -> bytes:
     """Encode the commit of an offer, with what the offer has left out.
 
-    In place of a body that follows in parts, it has the number of its bytes.
+    In place of a body that follows in parts, it has the number of its bytes,
+    or the most that it may have.
     """
     body = offer.body
     if offer.body_bytes:
--- a/godwitknot/mesh/frontend.py
+++ b/godwitknot/mesh/frontend.py
@@ -16,7 +16,6 @@
 from godwitknot.mesh.channels import Channel
 from godwitknot.mesh.dispatcher import Dispatcher
 from godwitknot.mesh.httpconnection import (
-    NO_MEMORY_STATUS,
     ServerConnection,
     TooLargeError,
 )
@@ -360,8 +359,6 @@
     ) -> None:
         self._log.write('request rejected', status=status, detail=detail)
         fields = [('Content-Type', 'text/plain')]
-        if status == NO_MEMORY_STATUS:
-            fields.append(('Retry-After', str(_NO_MEMORY_SECONDS)))
         response = HttpResponse(status, fields, f'{detail}\n'.encode())
         await connection.respond(response, 'GET', close=True)
 
@@ -382,7 +379,8 @@
     stream = http_request.stream
     if stream is None:
         return http_request.body
-    return b'%d %b' % (stream.size, stream.prefix)
+    size = stream.size if stream.is_stated else 0
+    return b'%d %b' % (size, stream.prefix)
 
 
 def _find_route(
--- a/godwitknot/mesh/httpconnection.py
+++ b/godwitknot/mesh/httpconnection.py
@@ -21,13 +21,16 @@
 )
 from godwitknot.mesh.model import Fields, HttpRequest, HttpResponse
 
-# Larger bodies are counted while they are read.
+# Larger bodies are passed on while they arrive, or counted if they are read
+# whole.
 LARGE_BODY_BYTES = 262144
+# A part of a body is joined from chunks up to about this size. Each chunk
+# takes 10 us, and each part a frame to another node.
+_PART_BYTES = 65536
+# Chunks that are parsed before other tasks run again, about 5 ms.
+_MAX_JOINED_CHUNKS = 512
 # Bytes that a body takes for each of its own: its parts, and their join.
 _COPIES = 2
-# The route, and so the priority, of a body that is being read is not known yet.
-_BODY_PRIORITY = 1
-NO_MEMORY_STATUS = 503
 _BODY_TOO_LARGE = 413
 _HEAD_TOO_LARGE = 431
 _NO_BODY_STATUSES = frozenset((204, 304))
@@ -56,12 +59,19 @@
 class ConnectionBody(BodyStream):
     """The body of a request that is being read from a connection."""
 
-    def __init__(self, connection: 'ServerConnection', size: int) -> None:
+    def __init__(
+        self,
+        connection: 'ServerConnection',
+        size: int,
+        *,
+        is_stated: bool = True,
+    ) -> None:
         """Create the body of a request whose head was read.
 
-        :param size: bytes of the whole body.
+        :param size: bytes of the whole body, or the most that it may have.
+        :param is_stated: whether the body has exactly ``size`` bytes.
         """
-        super().__init__(size, connection.held)
+        super().__init__(size, connection.held, is_stated=is_stated)
         self._connection = connection
 
     async def _read_part(self) -> bytes:
@@ -128,19 +138,21 @@
         size = self._find_stream_size(fields)
         if size > body_bytes:
             raise TooLargeError(_BODY_TOO_LARGE)
-        stream = ConnectionBody(self, size) if size else None
-        if stream is not None:
+        if size:
+            body, stream = b'', ConnectionBody(self, size)
             await _hold_prefix(stream)
+        else:
+            body, stream = await self._read_body(body_bytes)
         return HttpRequest(
             request.method.decode(CHARSET),
             request.target.decode(CHARSET),
             fields,
-            b'' if stream else await self._read_body(body_bytes),
+            body,
             stream,
         )
 
     def _find_stream_size(self, fields: Fields) -> int:
-        """Return the size of a body to pass on while it arrives, 0 for others.
+        """Return the size of a large body that its header states, else 0.
 
         Without a budget for held bytes, all bodies are read whole.
         """
@@ -172,7 +184,10 @@
             return None
         return event
 
-    async def _read_body(self, max_bytes: int) -> bytes:
+    async def _read_body(
+        self, max_bytes: int
+    ) -> tuple[bytes, ConnectionBody | None]:
+        """Return a whole body, or a large one to pass on while it arrives."""
         parts: list[bytes] = []
         charged = 0
         size = 0
@@ -182,22 +197,18 @@
                 if size > max_bytes:
                     raise TooLargeError(_BODY_TOO_LARGE)
                 parts.append(part)
-                if size > LARGE_BODY_BYTES:
-                    self._charge_large(_COPIES * size - charged)
-                    charged = _COPIES * size
-            return b''.join(parts)
+                if size <= LARGE_BODY_BYTES:
+                    continue
+                if self.held.ledger.budget:
+                    stream = ConnectionBody(self, max_bytes, is_stated=False)
+                    stream.hold_early(parts)
+                    return b'', stream
+                self.held.charge(_COPIES * size - charged)
+                charged = _COPIES * size
+            return b''.join(parts), None
         finally:
             self.held.charge(-charged)
 
-    def _charge_large(self, size: int) -> None:
-        """Charge what a large body that is being read takes in addition.
-
-        :raises TooLargeError: if there is no room for it.
-        """
-        if not self.held.ledger.admits(size, _BODY_PRIORITY):
-            raise TooLargeError(NO_MEMORY_STATUS)
-        self.held.charge(size)
-
     async def read_part(self) -> bytes:
         """Read the next part of a request body; empty at its end.
 
@@ -209,17 +220,28 @@
                 status_code=100, headers=[]
             )
             self.channel.write(self._parser.send(continue_response))
-        while True:
+        part = bytearray()
+        chunks = 0
+        while self._parser.their_state is h11.SEND_BODY:
             event = self._next()
             if event is h11.NEED_DATA:
-                data = await self.channel.receive()
-                if not data:
-                    raise ConnectionCutError('request body ended early')
-                self._receive(data)
-            elif not isinstance(event, h11.Data):
-                return b''
-            elif event.data:
-                return bytes(event.data)
+                if part:
+                    break
+                await self._receive_more()
+            elif isinstance(event, h11.Data):
+                part += event.data
+                if len(part) >= _PART_BYTES:
+                    break
+                chunks += 1
+                if not chunks % _MAX_JOINED_CHUNKS:
+                    await asyncio.sleep(0)
+        return bytes(part)
+
+    async def _receive_more(self) -> None:
+        data = await self.channel.receive()
+        if not data:
+            raise ConnectionCutError('request body ended early')
+        self._receive(data)
 
     def _receive(self, data: bytes) -> None:
         try:
@@ -250,7 +272,7 @@
                     """Discard the part."""
         except (ConnectionCutError, ProtocolError, TimeoutError):
             return False
-        if self._parser.our_state is h11.DONE:
+        if self._parser.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
             self._parser.start_next_cycle()
         return not self.must_close
 
--- a/godwitknot/mesh/memberdirectory.py
+++ b/godwitknot/mesh/memberdirectory.py
@@ -11,10 +11,11 @@
 
 # Version 1 has compressed frames, and offers whose head follows. Version 2 has
 # client accounts in offers, the frames of their quotas, and bodies that follow
-# in parts.
-PROTOCOL_VERSION = 2
+# in parts. Version 3 has such bodies without a stated length.
+PROTOCOL_VERSION = 3
 QUOTA_PROTOCOL = 2
 STREAMING_PROTOCOL = 2
+UNSTATED_LENGTH_PROTOCOL = 3
 
 
 @attrs.frozen
--- a/godwitknot/mesh/mesh.capnp
+++ b/godwitknot/mesh/mesh.capnp
@@ -33,6 +33,8 @@
   returning @21 :Bool;     # returns at the time that a refusal told
   bodyMebibytes @22 :UInt16; # size of a body that follows the commit in parts,
                            # rounded up; its bytes come with the commit
+  bodyUnstated @23 :Bool;  # the size is the most that the body may have; an
+                           # empty part ends it
 }
 
 struct Request {
--- a/godwitknot/mesh/messages.py
+++ b/godwitknot/mesh/messages.py
@@ -1,6 +1,7 @@
 """Messages between mesh nodes; ``frames`` encodes them."""
 
 import enum
+import typing
 
 import attrs
 
@@ -70,6 +71,8 @@
         commit.
     :param body_bytes: size of a body that follows the commit in parts, else 0;
         as received, rounded up to a whole number of MiB until the commit.
+    :param body_unstated: whether the length of that body is not stated;
+        ``body_bytes`` is then the most that it may have.
     :param stream: that body.
     :param objective: target latency of the response, in seconds.
     :param last_resort: whether the sender has found no other server.
@@ -101,6 +104,7 @@
     head_follows: bool = False
     account: str = ''
     body_bytes: int = 0
+    body_unstated: bool = False
     stream: BodyStream | None = attrs.field(default=None, repr=False, eq=False)
     max_doubt: float = 0
     returning: bool = False
@@ -116,6 +120,27 @@
         has_body = self.body or self.body_bytes
         return self.two_phase or not self.repeatable or bool(has_body)
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of a large body that its server holds or will hold.
+
+        Of a body of unstated length, those that have arrived.
+        """
+        if not self.body_unstated:
+            return self.body_bytes
+        return self.stream.received if self.stream else 0
+
+
+def describe_stream(stream: BodyStream | None) -> dict[str, typing.Any]:
+    """Return the parameters of an offer whose body follows in parts."""
+    if stream is None:
+        return {}
+    return {
+        'stream': stream,
+        'body_bytes': stream.size,
+        'body_unstated': not stream.is_stated,
+    }
+
 
 @attrs.frozen
 class Refusal:
--- a/godwitknot/mesh/noderelay.py
+++ b/godwitknot/mesh/noderelay.py
@@ -171,12 +171,16 @@
 class LinkBody(BodyStream):
     """The body of a request that arrives in frames after its commit."""
 
-    def __init__(self, link: FrameChannel, size: int) -> None:
+    def __init__(
+        self, link: FrameChannel, size: int, *, is_stated: bool = True
+    ) -> None:
         """Create the body of a request that was committed.
 
-        :param size: bytes of the whole body.
+        :param size: bytes of the whole body, or the most that it may have.
+        :param is_stated: whether the body has exactly ``size`` bytes;
+            otherwise an empty part ends it.
         """
-        super().__init__(size)
+        super().__init__(size, is_stated=is_stated)
         self._link = link
 
     async def _read_part(self) -> bytes:
@@ -236,9 +240,8 @@
     size = int(text) if text.isdecimal() else 0
     if not offer.body_bytes - MEBIBYTE < size <= offer.body_bytes:
         raise ProtocolError('body of another size than offered')
-    return attrs.evolve(
-        offer, body=b'', body_bytes=size, stream=LinkBody(link, size)
-    )
+    stream = LinkBody(link, size, is_stated=not offer.body_unstated)
+    return attrs.evolve(offer, body=b'', body_bytes=size, stream=stream)
 
 
 async def _wait_for_close(link: FrameChannel) -> None:
--- a/godwitknot/mesh/relayclient.py
+++ b/godwitknot/mesh/relayclient.py
@@ -15,7 +15,11 @@
 )
 from godwitknot.memory.ledger import UNCOUNTED, HeldBytes
 from godwitknot.mesh import frames
-from godwitknot.mesh.bodystream import BodyStream, exchange_body
+from godwitknot.mesh.bodystream import (
+    BodyStream,
+    build_body_refusal,
+    exchange_body,
+)
 from godwitknot.mesh.channels import open_channel
 from godwitknot.mesh.frames import FrameChannel
 from godwitknot.mesh.messages import Kind, Load, Offer, Refusal
@@ -119,9 +123,7 @@
             raise
         except BodyLostError as error:
             link.abort()
-            raise RefusalError(
-                Code.CONNECTION_LOST, Outcome.MAY_HAVE_RUN
-            ) from error
+            raise build_body_refusal(error) from error
         except (ConnectionCutError, ProtocolError) as error:
             link.abort()
             raise _build_link_refusal(exchange, Code.LINK_LOST) from error
@@ -280,6 +282,8 @@
     while part := await stream.read():
         link.send(frames.encode_body_part(part))
         await link.channel.drain()
+    if not stream.is_stated:
+        link.send(frames.encode_body_part(b''))
 
 
 def _expect_frame(
--- a/godwitknot/mesh/requestcontext.py
+++ b/godwitknot/mesh/requestcontext.py
@@ -3,7 +3,7 @@
 import attrs
 
 from godwitknot.accounts.clientaccount import ClientAccount
-from godwitknot.errors import BodyLostError
+from godwitknot.errors import BodyLostError, BodyTooLargeError
 from godwitknot.mesh.accountchecks import PresentedKey
 from godwitknot.mesh.messages import Load
 from godwitknot.mesh.model import HttpRequest, HttpResponse, Route
@@ -196,6 +196,8 @@
         """
         try:
             body = await self.http_request.stream.gather()
+        except BodyTooLargeError as error:
+            raise RefusalError(Code.BODY_TOO_LARGE) from error
         except BodyLostError as error:
             raise RefusalError(Code.CANCELLED) from error
         self.http_request = attrs.evolve(
--- a/godwitknot/mesh/serverproxy.py
+++ b/godwitknot/mesh/serverproxy.py
@@ -9,7 +9,7 @@
     ProtocolError,
 )
 from godwitknot.mesh.admissioncontrol import AdmissionControl, SlotReservation
-from godwitknot.mesh.bodystream import exchange_body
+from godwitknot.mesh.bodystream import build_body_refusal, exchange_body
 from godwitknot.mesh.clientconnection import ClientConnection
 from godwitknot.mesh.faultbelief import Evidence
 from godwitknot.mesh.httpclient import HttpClient
@@ -129,9 +129,7 @@
                 )
         except BodyLostError as error:
             connection.channel.abort()
-            raise RefusalError(
-                Code.CONNECTION_LOST, Outcome.MAY_HAVE_RUN
-            ) from error
+            raise build_body_refusal(error) from error
         except ConnectionCutError as error:
             connection.channel.abort()
             self._record_lost_connection(
--- a/godwitknot/mesh/serverselector.py
+++ b/godwitknot/mesh/serverselector.py
@@ -6,9 +6,11 @@
 import attrs
 
 from godwitknot.mesh.admissioncontrol import AdmissionControl
+from godwitknot.mesh.bodystream import BodyStream
 from godwitknot.mesh.contacts import Contacts
 from godwitknot.mesh.memberdirectory import (
     STREAMING_PROTOCOL,
+    UNSTATED_LENGTH_PROTOCOL,
     Directory,
     Member,
 )
@@ -108,10 +110,13 @@
     round_trip: float
     remote: bool = False
 
-    @property
-    def takes_streams(self) -> bool:
-        """Whether a large body may be sent to it in parts."""
-        return self.local or self.member.protocol >= STREAMING_PROTOCOL
+    def takes(self, stream: BodyStream | None) -> bool:
+        """Return whether a body may be sent to it in parts."""
+        if stream is None or self.local:
+            return True
+        if stream.is_stated:
+            return self.member.protocol >= STREAMING_PROTOCOL
+        return self.member.protocol >= UNSTATED_LENGTH_PROTOCOL
 
 
 class ServerSelector:
--- a/standins/meshserver.py
+++ b/standins/meshserver.py
@@ -181,9 +181,24 @@
 
     def do_POST(self) -> None:
         """Serve a request with a body."""
+        if 'Transfer-Encoding' in self.headers:
+            self._serve_request(self._read_chunks())
+            return
         length = int(self.headers.get('Content-Length', 0))
         self._serve_request(self.rfile.read(length))
 
+    def _read_chunks(self) -> bytes:
+        """Return a body of unstated length.
+
+        :raises ValueError: if the connection ends within it.
+        """
+        chunks = []
+        while size := int(self.rfile.readline(), 16):
+            chunks.append(self.rfile.read(size))
+            self.rfile.readline()
+        self.rfile.readline()
+        return b''.join(chunks)
+
     def log_message(self, *args: object) -> None:
         """Discard the log line."""
 
--- a/tests/godwitknot/mesh/test_bodystream.py
+++ b/tests/godwitknot/mesh/test_bodystream.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from godwitknot.errors import BodyLostError, ConnectionCutError
+from godwitknot.errors import (
+    BodyLostError,
+    BodyTooLargeError,
+    ConnectionCutError,
+)
 from godwitknot.memory.ledger import UNCOUNTED, Ledger
 from godwitknot.mesh.bodystream import BodyStream, exchange_body
 from godwitknot.outcomes import Code, Outcome, RefusalError
@@ -13,8 +17,8 @@
 class ScriptedBody(BodyStream):
     """Arrives in given parts, then its connection ends."""
 
-    def __init__(self, size, *parts, held=UNCOUNTED):
-        super().__init__(size, held)
+    def __init__(self, size, *parts, held=UNCOUNTED, is_stated=True):
+        super().__init__(size, held, is_stated=is_stated)
         self.parts = list(parts)
 
     async def _read_part(self):
@@ -53,6 +57,16 @@
     assert stream.ended
 
 
+def test_body_of_unstated_length_ends_with_an_empty_part():
+    """Guards against waiting for bytes beyond the end, and endless bodies."""
+    stream = ScriptedBody(5, b'de', b'', is_stated=False)
+    stream.hold_early([b'abc'])
+    assert asyncio.run(read_all(stream)) == [b'abc', b'de']
+    assert (stream.ended, stream.received) == (True, 5)
+    with pytest.raises(BodyTooLargeError):
+        asyncio.run(read_all(ScriptedBody(5, b'abc', b'def', is_stated=False)))
+
+
 @pytest.mark.parametrize('parts', [(b'abc',), (b'abc', b'defg'), ()])
 def test_body_of_another_size_is_lost(parts):
     """Guards against a cut body that is taken for a whole one."""
@@ -60,13 +74,18 @@
         asyncio.run(read_all(ScriptedBody(5, *parts)))
 
 
-def test_gathered_body_is_charged_until_the_end_of_its_request():
+@pytest.mark.parametrize('is_stated', [True, False])
+def test_gathered_body_is_charged_until_the_end_of_its_request(is_stated):
     """Guards against bodies for nodes of earlier releases beyond the budget."""
     ledger = Ledger(100)
-    stream = ScriptedBody(6, b'abc', b'def', held=ledger.callers)
+    stream = ScriptedBody(
+        6, b'abc', b'def', b'', held=ledger.callers, is_stated=is_stated
+    )
     assert asyncio.run(stream.gather()) == b'abcdef'
     assert ledger.held == 24
-    other = ScriptedBody(20, b'x' * 20, held=ledger.callers)
+    other = ScriptedBody(
+        20, b'x' * 20, held=ledger.callers, is_stated=is_stated
+    )
     with pytest.raises(RefusalError) as caught:
         asyncio.run(other.gather())
     assert caught.value.code is Code.MEMORY_FULL
--- a/tests/godwitknot/mesh/test_dispatcher.py
+++ b/tests/godwitknot/mesh/test_dispatcher.py
@@ -1,6 +1,7 @@
 """Requests are offered to servers with capacity before they are given up."""
 
 import asyncio
+import functools
 import random
 
 import attrs
@@ -327,7 +328,7 @@
         return await super().run(address, round_trip, exchange)
 
 
-def make_upload(dispatcher, clock, kind, protocol):
+def make_upload(dispatcher, clock, kind, protocol, stream):
     for number in (2, 3, 4):
         member = dispatcher._selector._directory.find(
             Address(f'10.0.0.{number}', 1)
@@ -336,9 +337,7 @@
             [attrs.evolve(member, protocol=protocol, revision=1)]
         )
     context = make_context(clock, kind)
-    context.http_request = attrs.evolve(
-        context.http_request, stream=PartedBody(9)
-    )
+    context.http_request = attrs.evolve(context.http_request, stream=stream)
     return context
 
 
@@ -356,18 +355,31 @@
         relay.replies[server] = RefusalError(
             Code.SERVER_SHED, outcome, relayed=True
         )
-    context = make_upload(dispatcher, clock, kind, protocol=2)
+    context = make_upload(dispatcher, clock, kind, 2, PartedBody(9))
     with pytest.raises(RefusalError) as caught:
         dispatch(dispatcher, context)
     assert caught.value.outcome is outcome
     assert len(relay.offers) == 1
 
 
-def test_node_of_the_previous_release_gets_the_whole_body(
-    dispatcher, clock, relay
+class ChunkedBody(BodyStream):
+    """A body of unstated length that arrives in one part."""
+
+    async def _read_part(self):
+        return b'' if self.received else bytes(9)
+
+
+@pytest.mark.parametrize(
+    ('protocol', 'make_body'),
+    [(1, PartedBody), (2, functools.partial(ChunkedBody, is_stated=False))],
+)
+def test_node_of_an_earlier_release_gets_the_whole_body(
+    dispatcher, clock, relay, protocol, make_body
 ):
     """Guards against parts that an earlier release does not know."""
-    context = make_upload(dispatcher, clock, RouteKind.AT_MOST_ONCE, protocol=1)
+    context = make_upload(
+        dispatcher, clock, RouteKind.AT_MOST_ONCE, protocol, make_body(9)
+    )
     assert dispatch(dispatcher, context).status == 200
     assert relay.offers[0].body == bytes(9)
     assert not relay.offers[0].body_bytes
--- a/tests/godwitknot/mesh/test_large_bodies.py
+++ b/tests/godwitknot/mesh/test_large_bodies.py
@@ -12,6 +12,7 @@
 from bench.meshfleet import HOST, wait_until
 
 BODY_BYTES = 16777216
+CHUNK_BYTES = 50000
 CALLERS = 8
 # Half of the memory of the smallest machine.
 PEAK_MEGABYTES = 100
@@ -55,14 +56,28 @@
     ]
 
 
-def test_large_bodies_pass_at_once_within_half_of_the_memory(large_fleet):
-    """Guards against nodes over their memory limit (review/1)."""
+def split(body):
+    """Return the parts of a body, which is sent in chunks."""
+    return (
+        body[start : start + CHUNK_BYTES]
+        for start in range(0, len(body), CHUNK_BYTES)
+    )
+
+
+@pytest.mark.parametrize('prepare', [bytes, split])
+def test_large_bodies_pass_at_once_within_half_of_the_memory(
+    large_fleet, prepare
+):
+    """Guards against nodes over their memory limit (review/1).
+
+    Callers state the lengths of their bodies, or send chunks.
+    """
     entry = large_fleet.machines[2]
 
     def upload(number):
         body = bytes([number]) * BODY_BYTES
         response, _ = entry.send(
-            '/book/1', f'b-{number}', 'POST', body, left=20000
+            '/book/1', f'b-{number}', 'POST', prepare(body), left=20000
         )
         return response.status, hashlib.sha256(body).digest()
 
@@ -81,6 +96,31 @@
     )
 
 
+def test_body_beyond_the_limit_gets_413_and_ends_its_run(large_fleet):
+    """Guards against runs of cut bodies, and against bodies without an end."""
+    entry = large_fleet.machines[2]
+    parts = (bytes(CHUNK_BYTES) for _ in range(BODY_BYTES // CHUNK_BYTES + 2))
+    response, content = entry.send('/book/1', 'e-0', 'POST', parts, left=8000)
+    assert (response.status, content) == (413, b'body-too-large\n')
+    assert not find_runs(large_fleet, 'e-0')
+
+    def find_outcomes():
+        return [
+            event['outcome']
+            for event in entry.events()
+            if event['event'] == 'request refused' and event['request'] == 'e-0'
+        ]
+
+    # A server has received a part.
+    wait_until(lambda: find_outcomes() == ['may-have-run'])
+    wait_until(
+        lambda: not any(map(sum, map(read_held_bytes, large_fleet.machines)))
+    )
+    # The server has ended the run and takes the next body.
+    response, _ = entry.send('/book/1', 'e-1', 'POST', split(bytes(BODY_BYTES)))
+    assert response.status == 200
+
+
 def test_refused_body_is_answered_and_its_connection_kept(large_fleet):
     """Guards against resets in place of refusals, while a body is sent."""
     entry = large_fleet.machines[2]
--- a/tests/godwitknot/mesh/test_noderelay.py
+++ b/tests/godwitknot/mesh/test_noderelay.py
@@ -6,7 +6,7 @@
 from godwitknot.errors import ProtocolError
 from godwitknot.mesh.bodystream import BodyStream
 from godwitknot.mesh.channels import listen
-from godwitknot.mesh.messages import Load
+from godwitknot.mesh.messages import Load, describe_stream
 from godwitknot.mesh.model import HttpResponse
 from godwitknot.mesh.noderelay import RelayServer
 from godwitknot.mesh.relayclient import Exchange, RelayClient
@@ -138,6 +138,31 @@
         return HttpResponse(413, [], b'too large')
 
 
+class ChunkedBody(PartedBody):
+    """A body of unstated length."""
+
+    async def _read_part(self):
+        return b'' if self.received >= len(BODY) else BODY[:50000]
+
+
+def make_chunked_upload(max_bytes):
+    stream = ChunkedBody(max_bytes, is_stated=False)
+    return make_offer(
+        repeatable=False, seconds_left=10, **describe_stream(stream)
+    )
+
+
+def test_body_of_unstated_length_follows_in_parts(log):
+    """Guards against bodies without their end, and without their limit."""
+    upload = make_chunked_upload(len(BODY) + 1)
+    responses = offer_over_narrow_link(log, ReadingSidecar(), upload)
+    assert responses[0].body == str(len(BODY)).encode()
+    upload = make_chunked_upload(len(BODY) - 1)
+    refusal = offer_over_narrow_link(log, ReadingSidecar(), upload)[0]
+    assert refusal.code is Code.BODY_TOO_LARGE
+    assert refusal.outcome is Outcome.MAY_HAVE_RUN
+
+
 def make_upload(seconds_left=10, whole_parts=10):
     stream = PartedBody(len(BODY))
     stream.whole_parts = whole_parts
