Refuse verdicts of later releases as malformed frames

Cause: test_changed_bytes_raise_the_project_error found a quota grant whose verdict is no member of the enumeration. The library raises RuntimeError, which passed through the decoder as an unexpected error.

Change: the decoder reports it as a ProtocolError.

Measured: a test with verdict 999 failed with RuntimeError and passes now.

--- a/godwitknot/mesh/framedecoder.py
+++ b/godwitknot/mesh/framedecoder.py
@@ -60,7 +60,8 @@
     ValueError,
     TypeError,
     ArithmeticError,
-    RecursionError,
+    # Too deep a message, or a member of an enumeration of a later release.
+    RuntimeError,
 )
 
 
--- a/tests/godwitknot/mesh/test_odd_frames.py
+++ b/tests/godwitknot/mesh/test_odd_frames.py
@@ -14,6 +14,7 @@
 from godwitknot.errors import ProtocolError
 from godwitknot.mesh import frames
 from godwitknot.mesh.framedecoder import decode, decode_member
+from godwitknot.mesh.frameschema import SCHEMA
 from godwitknot.mesh.memberdirectory import Crash
 from godwitknot.mesh.messages import (
     Digest,
@@ -128,6 +129,13 @@
         decode(frames.encode_offer(offer))
 
 
+def test_verdict_of_a_later_release_is_refused():
+    """Guards against an unexpected error of the whole connection."""
+    message = SCHEMA.Frame.new_message(quotaGrant={'verdict': 999})
+    with pytest.raises(ProtocolError):
+        decode(message.to_bytes())
+
+
 @pytest.mark.parametrize('seconds', ODD_SECONDS)
 def test_odd_time_of_a_refusal_is_refused(seconds):
     """Guards against a server that is avoided for ever."""
