Bound the log's backlog in bytes, and charge it

Cause: the log kept up to 4,000 lines of any length while the reader of standard output did not read, and nothing counted them.

A request larger than the budget is still admitted while only the log holds bytes.

--- a/godwitknot/memory/ledger.py
+++ b/godwitknot/memory/ledger.py
@@ -53,7 +53,10 @@
 
 
 class Ledger:
-    """The bytes that a node holds for callers, other nodes and its server."""
+    """The bytes that a node holds for callers, other nodes and its server.
+
+    :ivar log: lines that the reader of the log has not taken.
+    """
 
     def __init__(self, budget: int = 0) -> None:
         """Create a ledger without held bytes.
@@ -64,10 +67,16 @@
         self.callers = HeldBytes(self)
         self.nodes = HeldBytes(self)
         self.server = HeldBytes(self)
+        self.log = HeldBytes(self)
 
     @property
     def held(self) -> int:
         """Bytes held in total."""
+        return self.held_for_requests + self.log.held
+
+    @property
+    def held_for_requests(self) -> int:
+        """Bytes that are released when the requests are over."""
         return self.callers.held + self.nodes.held + self.server.held
 
     @property
@@ -79,12 +88,12 @@
         """Return whether a request may start.
 
         A single request that is larger than the budget is admitted if no
-        other bytes are held.
+        bytes are held for others.
 
         :param size: bytes that it adds to those held.
         :param priority: 0 is the most urgent.
         """
-        if not (self.budget and self.held):
+        if not (self.budget and self.held_for_requests):
             return True
         index = min(max(priority, 0), len(_ADMITTED_SHARES) - 1)
         return self.held + size <= _ADMITTED_SHARES[index] * self.budget
--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -90,11 +90,16 @@
         self._settings = settings
         clock = SystemClock()
         self._clock = clock
-        self._log = EventLog(placement.node, clock)
-        self._reload = SettingsReload(placement, read_placement, self._log)
         self._telemetry = Telemetry()
         self._ledger = Ledger(derive_budget(placement.memory_bytes))
-        for name in ('callers', 'nodes', 'server'):
+        self._log = EventLog(
+            placement.node,
+            clock,
+            held=self._ledger.log,
+            telemetry=self._telemetry,
+        )
+        self._reload = SettingsReload(placement, read_placement, self._log)
+        for name in ('callers', 'nodes', 'server', 'log'):
             account = getattr(self._ledger, name)
             self._telemetry.add_gauge(
                 f'held_bytes_{name}',
