--- a/godwitknot/mesh/attempts.py
+++ b/godwitknot/mesh/attempts.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from godwitknot.mesh.messages import Offer
+from godwitknot.mesh.messages import Offer, describe_stream
 from godwitknot.mesh.model import Placement
 from godwitknot.mesh.relayclient import Exchange
 from godwitknot.mesh.requestcontext import RequestContext
@@ -142,8 +142,7 @@
         returning=context.returning,
         # Most offers to other regions are refused.
         two_phase=target.remote and has_new_protocol,
-        body_bytes=http_request.stream.size if http_request.stream else 0,
-        stream=http_request.stream,
+        **describe_stream(http_request.stream),
     )
     head_follows = offer.needs_commit and has_new_protocol
     return attrs.evolve(offer, head_follows=head_follows)
--- a/godwitknot/mesh/dispatcher.py
+++ b/godwitknot/mesh/dispatcher.py
@@ -270,7 +270,7 @@
                 raise context.conclude()
             target, max_wait = self._search.choose(context)
             if target is not None:
-                if context.http_request.stream and not target.takes_streams:
+                if not target.takes(context.http_request.stream):
                     await context.gather_body()
                 self._send(context, target, max_wait, attempts)
                 return
--- a/godwitknot/mesh/framedecoder.py
+++ b/godwitknot/mesh/framedecoder.py
@@ -60,7 +60,8 @@
     ValueError,
     TypeError,
     ArithmeticError,
-    RecursionError,
+    # Too deep a message, or a member of an enumeration of a later release.
+    RuntimeError,
 )
 
 
@@ -137,6 +138,7 @@
         last_resort=entry.lastResort,
         account=check_name(entry.account, 'account'),
         body_bytes=entry.bodyMebibytes * MEBIBYTE,
+        body_unstated=entry.bodyUnstated,
         max_doubt=check_seconds(entry.maxDoubt, 'maxDoubt'),
         returning=entry.returning,
     )
