Check keys again that a sidecar knows may be revoked

Cause: a node that missed the revocation of one of an account's two keys kept accepting that key, and sidecars that knew of it ran the requests. Change: an offer states the version under which the key was checked, a sidecar refuses one that is older than the account's latest loss of a key, and the sender gets that version before it answers 401 or offers it again.

--- a/godwitknot/mesh/accountchecks.py
+++ b/godwitknot/mesh/accountchecks.py
@@ -1,18 +1,21 @@
 """Checks of client accounts against the newest configuration of a node."""
 
 import asyncio
+import contextlib
 import weakref
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import attrs
 
 from godwitknot.accounts.clientaccount import ClientAccount
 from godwitknot.accounts.freshness import Freshness
+from godwitknot.accounts.keylosses import KeyLosses
 from godwitknot.accounts.keyring import Keyring, compute_digest
 from godwitknot.mesh.messages import Offer
 from godwitknot.mesh.model import Placement, Route
 from godwitknot.mesh.storesync import ConfigurationHolder
 from godwitknot.outcomes import Code, RefusalError
+from godwitknot.units import Address
 
 # Names of removed accounts that are remembered, the latest ones.
 _MAX_REMOVED_ACCOUNTS = 10000
@@ -25,12 +28,15 @@
 
     :param checks: that found it valid.
     :ivar revoked: whether it has become invalid since the request arrived.
+    :ivar needed_version: of the configuration under which it must be checked
+        before the request is offered again.
     """
 
     digest: bytes = attrs.field(repr=False)
     account: ClientAccount
     checks: 'AccountChecks' = attrs.field(repr=False)
     revoked: bool = False
+    needed_version: int = 0
     _revocation: asyncio.Future | None = None
 
     def revoke(self) -> None:
@@ -39,6 +45,34 @@
         if self._revocation is not None and not self._revocation.done():
             self._revocation.set_result(None)
 
+    @property
+    def is_outdated(self) -> bool:
+        """Whether it must be checked under a newer configuration first."""
+        return not self.revoked and self.checks.version < self.needed_version
+
+    def is_refused(self, node: Address, error: RefusalError) -> bool:
+        """Return whether a node refused it as checked too long ago.
+
+        Its next check waits for the version that the node has asked for. A
+        node that asks for the same one again refuses the request as others do.
+        """
+        if error.needed_version <= self.needed_version:
+            return False
+        self.needed_version = error.needed_version
+        for listener in self.checks.version_listeners:
+            listener(node, error.needed_version)
+        return True
+
+    async def wait_for_version(self, max_seconds: float) -> None:
+        """Wait until it was checked under the needed version.
+
+        It may be outdated still after that time.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max_seconds):
+                while self.is_outdated:
+                    await self.checks.wait_for_update()
+
     def list_wakers(self) -> list[asyncio.Future]:
         """Return a future that is done once the key is revoked.
 
@@ -76,9 +110,18 @@
         self._accounts: Mapping[str, ClientAccount] = {}
         # In order of removal; the values are not used.
         self._removed: dict[str, None] = {}
+        self._losses = KeyLosses()
+        self._updated = asyncio.Event()
         self._presented: weakref.WeakSet[PresentedKey] = weakref.WeakSet()
+        # Called with the address of a node and the version that it needs here.
+        self.version_listeners: list[Callable[[Address, int], None]] = []
         holder.listeners.append(self._update)
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration under which all keys were checked."""
+        return self._holder.version
+
     @property
     def in_force(self) -> bool:
         """Whether the configuration has client accounts."""
@@ -126,15 +169,28 @@
         raise RefusalError(Code.ACCOUNT_KEY, detail=_describe(key))
 
     def check_offer(self, offer: Offer) -> None:
-        """Refuse a request of an account that was removed.
+        """Refuse a request whose key may have been revoked.
 
         The account of another node's request may also be missing because that
-        node has a newer configuration.
+        node has a newer configuration. Nodes of the previous release state no
+        version; they know the code, and offer the request elsewhere.
 
         :raises RefusalError: not run.
         """
         if offer.account in self._removed:
             raise RefusalError(Code.ACCOUNT_KEY, detail='removed account')
+        needed_version = self._losses.find_version(offer.account)
+        if 0 < offer.account_version < needed_version:
+            raise RefusalError(
+                Code.NOT_READY,
+                retry_after=_NOT_READY_SECONDS,
+                detail='key checked before the account lost one',
+                needed_version=needed_version,
+            )
+
+    async def wait_for_update(self) -> None:
+        """Wait until another configuration is in force."""
+        await self._updated.wait()
 
     def _find_doubt(self) -> str:
         """Return why a revocation may have been missed; empty if it was not."""
@@ -156,6 +212,8 @@
         for presented in list(self._presented):
             if not self._is_valid(presented):
                 presented.revoke()
+        self._updated.set()
+        self._updated = asyncio.Event()
 
     def _is_valid(self, presented: PresentedKey) -> bool:
         if self._keyring is None:
@@ -171,6 +229,7 @@
             self._accounts = {}
             self._removed.clear()
             return
+        self._losses.record(self.version, self._accounts, accounts)
         for added in accounts:
             self._removed.pop(added, None)
         for name in self._accounts:
--- a/godwitknot/mesh/dispatcher.py
+++ b/godwitknot/mesh/dispatcher.py
@@ -240,7 +240,7 @@
         """
         while not attempts:
             self._check_deadline(context, attempts)
-            context.check_key()
+            await context.check_key(self._clock.now())
             if context.sends and not context.is_worth_sending(
                 self._clock.now()
             ):
@@ -327,6 +327,7 @@
             objective=context.route.objective,
             last_resort=context.is_last_resort,
             account=context.account_name,
+            account_version=0 if target.local else context.account_version,
             max_doubt=context.max_doubt,
             returning=context.returning,
             # Most offers to other regions are refused.
--- a/godwitknot/mesh/framedecoder.py
+++ b/godwitknot/mesh/framedecoder.py
@@ -136,6 +136,7 @@
         or DEFAULT_OBJECTIVE_SECONDS,
         last_resort=entry.lastResort,
         account=check_name(entry.account, 'account'),
+        account_version=entry.accountVersion,
         body_bytes=entry.bodyMebibytes * MEBIBYTE,
         max_doubt=check_seconds(entry.maxDoubt, 'maxDoubt'),
         returning=entry.returning,
@@ -166,6 +167,7 @@
         Outcome(entry.outcome),
         check_seconds(entry.retryAfter, 'retryAfter') or None,
         relayed=True,
+        needed_version=entry.neededVersion,
     )
     return Refusal(
         error, check_seconds(entry.avoid, 'avoid'), _unpack_load(entry.load)
--- a/godwitknot/mesh/frames.py
+++ b/godwitknot/mesh/frames.py
@@ -167,6 +167,7 @@
             'objective': offer.objective,
             'lastResort': offer.last_resort,
             'account': offer.account,
+            'accountVersion': offer.account_version,
             'bodyMebibytes': -(-offer.body_bytes // MEBIBYTE),
             'maxDoubt': offer.max_doubt,
             'returning': offer.returning,
@@ -219,6 +220,7 @@
             'outcome': str(refusal.error.outcome),
             'retryAfter': refusal.error.retry_after or 0,
             'avoid': refusal.avoid,
+            'neededVersion': refusal.error.needed_version,
             'load': _pack_load(refusal.load),
         },
     )
--- a/godwitknot/mesh/mesh.capnp
+++ b/godwitknot/mesh/mesh.capnp
@@ -33,6 +33,8 @@
   returning @21 :Bool;     # returns at the time that a refusal told
   bodyMebibytes @22 :UInt16; # size of a body that follows the commit in parts,
                            # rounded up; its bytes come with the commit
+  accountVersion @23 :Int64; # of the configuration under which the key of the
+                           # account was checked, 0 if unknown
 }
 
 struct Request {
@@ -55,6 +57,7 @@
   retryAfter @2 :Float64;  # seconds
   avoid @3 :Float64;       # seconds for which to avoid the server
   load @4 :Load;
+  neededVersion @5 :Int64; # configuration that the sender needs, 0 for none
 }
 
 struct Answer {
--- a/godwitknot/mesh/messages.py
+++ b/godwitknot/mesh/messages.py
@@ -74,6 +74,8 @@
     :param objective: target latency of the response, in seconds.
     :param last_resort: whether the sender has found no other server.
     :param account: name of the caller's client account, may be empty.
+    :param account_version: of the configuration under which the sender checked
+        the caller's key, 0 if unknown.
     :param max_doubt: the server is to refuse the request if the probability
         that it hangs is higher; 0 leaves the limit to it.
     :param returning: whether its caller was refused for want of a slot and
@@ -100,6 +102,7 @@
     last_resort: bool = False
     head_follows: bool = False
     account: str = ''
+    account_version: int = 0
     body_bytes: int = 0
     stream: BodyStream | None = attrs.field(default=None, repr=False, eq=False)
     max_doubt: float = 0
--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -183,6 +183,7 @@
         self._gossip.version_listeners.append(
             VersionComparison(self._directory, self._freshness).compare
         )
+        self._accounts.version_listeners.append(self._gossip.apply_version)
         self._holder.listeners.append(self._check_health_if_needed)
         self._store_sync = StoreSync(
             store,
--- a/godwitknot/mesh/peergossip.py
+++ b/godwitknot/mesh/peergossip.py
@@ -167,7 +167,7 @@
         self._log_unreadable(rumor.sender, rumor.unreadable)
         for crash in rumor.crashes:
             self._record_crash(crash)
-        self._apply_version(rumor.sender, rumor.version)
+        self.apply_version(rumor.sender, rumor.version)
 
     def _log_unreadable(self, origin: Address, count: int) -> None:
         if count:
@@ -181,7 +181,7 @@
         self._selector.mark_reachable(digest.sender)
         differing = self._directory.find_differing_buckets(digest.buckets)
         newer = self._holder.version > digest.version
-        self._apply_version(digest.sender, digest.version)
+        self.apply_version(digest.sender, digest.version)
         members = self._directory.list_records_for(digest.sender, differing)
         if not (differing or newer or members):
             return frames.encode_same()
@@ -249,12 +249,12 @@
         kind, content = reply
         await self._apply_digest_reply(address, kind, content)
         if kind is Kind.KNOWLEDGE:
-            self._apply_version(address, content.version)
+            self.apply_version(address, content.version)
         elif kind is Kind.SAME:
             # The other node has nothing newer than what the digest named.
-            self._apply_version(address, digest.version)
+            self.apply_version(address, digest.version)
 
-    def _apply_version(self, address: Address, version: int) -> None:
+    def apply_version(self, address: Address, version: int) -> None:
         """Apply the version of another node's configuration."""
         for listener in self.version_listeners:
             listener(address, version)
--- a/godwitknot/mesh/requestcontext.py
+++ b/godwitknot/mesh/requestcontext.py
@@ -151,6 +151,11 @@
         """Name of its client account, empty if it has none."""
         return '' if self.account is None else self.account.name
 
+    @property
+    def account_version(self) -> int:
+        """Version under which its key was checked, 0 if it has none."""
+        return 0 if self.key is None else self.key.checks.version
+
     @property
     def is_final_send(self) -> bool:
         """Whether no other send can replace the one that was counted last."""
@@ -314,8 +319,11 @@
             if not self.repeatable:
                 raise error
             return
-        self.round_refusals += 1
         self.refusals += 1
+        if self.key is not None and self.key.is_refused(address, error):
+            self.sends -= 1
+            return
+        self.round_refusals += 1
         if error.code is Code.RETRY_BUDGET:
             self.budget_refusals += 1
         if error.code not in {Code.QUEUE_FULL, Code.DOUBTFUL}:
@@ -354,24 +362,31 @@
             return self.conclude()
         return RefusalError(Code.DRAINING, retry_after=self.retry_after)
 
-    def check_key(self) -> None:
+    async def check_key(self, now: float) -> None:
         """Check the caller's key again before an attempt.
 
+        It waits for the configuration that a node has asked for, for as long
+        as the request is worth sending.
+
+        :param now: time on the node's clock.
         :raises RefusalError: if it was revoked, or may have been.
         """
         if self.key is None:
             return
-        if self.key.revoked:
-            raise self.conclude_revoked()
+        reserve = _MIN_REMAINING_SHARE * self.route.objective
+        await self.key.wait_for_version(self.deadline - now - reserve)
+        if self.key.revoked or self.key.is_outdated:
+            raise self._conclude_key()
         if not self.may_have_run:
             self.key.checks.require_current()
 
-    def conclude_revoked(self) -> RefusalError:
-        """Return the refusal for a caller whose key was revoked."""
-        outcome = Outcome.NOT_RUN
-        if self.may_have_run:
-            outcome = Outcome.MAY_HAVE_RUN
-        return RefusalError(Code.ACCOUNT_KEY, outcome, detail='revoked key')
+    def _conclude_key(self) -> RefusalError:
+        """Return the refusal for a caller whose key was not found valid."""
+        outcome = Outcome.MAY_HAVE_RUN if self.may_have_run else Outcome.NOT_RUN
+        if self.key.revoked:
+            return RefusalError(Code.ACCOUNT_KEY, outcome, detail='revoked key')
+        detail = 'newer configuration not received'
+        return RefusalError(Code.NOT_READY, outcome, self.retry_after, detail)
 
     def conclude_late(self) -> RefusalError:
         """Return the refusal for the caller at the deadline."""
--- a/godwitknot/outcomes.py
+++ b/godwitknot/outcomes.py
@@ -93,6 +93,8 @@
         rather than the ingress after a failure of the connection to it.
     :param scheduled: whether ``retry_after`` is a reserved place in a schedule
         of returns, to which no random time is to be added.
+    :param needed_version: of the configuration that the sender of an offer
+        needs before it offers the request again, 0 for none.
     :param moved_key: issued key to which the right was transferred, set
         with ``KEY_MOVED``.
     """
@@ -103,6 +105,7 @@
     detail: str = ''
     relayed: bool = False
     scheduled: bool = False
+    needed_version: int = 0
     moved_key: str = attrs.field(default='', repr=False)
 
     @property
--- a/tests/godwitknot/mesh/test_accountchecks.py
+++ b/tests/godwitknot/mesh/test_accountchecks.py
@@ -91,12 +91,25 @@
     """Calls back before it replies, and may grant a slot before.
 
     :ivar before_reply: called once with each offer.
+    :ivar required_version: offers with an older one are refused.
+    :ivar before_refusal: called before that.
     """
 
     grants = False
     before_reply = None
+    required_version = 0
+    before_refusal = None
 
     async def run(self, address, round_trip, exchange):
+        if exchange.offer.account_version < self.required_version:
+            self.offers.append(exchange.offer)
+            self.before_refusal()
+            raise RefusalError(
+                Code.NOT_READY,
+                retry_after=0.5,
+                relayed=True,
+                needed_version=self.required_version,
+            )
         exchange.granted = self.grants
         exchange.committed = self.grants
         if self.before_reply is not None:
@@ -215,6 +228,54 @@
     assert len(relay.offers) == 1
 
 
+FIRST_KEY = make_account('fjord', 'k1')
+SECOND_KEY = make_account('fjord', 'k2')
+
+
+@pytest.mark.parametrize(
+    ('account_left', 'delay', 'code', 'versions'),
+    [
+        (FIRST_KEY, 0.05, None, [1, 2]),
+        (FIRST_KEY, 0, None, [1, 2]),
+        (SECOND_KEY, 0.05, Code.ACCOUNT_KEY, [1]),
+        (FIRST_KEY, 9, Code.NOT_READY, [1]),
+    ],
+)
+def test_key_is_checked_again_with_the_version_of_a_sidecar(
+    accounts, make_dispatcher, clock, relay, account_left, delay, code, versions
+):
+    """Guards against a key that works through a node that missed its end.
+
+    A valid key of the account is served once this node has the version; the
+    request is refused only if that takes too long.
+    """
+    announced = []
+    accounts.checks.version_listeners.append(
+        lambda address, version: announced.append((address, version))
+    )
+
+    def adopt_later():
+        if not delay:
+            return accounts.adopt(account_left)
+        loop = asyncio.get_running_loop()
+        return loop.call_later(delay, accounts.adopt, account_left)
+
+    relay.required_version = 2
+    relay.before_refusal = adopt_later
+    context = make_context(clock, RouteKind.AT_MOST_ONCE, deadline=0.4)
+    context.key = accounts.checks.identify(context.route, 'k1')
+    dispatcher = make_dispatcher((1, 1, 2))
+    refused = None
+    try:
+        asyncio.run(dispatcher.dispatch(context))
+    except RefusalError as error:
+        refused = error
+    assert (refused and refused.code) == code
+    assert refused is None or refused.outcome is Outcome.NOT_RUN
+    assert [each.account_version for each in relay.offers] == versions
+    assert announced == [(Address('10.0.0.4', 1), 2)]
+
+
 def test_offer_carries_account_and_its_priority(
     accounts, make_dispatcher, clock, relay
 ):
@@ -277,6 +338,25 @@
     asyncio.run(queue_requests())
 
 
+def test_sidecar_refuses_keys_checked_before_the_account_lost_one(
+    admission, accounts
+):
+    """Guards against requests of a node that missed a revocation.
+
+    Nodes of the previous release state no version, and know the code.
+    """
+    accounts.adopt(make_account('fjord', 'k1'), SKERRY)
+    accounts.adopt(make_account('fjord', 'k1', 'k9'), SKERRY)
+    for version in (0, 2, 3, 4):
+        offer = make_offer(account='fjord', account_version=version)
+        admission.release(asyncio.run(admission.admit(offer)))
+    with pytest.raises(RefusalError) as caught:
+        offer = make_offer(account='fjord', account_version=1)
+        asyncio.run(admission.admit(offer))
+    assert caught.value.code is Code.NOT_READY
+    assert caught.value.needed_version == 2
+
+
 def test_account_that_returns_is_served_again(admission, accounts):
     """Guards against accounts that stay removed."""
     accounts.adopt(SKERRY)
--- a/tests/godwitknot/mesh/test_accounts_fleet.py
+++ b/tests/godwitknot/mesh/test_accounts_fleet.py
@@ -8,10 +8,15 @@
 import pytest
 
 from bench.meshfleet import HOST, make_route, wait_until
+from godwitknot.units import parse_address
+from standins.faultylink import FaultyLink
+from standins.ports import reserve_addresses
 
 KEY = 'secret-of-fjord'
 NAME = 'Godwitknot-Tenant'
 REVOKE_SECONDS = 5
+# The delay before a configuration is fetched from a peer, and the transfer.
+FETCH_SECONDS = 1.5
 ACCOUNTS = {
     'fjord': {'api_keys': [KEY], 'priority': 0},
     'skerry': {'api_keys': ['secret-of-skerry']},
@@ -39,14 +44,23 @@
     return machine.send('/browse/1', 'a', fields={'Api-Key': KEY})[0].status
 
 
-def find_fields(fleet, attempt_id):
-    """Return the header fields with which a request reached its server."""
-    runs = [
+def send(machine, path, key, attempt_id='a'):
+    fields = {'Api-Key': key}
+    return machine.send(path, attempt_id, fields=fields)[0].status
+
+
+def find_runs(fleet, attempt_id):
+    return [
         run
         for machine in fleet.machines
         for run in machine.server.runs
         if run.attempt_id == attempt_id
     ]
+
+
+def find_fields(fleet, attempt_id):
+    """Return the header fields with which a request reached its server."""
+    runs = find_runs(fleet, attempt_id)
     assert len(runs) == 1
     return runs[0].fields
 
@@ -105,6 +119,36 @@
     assert statuses <= {401, 503}
 
 
+def test_one_of_two_keys_ends_at_a_node_cut_from_the_store(secured):
+    """Guards against a key that works through a node that missed its end.
+
+    The valid key of the account is served meanwhile, after a wait.
+    """
+    keys = [KEY, 'second']
+    secured.configure(6, {'fjord': {'api_keys': keys}}, open=OPEN_ROUTE)
+    cut = secured.machines[0]
+    link = FaultyLink(
+        reserve_addresses(1)[0], parse_address(secured.store_address)
+    )
+    link.start()
+    cut.process.kill()
+    cut.process.wait()
+    secured.store_address = str(link.address)
+    cut.start()
+    wait_until(cut.is_ready)
+    wait_until(
+        lambda: {send(cut, '/docs/1', key, 'first') for key in keys} == {200}
+    )
+    link.cut_backward = True
+    secured.configure(7, {'fjord': {'api_keys': keys[1:]}}, open=OPEN_ROUTE)
+    wait_until(lambda: send(secured.machines[2], '/docs/1', KEY) == 401)
+    sent_at = time.monotonic()
+    statuses = [send(cut, '/docs/1', key, 'cut') for key in reversed(keys)]
+    assert statuses == [200, 401]
+    assert time.monotonic() - sent_at < FETCH_SECONDS
+    assert len(find_runs(secured, 'cut')) == 1
+
+
 def test_malformed_field_with_a_key_is_not_logged(secured):
     """Guards against parser errors that quote the key in log and answer."""
     entry = secured.machines[0]
--- a/tests/godwitknot/mesh/test_frames.py
+++ b/tests/godwitknot/mesh/test_frames.py
@@ -11,7 +11,15 @@
 from godwitknot.errors import ProtocolError
 from godwitknot.mesh import framedecoder, frames
 from godwitknot.mesh.model import HttpRequest
-from godwitknot.mesh.messages import Digest, DigestReply, Kind, QuotaRequest
+from godwitknot.mesh.messages import (
+    Digest,
+    DigestReply,
+    Kind,
+    Load,
+    QuotaRequest,
+    Refusal,
+)
+from godwitknot.outcomes import Code, RefusalError
 from test_admissioncontrol import make_offer
 from test_memberdirectory import LOCAL
 
@@ -74,6 +82,20 @@
         frames.decode(frames.encode_offer(forged))
 
 
+def test_version_of_a_key_check_is_stated_and_answered():
+    """Guards against keys that are never checked again with a newer version.
+
+    Nodes of the previous release take the refusal for one of a node that is
+    not ready, and ignore the version.
+    """
+    offer = make_offer(account='fjord', account_version=7)
+    assert frames.decode(frames.encode_offer(offer))[1] == offer
+    error = RefusalError(Code.NOT_READY, retry_after=0.5, needed_version=8)
+    frame = frames.encode_refusal(Refusal(error, 0, Load()))
+    decoded = frames.decode(frame)[1].error
+    assert (decoded.code, decoded.needed_version) == (Code.NOT_READY, 8)
+
+
 def test_member_survives_its_row():
     assert framedecoder.decode_member(frames.encode_member(LOCAL)) == LOCAL
 
