Check the age of the configuration before a queued request runs

Cause: with strict_revoke, only new attempts were refused by a node that may have missed a revocation; a request that waited for a slot got it. Change: the sidecar checks its own age when a request with an account gets a slot of the queue, and refuses it as not run. Result: test_age_of_the_configuration_is_checked_again_before_a_slot (3 cases) failed for the strict node out of touch and passes; it is served in touch, and without strict_revoke.

--- a/godwitknot/mesh/accountchecks.py
+++ b/godwitknot/mesh/accountchecks.py
@@ -137,11 +137,7 @@
 
         :raises RefusalError: not run; the node is not ready.
         """
-        doubt = self._find_doubt()
-        if doubt:
-            raise RefusalError(
-                Code.NOT_READY, retry_after=_NOT_READY_SECONDS, detail=doubt
-            )
+        _refuse_for(self._find_doubt())
 
     def identify(self, route: Route, key: str | None) -> PresentedKey | None:
         """Return the valid key of a new request.
@@ -188,6 +184,17 @@
                 needed_version=needed_version,
             )
 
+    def check_wait(self, offer: Offer) -> None:
+        """Refuse a request that gets a slot after it has waited for one.
+
+        The sender's check was made before the wait. This node's configuration
+        shows whether the account has lost a key since, unless it is too old.
+
+        :raises RefusalError: not run.
+        """
+        if offer.account and self._keyring is not None:
+            _refuse_for(self._find_age())
+
     async def wait_for_update(self) -> None:
         """Wait until another configuration is in force."""
         await self._updated.wait()
@@ -196,6 +203,10 @@
         """Return why a revocation may have been missed; empty if it was not."""
         if not self._freshness.is_confirmed():
             return 'configuration not confirmed'
+        return self._find_age()
+
+    def _find_age(self) -> str:
+        """Return why the configuration is too old; empty if it is not."""
         bounds = self._placement.bounds
         if bounds.strict_revoke and bounds.revoke_seconds:
             if self._freshness.is_out_of_touch(bounds.revoke_seconds):
@@ -240,6 +251,14 @@
         self._accounts = accounts
 
 
+def _refuse_for(doubt: str) -> None:
+    """Refuse a request if there is a doubt; empty if there is none."""
+    if doubt:
+        raise RefusalError(
+            Code.NOT_READY, retry_after=_NOT_READY_SECONDS, detail=doubt
+        )
+
+
 def _describe(key: str | None) -> str:
     """Return for the log what is wrong with a key, without the key."""
     if key is None:
--- a/godwitknot/mesh/admissioncontrol.py
+++ b/godwitknot/mesh/admissioncontrol.py
@@ -286,6 +286,8 @@
         """Repeat the checks whose result may have changed in the queue."""
         offer, deadline = reservation.offer, reservation.deadline
         self.check_open(offer, deadline)
+        if self.accounts is not None:
+            self.accounts.check_wait(offer)
         self._check_body(offer)
         # A run that would end late is not begun, and others get its slot.
         if self._clock.now() + self._estimate_seconds(offer) > deadline:
--- a/tests/godwitknot/mesh/test_accountchecks.py
+++ b/tests/godwitknot/mesh/test_accountchecks.py
@@ -61,6 +61,12 @@
             self.holder, self.freshness, placement, SECRET
         )
 
+    def hear(self):
+        """Hear of another node that has the same configuration."""
+        self.freshness.record_version(
+            'node-2', self.holder.version, runs_longer=True, other_nodes=9
+        )
+
     def adopt(self, *accounts):
         context = make_context(self.clock, RouteKind.IDEMPOTENT)
         table = {account.name: account for account in accounts}
@@ -81,9 +87,7 @@
 def accounts(log, clock, placement):
     accounts = Accounts(log, clock, placement)
     accounts.adopt(FJORD, SKERRY)
-    accounts.freshness.record_version(
-        'node-2', 1, runs_longer=True, other_nodes=9
-    )
+    accounts.hear()
     return accounts
 
 
@@ -338,6 +342,38 @@
     asyncio.run(queue_requests())
 
 
+@pytest.mark.parametrize(
+    ('is_strict', 'is_heard', 'code'),
+    [
+        (True, False, Code.NOT_READY),
+        (True, True, None),
+        (False, False, None),
+    ],
+)
+def test_age_of_the_configuration_is_checked_again_before_a_slot(
+    admission, accounts, clock, placement, is_strict, is_heard, code
+):
+    """Guards against keys that are revoked elsewhere while they wait."""
+    placement.bounds = attrs.evolve(
+        placement.bounds, strict_revoke=is_strict, revoke_seconds=1
+    )
+
+    async def queue_request():
+        running = await admission.admit(make_offer(account='skerry'))
+        offer = make_offer(account='fjord', max_wait=3)
+        waiting = asyncio.ensure_future(admission.admit(offer))
+        await asyncio.sleep(0)
+        clock.advance(1.1)
+        if is_heard:
+            accounts.hear()
+        admission.release(running)
+        await asyncio.wait([waiting])
+        return waiting.exception()
+
+    refusal = asyncio.run(queue_request())
+    assert getattr(refusal, 'code', None) == code
+
+
 def test_sidecar_refuses_keys_checked_before_the_account_lost_one(
     admission, accounts
 ):
