Require evidence from outside a group with strict_revoke

Cause: nodes that were cut off together from the store and all other nodes heard each other, counted as in touch and went on serving keys. Change: hearing a node no longer counts. Replies to digests tell how long ago the store answered the other node or one it heard; else a node needs contact with most known nodes, which it asks by rumors without news. test_node_behind_a_cut_may_have_missed_a_revocation used hearing as evidence; it uses a stated age now, and also checks that the age counts.

--- a/bench/meshfleet.py
+++ b/bench/meshfleet.py
@@ -161,6 +161,7 @@
                 'retry_budget_ratio=0.2',
                 'budget_window_s=10',
                 'budget_slack=64',
+                *self.fleet.bounds,
             ],
             'app_addr': self.server.address,
             'service': self.server.service,
@@ -170,10 +171,14 @@
 
 
 class Fleet:
-    """Machines and the metadata store."""
+    """Machines and the metadata store.
+
+    :ivar bounds: in addition to the usual ones of each node's settings.
+    """
 
     def __init__(self, folder):
         self.folder = folder
+        self.bounds = ()
         self.store = MetadataStore()
         self._http = start_store(self.store)
         port = self._http.server_address[1]
--- a/godwitknot/mesh/framedecoder.py
+++ b/godwitknot/mesh/framedecoder.py
@@ -49,6 +49,7 @@
 from godwitknot.outcomes import Code, Outcome, RefusalError
 from godwitknot.units import UNIX_MS, Address, is_header_text
 
+_MS_PER_SECOND = 1000
 _WORD_BYTES = 8
 # Reading a frame once takes its own size; lists whose entries take no space
 # could make a short frame endless.
@@ -244,6 +245,7 @@
         entry.version,
         entry.omitConfiguration,
         entry.acceptCompressed,
+        entry.askStoreAge,
     )
 
 
@@ -255,6 +257,7 @@
         bytes(entry.configuration),
         entry.version,
         entry.compressed,
+        (entry.storeAge - 1) / _MS_PER_SECOND if entry.storeAge else None,
         unreadable=unreadable,
     )
 
--- a/godwitknot/mesh/frames.py
+++ b/godwitknot/mesh/frames.py
@@ -4,6 +4,7 @@
 bit of the length marks a compressed message.
 """
 
+import math
 import struct
 import typing
 
@@ -37,6 +38,8 @@
 # The largest request body, 64 MiB, and space for the header fields.
 MAX_FRAME_BYTES = 68157440
 _COMPRESSED = 0x80000000
+_MS_PER_SECOND = 1000
+_MAX_AGE = 0xFFFFFFFF
 
 
 class FrameChannel:
@@ -270,6 +273,7 @@
             'version': digest.version,
             'omitConfiguration': digest.omit_configuration,
             'acceptCompressed': digest.accept_compressed,
+            'askStoreAge': digest.ask_store_age,
         },
     )
 
@@ -284,10 +288,18 @@
             'configuration': reply.configuration,
             'version': reply.version,
             'compressed': reply.compressed,
+            'storeAge': _pack_age(reply.store_age),
         },
     )
 
 
+def _pack_age(seconds: float | None) -> int:
+    """Return an age in milliseconds plus 1, 0 for none."""
+    if seconds is None:
+        return 0
+    return math.ceil(min(1 + _MS_PER_SECOND * max(0, seconds), _MAX_AGE))
+
+
 def encode_quota_request(request: QuotaRequest) -> bytes:
     """Encode a request for tokens, or a question about a node."""
     return _encode_frame(
--- a/godwitknot/mesh/mesh.capnp
+++ b/godwitknot/mesh/mesh.capnp
@@ -108,6 +108,7 @@
   buckets @3 :List(UInt64); # hash over the members of each bucket
   omitConfiguration @4 :Bool; # the reply is to carry its version only
   acceptCompressed @5 :Bool; # the reply may carry a compressed configuration
+  askStoreAge @6 :Bool;    # the reply is a Knowledge with storeAge
 }
 
 struct Knowledge {
@@ -117,6 +118,8 @@
   buckets @2 :List(UInt16); # buckets that differ; members lists their records
   version @3 :Int64;       # of the sender's configuration
   compressed @4 :Bool;     # whether configuration is in the zlib format
+  storeAge @5 :UInt32;     # 1 + milliseconds since the sender or a node that it
+                           # heard reached the store; 0 if it does not tell
 }
 
 # Asks the quota home of an account for tokens. Without an account, it asks
--- a/godwitknot/mesh/messages.py
+++ b/godwitknot/mesh/messages.py
@@ -160,6 +160,8 @@
         newer configuration only.
     :param accept_compressed: whether the sender can decompress a
         configuration.
+    :param ask_store_age: whether the reply is to state the age of the other
+        node's latest contact with the store.
     """
 
     sender: Address
@@ -167,6 +169,7 @@
     version: int
     omit_configuration: bool = False
     accept_compressed: bool = False
+    ask_store_age: bool = False
 
 
 @attrs.frozen
@@ -180,6 +183,8 @@
     :param version: of the replying node's configuration; older nodes do not
         send it.
     :param compressed: whether the configuration is compressed.
+    :param store_age: seconds since the replying node or one that it heard
+        reached the store, ``None`` if it does not tell.
     :param unreadable: on the receiving side, number of records that were
         left out.
     """
@@ -189,8 +194,14 @@
     configuration: bytes = attrs.field(repr=False)
     version: int = 0
     compressed: bool = False
+    store_age: float | None = None
     unreadable: int = 0
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether it tells only versions and times."""
+        return not (self.members or self.buckets or self.configuration)
+
 
 @attrs.frozen
 class QuotaRequest:
--- a/godwitknot/mesh/node.py
+++ b/godwitknot/mesh/node.py
@@ -180,9 +180,11 @@
             runtime,
         )
         self._gossip.previous_record_listeners.append(self._restore_server)
-        self._gossip.version_listeners.append(
-            VersionComparison(self._directory, self._freshness).compare
+        comparison = VersionComparison(
+            self._directory, self._freshness, self._placement
         )
+        self._gossip.comparison = comparison
+        self._gossip.version_listeners.append(comparison.compare)
         self._accounts.version_listeners.append(self._gossip.apply_version)
         self._holder.listeners.append(self._check_health_if_needed)
         self._store_sync = StoreSync(
@@ -193,8 +195,9 @@
             runtime,
             self._selector.contacts,
         )
-        self._store_sync.connection_listeners.append(
-            self._freshness.record_store
+        self._store_sync.connection_listeners += (
+            self._freshness.record_store,
+            self._gossip.handle_store,
         )
         self._directory.listeners.append(self._handle_record_change)
         self._record_copies = RecordCopies(
--- a/godwitknot/mesh/peergossip.py
+++ b/godwitknot/mesh/peergossip.py
@@ -25,6 +25,7 @@
 from godwitknot.mesh.storesync import ConfigurationHolder
 from godwitknot.mesh.transfers import Transfer
 from godwitknot.mesh.unreadablerows import UnreadableRows
+from godwitknot.mesh.versioncomparison import VersionComparison
 from godwitknot.units import Address
 
 # Shares of the digests that are sent to another failure domain of the region,
@@ -81,6 +82,8 @@
         self.previous_record_listeners: list[Callable[[Member], None]] = []
         # Called with the version of another node's configuration.
         self.version_listeners: list[Callable[[Address, int], None]] = []
+        # Set by nodes; without it, no node is asked about the store.
+        self.comparison: VersionComparison | None = None
         self._tasks: set[asyncio.Task] = set()
         self.synchronized = False
 
@@ -130,6 +133,11 @@
         for member in previous_records:
             self._report_previous_record(member)
 
+    def handle_store(self, connected: bool) -> None:
+        """Ask other nodes for contact as soon as the store is lost."""
+        if not connected:
+            self._probe_contacts()
+
     def report_crash(self, fingerprints: tuple[int, ...]) -> None:
         """Report a crash of the local server to the fleet.
 
@@ -183,11 +191,19 @@
         newer = self._holder.version > digest.version
         self.apply_version(digest.sender, digest.version)
         members = self._directory.list_records_for(digest.sender, differing)
-        if not (differing or newer or members):
+        store_age = None
+        if digest.ask_store_age and self.comparison is not None:
+            store_age = self.comparison.freshness.store_age
+        if store_age is None and not (differing or newer or members):
             return frames.encode_same()
         copy, compressed = self._copies.take_copy(digest)
         digest_reply = DigestReply(
-            members, differing, copy, self._holder.version, compressed
+            members,
+            differing,
+            copy,
+            self._holder.version,
+            compressed,
+            store_age,
         )
         return frames.encode_digest_reply(digest_reply)
 
@@ -196,6 +212,7 @@
             await self._sleep(
                 _DIGEST_INTERVAL_SECONDS * (0.5 + self._rng.random())
             )
+            self._probe_contacts()
             for address in self._list_nodes_to_probe():
                 self._spawn(self._exchange(address))
             peer = self._draw_digest_peer()
@@ -243,16 +260,39 @@
         A newer configuration is fetched afterwards.
         """
         digest = self._make_digest(omit_configuration=True)
+        sent_at = self._runtime.clock.now()
         reply = await self._send(address, frames.encode_digest(digest))
         if reply is None:
             return
         kind, content = reply
         await self._apply_digest_reply(address, kind, content)
         if kind is Kind.KNOWLEDGE:
-            self.apply_version(address, content.version)
+            version, store_age = content.version, content.store_age
         elif kind is Kind.SAME:
             # The other node has nothing newer than what the digest named.
-            self.apply_version(address, digest.version)
+            version, store_age = digest.version, None
+        else:
+            return
+        self.apply_version(address, version)
+        if digest.ask_store_age:
+            self.comparison.freshness.record_reply(
+                address, version, sent_at, store_age
+            )
+
+    def _probe_contacts(self) -> None:
+        if self.comparison is None:
+            return
+        for address in self.comparison.list_probes(self._rng):
+            self._spawn(self._probe_contact(address))
+
+    async def _probe_contact(self, address: Address) -> None:
+        """Send a rumor without news, which every release answers."""
+        local = self._directory.local_member.address
+        rumor = Rumor(local, (), (), self._holder.version)
+        sent_at = self._runtime.clock.now()
+        self._telemetry.count('contact_probes')
+        if await self._send(address, frames.encode_rumor(rumor)) is not None:
+            self.comparison.freshness.record_contact(address, sent_at)
 
     def apply_version(self, address: Address, version: int) -> None:
         """Apply the version of another node's configuration."""
@@ -278,6 +318,8 @@
             self._holder.version,
             omit_configuration,
             accept_compressed=True,
+            ask_store_age=self.comparison is not None
+            and self.comparison.is_strict,
         )
 
     async def _apply_digest_reply(
@@ -288,6 +330,9 @@
     ) -> None:
         if kind is not Kind.KNOWLEDGE:
             return
+        if content.is_empty and content.version <= self._holder.version:
+            # Without the question about the store, it would have been the same.
+            return
         self.synchronized = True
         received = {
             each.address: each.record_version for each in content.members
--- a/tests/godwitknot/accounts/test_freshness.py
+++ b/tests/godwitknot/accounts/test_freshness.py
@@ -1,5 +1,9 @@
 """A node serves keys only with a configuration that others confirm."""
 
+import itertools
+import math
+import random
+
 import pytest
 
 from godwitknot.accounts.freshness import Freshness
@@ -20,6 +24,11 @@
     return Freshness(clock)
 
 
+# Probes of 99 nodes while the store is down: at 136 bytes for a probe and its
+# reply, two thirds of the 5 KB/s for control traffic.
+MAX_PROBES_PER_SECOND = 25
+
+
 def hear(freshness, node, version, *, runs_longer=False, other_nodes=99):
     freshness.record_version(
         node, version, runs_longer=runs_longer, other_nodes=other_nodes
@@ -86,8 +95,64 @@
     assert not freshness.is_out_of_touch(REVOKE_SECONDS)
     freshness.record_store(connected=False)
     assert freshness.is_out_of_touch(REVOKE_SECONDS)
-    hear(freshness, 'a', OLD_VERSION)
+    reply(freshness, clock, 'a', OLD_VERSION, store_age=1)
     assert not freshness.is_out_of_touch(REVOKE_SECONDS)
-    clock.advance(REVOKE_SECONDS + 0.1)
-    hear(freshness, 'a', NEW_VERSION)
+    clock.advance(REVOKE_SECONDS - 0.9)
+    reply(freshness, clock, 'a', NEW_VERSION, store_age=0)
     assert freshness.is_out_of_touch(REVOKE_SECONDS)
+
+
+def reply(freshness, clock, node, version=OLD_VERSION, store_age=math.inf):
+    freshness.record_reply(node, version, clock.now(), store_age)
+
+
+def test_nodes_cut_off_together_do_not_vouch_for_each_other(clock):
+    """Guards against a group that serves revoked keys behind a cut.
+
+    Each node hears all others of the group, and none of the outside.
+    """
+    group = [Freshness(clock) for _ in range(3)]
+    nodes = range(10)
+    for each in group:
+        each.record_configuration(OLD_VERSION)
+        each.record_store(connected=True)
+        each.record_store(connected=False)
+    for _ in range(7):
+        clock.advance(1)
+        for receiver, sender in itertools.permutations(range(3), 2):
+            node = group[receiver]
+            node.list_probes(nodes, REVOKE_SECONDS, random.Random(1))
+            hear(node, sender, OLD_VERSION)
+            age = group[sender].store_age
+            reply(node, clock, sender, OLD_VERSION, age)
+    assert all(each.is_out_of_touch(REVOKE_SECONDS) for each in group)
+
+
+@pytest.mark.parametrize(('answering', 'is_out'), [(50, False), (49, True)])
+def test_majority_replaces_a_store_that_is_down_for_all(
+    freshness, clock, answering, is_out
+):
+    """Guards against a store outage that stops all accounts of 100 nodes."""
+    nodes = range(99)
+    freshness.record_configuration(OLD_VERSION)
+    freshness.record_store(connected=False)
+    probes = []
+    for _ in range(40):
+        clock.advance(0.5)
+        drawn = freshness.list_probes(nodes, REVOKE_SECONDS, random.Random(1))
+        probes.append(len(drawn))
+        for node in drawn:
+            if node < answering:
+                freshness.record_contact(node, clock.now())
+    assert freshness.is_out_of_touch(REVOKE_SECONDS) is is_out
+    assert sum(probes) / 20 <= MAX_PROBES_PER_SECOND
+    freshness.record_store(connected=True)
+    assert not freshness.list_probes(nodes, REVOKE_SECONDS, random.Random(1))
+
+
+def test_node_of_the_previous_release_counts_as_before(freshness, clock):
+    """Guards against accounts that stop during the change of a release."""
+    freshness.record_configuration(OLD_VERSION)
+    clock.advance(REVOKE_SECONDS + 0.1)
+    reply(freshness, clock, 'a', store_age=None)
+    assert not freshness.is_out_of_touch(REVOKE_SECONDS)
--- a/tests/godwitknot/mesh/test_accountchecks.py
+++ b/tests/godwitknot/mesh/test_accountchecks.py
@@ -63,9 +63,11 @@
 
     def hear(self):
         """Hear of another node that has the same configuration."""
+        version = self.holder.version
         self.freshness.record_version(
-            'node-2', self.holder.version, runs_longer=True, other_nodes=9
+            'node-2', version, runs_longer=True, other_nodes=9
         )
+        self.freshness.record_reply('node-2', version, self.clock.now(), 0)
 
     def adopt(self, *accounts):
         context = make_context(self.clock, RouteKind.IDEMPOTENT)
--- a/tests/godwitknot/mesh/test_accounts_fleet.py
+++ b/tests/godwitknot/mesh/test_accounts_fleet.py
@@ -15,6 +15,7 @@
 KEY = 'secret-of-fjord'
 NAME = 'Godwitknot-Tenant'
 REVOKE_SECONDS = 5
+STRICT_MS = 2000
 # The delay before a configuration is fetched from a peer, and the transfer.
 FETCH_SECONDS = 1.5
 ACCOUNTS = {
@@ -119,6 +120,43 @@
     assert statuses <= {401, 503}
 
 
+def restart_behind_link(fleet, machine):
+    """Restart a node; return the link between it and the store."""
+    target = parse_address(fleet.store_address)
+    link = FaultyLink(reserve_addresses(1)[0], target)
+    link.start()
+    machine.process.kill()
+    machine.process.wait()
+    fleet.store_address = str(link.address)
+    machine.start()
+    wait_until(machine.is_ready)
+    return link
+
+
+def test_strict_node_cut_from_the_store_needs_other_nodes(secured):
+    """Guards against refusals in touch with others, and keys without them."""
+    secured.bounds = 'strict_revoke=true', f'revoke_ms={STRICT_MS}'
+    cut = secured.machines[0]
+    link = restart_behind_link(secured, cut)
+    wait_until(lambda: send_with_key(cut) == 200)
+    link.cut_backward = True
+    link.reset_open_connections()
+    wait_until(lambda: 'store lost' in {each['event'] for each in cut.events()})
+    end = time.monotonic() + 2 * STRICT_MS / 1000
+    while time.monotonic() < end:
+        assert send_with_key(cut) == 200
+    for machine in secured.machines[1:]:
+        machine.process.kill()
+    wait_until(lambda: send_with_key(cut) == 503)
+    wait_until(
+        lambda: (
+            'out of touch with store and nodes'
+            in {each.get('detail') for each in cut.events()}
+        )
+    )
+    assert send_with_key(cut) == 503
+
+
 def test_one_of_two_keys_ends_at_a_node_cut_from_the_store(secured):
     """Guards against a key that works through a node that missed its end.
 
@@ -127,15 +165,7 @@
     keys = [KEY, 'second']
     secured.configure(6, {'fjord': {'api_keys': keys}}, open=OPEN_ROUTE)
     cut = secured.machines[0]
-    link = FaultyLink(
-        reserve_addresses(1)[0], parse_address(secured.store_address)
-    )
-    link.start()
-    cut.process.kill()
-    cut.process.wait()
-    secured.store_address = str(link.address)
-    cut.start()
-    wait_until(cut.is_ready)
+    link = restart_behind_link(secured, cut)
     wait_until(
         lambda: {send(cut, '/docs/1', key, 'first') for key in keys} == {200}
     )
--- a/tests/godwitknot/mesh/test_peergossip.py
+++ b/tests/godwitknot/mesh/test_peergossip.py
@@ -7,6 +7,7 @@
 import attrs
 import pytest
 
+from godwitknot.accounts.freshness import Freshness
 from godwitknot.health.crashes import CrashTracker
 from godwitknot.mesh import frames
 from godwitknot.mesh.memberdirectory import Directory
@@ -17,6 +18,7 @@
 from godwitknot.mesh.serverselector import ServerSelector
 from godwitknot.mesh.storesync import ConfigurationHolder
 from godwitknot.mesh.telemetry import Telemetry
+from godwitknot.mesh.versioncomparison import VersionComparison
 from godwitknot.units import Address
 from test_memberdirectory import LOCAL
 
@@ -93,6 +95,66 @@
     assert len(first.members) == 91
 
 
+@pytest.mark.parametrize(
+    ('reached_at', 'is_strict', 'is_out'),
+    [(2, True, False), (None, True, True), (2, False, True)],
+)
+def test_strict_node_asks_others_when_they_reached_the_store(
+    build, clock, placement, reached_at, is_strict, is_out
+):
+    """Guards against nodes that are cut off together and go on.
+
+    A reply that tells only this does not make a starting node ready.
+    """
+    placement.bounds = attrs.evolve(
+        placement.bounds, strict_revoke=is_strict, revoke_seconds=5
+    )
+
+    async def scenario():
+        peers = [make_member(number) for number in range(1, 9)]
+        first, second = (build(each, peers) for each in peers[:2])
+        for node in (first, second):
+            node.comparison = VersionComparison(
+                node._directory, Freshness(clock), placement
+            )
+        clock.advance(2)
+        if reached_at:
+            second.comparison.freshness.record_store(connected=True)
+        clock.advance(4)
+        await first._exchange(peers[1].address)
+        assert not first.synchronized
+        return first.comparison.freshness.is_out_of_touch(5)
+
+    assert asyncio.run(scenario()) is is_out
+
+
+def test_probes_find_a_majority_without_the_store(
+    build, clock, placement, relay
+):
+    """Guards against a store outage that stops a fleet of strict nodes."""
+    placement.bounds = attrs.evolve(
+        placement.bounds, strict_revoke=True, revoke_seconds=5
+    )
+
+    async def scenario():
+        peers = [make_member(number) for number in range(8)]
+        node = [build(each, peers) for each in peers][0]
+        freshness = Freshness(clock)
+        node.comparison = VersionComparison(
+            node._directory, freshness, placement
+        )
+        clock.advance(6)
+        assert freshness.is_out_of_touch(5)
+        node.handle_store(connected=False)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        return freshness.is_out_of_touch(5)
+
+    assert not asyncio.run(scenario())
+    assert len(relay.sent) == 5
+    assert max(size for _, size in relay.sent) < 100
+
+
 def test_comparison_sends_little_beside_the_difference(build, relay):
     """Guards against a digest exchange that sends all records."""
 
