--- a/godwitknot/mesh/attempts.py
+++ b/godwitknot/mesh/attempts.py
@@ -138,6 +138,7 @@
         objective=context.route.objective,
         last_resort=context.is_last_resort,
         account=context.account_name,
+        account_version=0 if target.local else context.account_version,
         max_doubt=context.max_doubt,
         returning=context.returning,
         # Most offers to other regions are refused.
--- a/godwitknot/mesh/dispatcher.py
+++ b/godwitknot/mesh/dispatcher.py
@@ -259,7 +259,7 @@
         """
         while not attempts:
             self._check_deadline(context, attempts)
-            context.check_key()
+            await context.check_key(self._clock.now())
             if context.sends and not context.is_worth_sending(
                 self._clock.now()
             ):
--- a/godwitknot/mesh/framedecoder.py
+++ b/godwitknot/mesh/framedecoder.py
@@ -49,6 +49,7 @@
 from godwitknot.outcomes import Code, Outcome, RefusalError
 from godwitknot.units import UNIX_MS, Address, is_header_text
 
+_MS_PER_SECOND = 1000
 _WORD_BYTES = 8
 # Reading a frame once takes its own size; lists whose entries take no space
 # could make a short frame endless.
@@ -137,6 +138,7 @@
         or DEFAULT_OBJECTIVE_SECONDS,
         last_resort=entry.lastResort,
         account=check_name(entry.account, 'account'),
+        account_version=entry.accountVersion,
         body_bytes=entry.bodyMebibytes * MEBIBYTE,
         body_unstated=entry.bodyUnstated,
         max_doubt=check_seconds(entry.maxDoubt, 'maxDoubt'),
@@ -168,6 +170,7 @@
         Outcome(entry.outcome),
         check_seconds(entry.retryAfter, 'retryAfter') or None,
         relayed=True,
+        needed_version=entry.neededVersion,
     )
     return Refusal(
         error, check_seconds(entry.avoid, 'avoid'), _unpack_load(entry.load)
@@ -244,6 +247,7 @@
         entry.version,
         entry.omitConfiguration,
         entry.acceptCompressed,
+        entry.askStoreAge,
     )
 
 
@@ -255,6 +259,7 @@
         bytes(entry.configuration),
         entry.version,
         entry.compressed,
+        (entry.storeAge - 1) / _MS_PER_SECOND if entry.storeAge else None,
         unreadable=unreadable,
     )
 
--- a/godwitknot/mesh/mesh.capnp
+++ b/godwitknot/mesh/mesh.capnp
@@ -35,6 +35,8 @@
                            # rounded up; its bytes come with the commit
   bodyUnstated @23 :Bool;  # the size is the most that the body may have; an
                            # empty part ends it
+  accountVersion @24 :Int64; # of the configuration under which the key of the
+                           # account was checked, 0 if unknown
 }
 
 struct Request {
@@ -57,6 +59,7 @@
   retryAfter @2 :Float64;  # seconds
   avoid @3 :Float64;       # seconds for which to avoid the server
   load @4 :Load;
+  neededVersion @5 :Int64; # configuration that the sender needs, 0 for none
 }
 
 struct Answer {
@@ -107,6 +110,7 @@
   buckets @3 :List(UInt64); # hash over the members of each bucket
   omitConfiguration @4 :Bool; # the reply is to carry its version only
   acceptCompressed @5 :Bool; # the reply may carry a compressed configuration
+  askStoreAge @6 :Bool;    # the reply is a Knowledge with storeAge
 }
 
 struct Knowledge {
@@ -116,6 +120,8 @@
   buckets @2 :List(UInt16); # buckets that differ; members lists their records
   version @3 :Int64;       # of the sender's configuration
   compressed @4 :Bool;     # whether configuration is in the zlib format
+  storeAge @5 :UInt32;     # 1 + milliseconds since the sender or a node that it
+                           # heard reached the store; 0 if it does not tell
 }
 
 # Asks the quota home of an account for tokens. Without an account, it asks
--- a/godwitknot/mesh/messages.py
+++ b/godwitknot/mesh/messages.py
@@ -77,6 +77,8 @@
     :param objective: target latency of the response, in seconds.
     :param last_resort: whether the sender has found no other server.
     :param account: name of the caller's client account, may be empty.
+    :param account_version: of the configuration under which the sender checked
+        the caller's key, 0 if unknown.
     :param max_doubt: the server is to refuse the request if the probability
         that it hangs is higher; 0 leaves the limit to it.
     :param returning: whether its caller was refused for want of a slot and
@@ -103,6 +105,7 @@
     last_resort: bool = False
     head_follows: bool = False
     account: str = ''
+    account_version: int = 0
     body_bytes: int = 0
     body_unstated: bool = False
     stream: BodyStream | None = attrs.field(default=None, repr=False, eq=False)
@@ -182,6 +185,8 @@
         newer configuration only.
     :param accept_compressed: whether the sender can decompress a
         configuration.
+    :param ask_store_age: whether the reply is to state the age of the other
+        node's latest contact with the store.
     """
 
     sender: Address
@@ -189,6 +194,7 @@
     version: int
     omit_configuration: bool = False
     accept_compressed: bool = False
+    ask_store_age: bool = False
 
 
 @attrs.frozen
@@ -202,6 +208,8 @@
     :param version: of the replying node's configuration; older nodes do not
         send it.
     :param compressed: whether the configuration is compressed.
+    :param store_age: seconds since the replying node or one that it heard
+        reached the store, ``None`` if it does not tell.
     :param unreadable: on the receiving side, number of records that were
         left out.
     """
@@ -211,8 +219,14 @@
     configuration: bytes = attrs.field(repr=False)
     version: int = 0
     compressed: bool = False
+    store_age: float | None = None
     unreadable: int = 0
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether it tells only versions and times."""
+        return not (self.members or self.buckets or self.configuration)
+
 
 @attrs.frozen
 class QuotaRequest:
