Offer short requests to servers in doubtful health before refusing them

Cause: requests use ejected servers from their third round on, after two pauses of 0.2 s. A call with an objective of 0.25 s and a deadline of 0.8 s waits for at most 0.32 s and never got there. While both servers of its service in a region were ejected, it was refused unsent, and the reservation that made it failed. Change: if a server has refused such a request for its health, one more round begins at once and may use servers in doubtful health.

--- a/godwitknot/mesh/requestcontext.py
+++ b/godwitknot/mesh/requestcontext.py
@@ -279,13 +279,27 @@
             return None
         waited = max(now - self.arrived, self.paused_seconds)
         limit = self._wait_limit
-        if waited + _PAUSE_SECONDS > min(limit, self.deadline - self.arrived):
-            return None
-        self.paused_seconds += _PAUSE_SECONDS
+        pause = _PAUSE_SECONDS
+        if waited + pause > min(limit, self.deadline - self.arrived):
+            if not self._may_end_with_last_resort(now):
+                return None
+            self.rounds = _LAST_RESORT_ROUND - 1
+            pause = 0
+        self.paused_seconds += pause
         self.begin_round()
         self.barred.clear()
         self.queued_at.clear()
-        return _PAUSE_SECONDS
+        return pause
+
+    def _may_end_with_last_resort(self, now: float) -> bool:
+        """Return whether one more round may use servers in doubtful health.
+
+        The waits of a request with a short objective end before the round of
+        the last resort, so that it would be refused while a server is free.
+        """
+        if self.is_last_resort or self.returns_early or not self.barred:
+            return False
+        return self.deadline - now > _MIN_REMAINING_SHARE * self.route.objective
 
     @property
     def is_last_resort(self) -> bool:
--- a/tests/godwitknot/mesh/test_requestcontext.py
+++ b/tests/godwitknot/mesh/test_requestcontext.py
@@ -1,5 +1,6 @@
 """The final refusal tells the caller whether the request has run."""
 
+import pytest
 from test_dispatcher import make_context
 
 from godwitknot.mesh.model import RouteKind
@@ -27,3 +28,22 @@
     error = RefusalError(Code.DEADLINE_PASSED, Outcome.MAY_HAVE_RUN)
     context.record_refusal(PEER, error)
     assert context.conclude().status == 504
+
+
+@pytest.mark.parametrize(
+    ('code', 'expected'), [(Code.EJECTED, 2), (Code.QUEUE_FULL, 1)]
+)
+def test_short_request_ends_with_the_last_resort(clock, code, expected):
+    """Guards against calls refused unsent while all servers are doubted.
+
+    A call of 0.25 s waits for 0.32 s at most, which is less than the two
+    pauses before the round of the last resort.
+    """
+    context = make_context(clock, RouteKind.IDEMPOTENT, 0.8, 0.25)
+    pause = float(0)
+    while pause is not None:
+        context.record_refusal(PEER, RefusalError(code))
+        pause = context.begin_pause(clock.now())
+        clock.advance(pause or 0)
+    assert context.rounds == expected
+    assert context.is_last_resort == (code is Code.EJECTED)
