Reuse the probability of a hang for 5 ms

Cause: an offer needs the probability two to four times (suspicion, doubt, load in the reply), and each use filtered all 64 ended runs again. Change: `RunWatch` keeps the probability for 5 ms, and computes it anew when a run starts or ends.

--- a/godwitknot/mesh/runwatch.py
+++ b/godwitknot/mesh/runwatch.py
@@ -20,6 +20,9 @@
 _LAST_RESORT_EVIDENCE = 6.5
 # A server that has not answered yet comes after those that have.
 _UNPROVEN_DOUBT = 0.2
+# A probability is used again for this long, unless a run starts or ends. An
+# offer and its refusal need it up to four times, and offers come in bursts.
+_REUSE_SECONDS = 0.005
 
 
 class RunWatch:
@@ -33,6 +36,9 @@
         self._health = health
         self._clock = clock
         self.running: set[SlotReservation] = set()
+        self._hang_probability = float(0)
+        self._hang_evidence: object = None
+        self._computed_at = float(0)
 
     def record_survival(self, reservation: SlotReservation) -> None:
         """Record that a run has outlived early failures, once."""
@@ -113,7 +119,16 @@
 
     def hang_probability(self) -> float:
         """Return the probability that the server hangs."""
-        return self._health.hang_probability(self._list_evidence())
+        now = self._clock.now()
+        evidence = (self._health.hang_revision, len(self.running))
+        is_fresh = now - self._computed_at < _REUSE_SECONDS
+        if not is_fresh or evidence != self._hang_evidence:
+            self._computed_at = now
+            self._hang_evidence = evidence
+            self._hang_probability = self._health.hang_probability(
+                self._list_evidence()
+            )
+        return self._hang_probability
 
     def doubt(self) -> float:
         """Return how doubtful the server is for work that runs once.
--- a/godwitknot/mesh/serverhealth.py
+++ b/godwitknot/mesh/serverhealth.py
@@ -108,6 +108,11 @@
         """
         return self._hangs.probability(runs)
 
+    @property
+    def hang_revision(self) -> tuple[HangBelief, int]:
+        """What differs once there is new evidence of runs that ended."""
+        return self._hangs, self._hangs.ended_runs
+
     @property
     def hanging_share(self) -> float:
         """Share of the time in which the server hangs, as far as known."""
--- a/godwitknot/overload/hangbelief.py
+++ b/godwitknot/overload/hangbelief.py
@@ -102,6 +102,8 @@
         self._rate = HangRate(clock)
         # Whether the server has answered a run.
         self.proven = False
+        # Number of runs that have ended.
+        self.ended_runs = 0
 
     def add_answered(self, began: float) -> None:
         """Count a run that was answered.
@@ -109,14 +111,14 @@
         :param began: start of the run, on the node's clock.
         """
         self.proven = True
-        self._ended.append(RunEvidence(began))
+        self._add(RunEvidence(began))
 
     def add_unanswered(self, began: float, survival: float) -> None:
         """Count a run that ended without an answer.
 
         :param survival: probability that a healthy run lasts as long.
         """
-        self._ended.append(RunEvidence(began, survival))
+        self._add(RunEvidence(began, survival))
 
     @property
     def hanging_share(self) -> float:
@@ -144,6 +146,10 @@
         self._rate.update(hanging)
         return hanging
 
+    def _add(self, run: RunEvidence) -> None:
+        self.ended_runs += 1
+        self._ended.append(run)
+
 
 def _advance(hanging: float, share: float, seconds: float) -> float:
     """Let hangs begin and end for some seconds.
--- a/tests/godwitknot/mesh/test_admissioncontrol.py
+++ b/tests/godwitknot/mesh/test_admissioncontrol.py
@@ -357,6 +357,15 @@
     assert admission.watch.is_suspect()
 
 
+def test_answer_lowers_the_doubt_at_once(admission, health, clock):
+    """Guards against a probability that is kept from before an answer."""
+    asyncio.run(admission.admit(make_offer()))
+    clock.advance(0.2)
+    before = admission.watch.doubt()
+    health.record_success(0.1, 1.5, 'z1')
+    assert admission.watch.doubt() < before
+
+
 def test_body_under_way_raises_no_suspicion(admission, health, clock):
     """Guards against the ejection of a server for the time that bodies take."""
 
