Add oracles to the experiment on servers that hang

Cause: it was not known how much of the loss of requests that must not be repeated a better choice of server could avoid. "all evidence" filters all finished and unanswered runs of all servers with the true distributions and takes the free server that hangs least probably; "known hangs" knows the hangs.

--- a/bench/gray/fleet.py
+++ b/bench/gray/fleet.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from bench.gray.oracle import HangOracle, OracleDispatcher
 from bench.gray.servers import (
     FaultPlan,
     SimulatedClient,
@@ -61,6 +62,7 @@
 
 HealthFactory = Callable[[LoopClock, EventLog], ServerHealth]
 SelectorFactory = Callable[..., ServerSelector]
+OracleFactory = Callable[[FaultPlan], HangOracle]
 
 
 @attrs.frozen
@@ -98,11 +100,14 @@
 
     :param make_health: creates the health state of a server.
     :param make_selector: creates the selection of servers of a node.
+    :param make_oracle: creates what chooses servers for work that must not
+        be repeated, from the faults of the fleet.
     """
 
     name: str
     make_health: HealthFactory = ServerHealth
     make_selector: SelectorFactory = ServerSelector
+    make_oracle: OracleFactory | None = None
 
 
 @attrs.define
@@ -211,7 +216,7 @@
     server: SimulatedServer
     health: ServerHealth
     sidecar: Sidecar
-    dispatcher: Dispatcher
+    dispatcher: Dispatcher | OracleDispatcher
     member: Member
     directory: Directory
 
@@ -241,6 +246,7 @@
         self._log = EventLog('', self._clock, os.open(os.devnull, os.O_WRONLY))
         self._log.write = lambda *arguments, **fields: None
         self._request_count = 0
+        self._oracle = rule.make_oracle and rule.make_oracle(plan)
         for number in range(size):
             self._add_node(number)
         members = [node.member for node in self.nodes.values()]
@@ -341,6 +347,10 @@
         dispatcher = Dispatcher(
             placement, selector, sidecar, relay, shutdown, runtime
         )
+        if self._oracle is not None:
+            dispatcher = OracleDispatcher(
+                self._oracle, dispatcher, placement, self.nodes, self._clock
+            )
         node = _Node(
             placement, server, health, sidecar, dispatcher, member, directory
         )
--- a/bench/gray/servers.py
+++ b/bench/gray/servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import math
 import random
 
 import attrs
@@ -88,6 +89,25 @@
         return seconds
 
 
+@attrs.define
+class RunRecord:
+    """A run on a server, for rules that know all of them.
+
+    :ivar ended: on the loop's clock; infinite while the run goes on.
+    :ivar learned: whether its duration was taken into account.
+    """
+
+    began: float
+    work: Work
+    ended: float = math.inf
+    answered: bool = False
+    learned: bool = False
+
+    def seconds(self, now: float) -> float:
+        """Return how long the run lasted, or has lasted so far."""
+        return min(now, self.ended) - self.began
+
+
 class SimulatedServer:
     """Runs requests; its queue is never used, since the sidecar has one."""
 
@@ -101,6 +121,7 @@
         self.runs = 0
         self.failed_runs = 0
         self.hung_runs = 0
+        self.records: list[RunRecord] = []
         # Set to the function that makes a call and returns if it succeeded.
         self.make_call = None
 
@@ -111,7 +132,16 @@
     async def run(self, work: Work, deadline: float) -> int:
         """Run a request and return the status."""
         self.runs += 1
-        status = await self._run(work, deadline)
+        loop = asyncio.get_running_loop()
+        record = RunRecord(loop.time(), work)
+        self.records.append(record)
+        try:
+            status = await self._run(work, deadline)
+        except BaseException:
+            record.ended = loop.time()
+            raise
+        record.ended = loop.time()
+        record.answered = True
         if status != _OK:
             self.failed_runs += 1
         return status
