Move the limits on waits of a request to their own module

Change: overload/waitlimits.py has the limits and their constants.

Result: no change of behaviour; tests of request context, dispatcher, account checks and attempts pass.

--- a/godwitknot/mesh/requestcontext.py
+++ b/godwitknot/mesh/requestcontext.py
@@ -8,6 +8,7 @@
 from godwitknot.mesh.messages import Load
 from godwitknot.mesh.model import HttpRequest, HttpResponse, Route
 from godwitknot.outcomes import Code, Outcome, RefusalError
+from godwitknot.overload.waitlimits import WaitLimits
 from godwitknot.overload.workcounts import ActiveRequest
 from godwitknot.units import Address
 
@@ -20,18 +21,8 @@
 # Later rounds follow each other for as long as the request waits.
 _MAX_REFUSALS_PER_LATER_ROUND = 1
 _MAX_QUEUES_PER_LATER_ROUND = 1
-# Share of the objective that a request may wait in a queue. Longer waits would
-# make the response late, while a refusal lets the caller retry.
-_QUEUE_SHARE = 0.6
 # Traffic between regions costs more than some requests are worth.
 _MAX_REMOTE_OFFERS = 3
-# Share of the objective that it may wait in its own region before it asks others.
-_SHORT_QUEUE_SHARE = 0.3
-# Share of the time until the deadline that any request may wait, up to a limit.
-_DEADLINE_WAIT_SHARE = 0.4
-_MIN_WAIT_LIMIT_SECONDS = 1.0
-# Share of the objective that must be left for another send.
-_MIN_REMAINING_SHARE = 0.15
 # Pause before servers that refused a request are asked again, about the time
 # until a slot becomes free or a trial shows that a server has recovered.
 _PAUSE_SECONDS = 0.2
@@ -245,33 +236,24 @@
         self.asked_remote = True
         self.remote_offers += 1
 
+    @property
+    def limits(self) -> WaitLimits:
+        """How long it may wait."""
+        return WaitLimits(self.arrived, self.deadline, self.route.objective)
+
     @property
     def short_queue_seconds(self) -> float:
         """Longest wait in a queue before other regions are asked."""
-        return _SHORT_QUEUE_SHARE * self.route.objective
+        return self.limits.short_queue_seconds
 
     @property
     def _wait_limit(self) -> float:
-        """Longest time without a server, in seconds after the arrival.
-
-        A longer wait would make the response late. Requests with a short
-        objective may wait longer: most are calls of servers, and one that is
-        refused costs the request that made it.
-        """
-        if self.returns_early:
-            return 0
-        allowed = self.deadline - self.arrived
-        return max(
-            _QUEUE_SHARE * self.route.objective,
-            min(_DEADLINE_WAIT_SHARE * allowed, _MIN_WAIT_LIMIT_SECONDS),
-        )
+        """Longest time without a server, in seconds after the arrival."""
+        return 0 if self.returns_early else self.limits.longest_seconds
 
     def is_worth_sending(self, now: float) -> bool:
         """Return whether another send is allowed and has enough time left."""
-        if not self.may_send_again:
-            return False
-        remaining = self.deadline - now
-        return remaining > _MIN_REMAINING_SHARE * self.route.objective
+        return self.may_send_again and self.limits.find_seconds_to_send(now) > 0
 
     def begin_round(self) -> None:
         """Start a round in which nodes that refused it may be asked again."""
@@ -316,7 +298,7 @@
         """
         if self.is_last_resort or self.returns_early or not self.barred:
             return False
-        return self.deadline - now > _MIN_REMAINING_SHARE * self.route.objective
+        return self.limits.find_seconds_to_send(now) > 0
 
     @property
     def is_last_resort(self) -> bool:
@@ -399,8 +381,7 @@
         """
         if self.key is None:
             return
-        reserve = _MIN_REMAINING_SHARE * self.route.objective
-        await self.key.wait_for_version(self.deadline - now - reserve)
+        await self.key.wait_for_version(self.limits.find_seconds_to_send(now))
         if self.key.revoked or self.key.is_outdated:
             raise self._conclude_key()
         if not self.may_have_run:
