Charge answers in full while their readers are slow

Cause: while a caller or another node read an answer slowly, only the bytes of its encoded form that the kernel had not taken were charged. The node also held the answer itself and, at the caller's node, another encoded copy.

Change: the answer is charged until it is sent, and the copy is released at once.

--- a/godwitknot/mesh/httpconnection.py
+++ b/godwitknot/mesh/httpconnection.py
@@ -287,6 +287,19 @@
 
         :raises ConnectionCutError: if the connection has ended.
         """
+        # The channel charges what it has not sent yet.
+        with self.held.hold(len(response.body)):
+            # Its encoded copy is not kept while the caller reads.
+            self.channel.write(self._encode(response, method, close=close))
+            await self.channel.drain()
+        if close or self._parser.our_state is h11.MUST_CLOSE:
+            return
+        if self._parser.their_state is h11.DONE:
+            self._parser.start_next_cycle()
+
+    def _encode(
+        self, response: HttpResponse, method: str, *, close: bool
+    ) -> bytes:
         fields = strip_connection(response.fields)
         if response.status not in _NO_BODY_STATUSES:
             fields.append(('Content-Length', str(len(response.body))))
@@ -299,15 +312,9 @@
             data = self._parser.send(head)
             if response.body and method != 'HEAD':
                 data += self._parser.send(h11.Data(data=response.body))
-            data += self._parser.send(h11.EndOfMessage())
+            return data + self._parser.send(h11.EndOfMessage())
         except h11.LocalProtocolError as error:
             raise ConnectionCutError(str(error)) from error
-        self.channel.write(data)
-        await self.channel.drain()
-        if close or self._parser.our_state is h11.MUST_CLOSE:
-            return
-        if self._parser.their_state is h11.DONE:
-            self._parser.start_next_cycle()
 
 
 async def _hold_prefix(stream: BodyStream) -> None:
--- a/godwitknot/mesh/noderelay.py
+++ b/godwitknot/mesh/noderelay.py
@@ -117,8 +117,10 @@
             )
             link.send(frames.encode_refusal(refusal))
             return
-        link.send(frames.encode_answer(response, admission.current_load()))
-        await link.channel.drain()
+        # The channel charges the frame as far as it is not sent yet.
+        with self._held.hold(len(response.body)):
+            link.send(frames.encode_answer(response, admission.current_load()))
+            await link.channel.drain()
 
     async def _run(
         self, link: FrameChannel, offer: Offer, progress: '_OfferProgress'
--- a/tests/godwitknot/mesh/test_frontend.py
+++ b/tests/godwitknot/mesh/test_frontend.py
@@ -27,6 +27,8 @@
 from standins.ports import reserve_addresses
 
 MAX_SECONDS = 3.0
+# Far more than the kernel keeps for a connection.
+LARGE_BYTES = 33554432
 ROUTE = Route(
     'route',
     'h',
@@ -52,6 +54,8 @@
         try:
             if context.attempt_id == 'slow':
                 await asyncio.Event().wait()
+            if context.attempt_id == 'large':
+                return HttpResponse(200, [], bytes(LARGE_BYTES))
         except asyncio.CancelledError:
             self.cancelled.append(context.attempt_id)
             raise
@@ -63,14 +67,17 @@
 class Scene:
     """A frontend that serves one connection of a caller."""
 
-    def __init__(self, frontend, dispatcher, shutdown):
+    def __init__(self, frontend, dispatcher, shutdown, ledger):
+        self.ledger = ledger
         self.frontend = frontend
         self.dispatcher = dispatcher
         self.shutdown = shutdown
 
     async def open(self):
         address = reserve_addresses(1)[0]
-        self._listener = await listen(address, self.frontend.serve)
+        self._listener = await listen(
+            address, self.frontend.serve, self.ledger.callers
+        )
         streams = await asyncio.open_connection(*address.pair)
         self.reader = streams[0]
         self.writer = streams[1]
@@ -108,7 +115,7 @@
             shutdown,
             runtime,
         )
-        scene = Scene(frontend, dispatcher, shutdown)
+        scene = Scene(frontend, dispatcher, shutdown, runtime.ledger)
         await scene.open()
         try:
             async with asyncio.timeout(MAX_SECONDS):
@@ -166,6 +173,25 @@
     run(scenario)
 
 
+def test_answer_is_charged_while_its_caller_reads_slowly(run):
+    """Guards against answers that nobody counts once they are read."""
+
+    async def scenario(scene):
+        scene.writer.write(encode('large'))
+        await scene.wait_for_start(1)
+        await asyncio.sleep(0.1)
+        unread = scene.ledger.callers.held
+        await scene.reader.readexactly(LARGE_BYTES // 2)
+        half_read = scene.ledger.callers.held
+        assert min(unread, half_read) >= LARGE_BYTES
+        # The head of the response is still to come.
+        await scene.reader.readexactly(LARGE_BYTES // 2)
+        while scene.ledger.held:
+            await asyncio.sleep(0.001)
+
+    run(scenario)
+
+
 def test_malformed_request_does_not_affect_the_one_before(run):
     """Guards against losing an answer to an error that follows it."""
 
--- a/tests/godwitknot/mesh/test_noderelay.py
+++ b/tests/godwitknot/mesh/test_noderelay.py
@@ -4,8 +4,10 @@
 import types
 
 from godwitknot.errors import ProtocolError
+from godwitknot.memory.ledger import Ledger
 from godwitknot.mesh.bodystream import BodyStream
-from godwitknot.mesh.channels import listen
+from godwitknot.mesh import frames
+from godwitknot.mesh.channels import listen, open_channel
 from godwitknot.mesh.messages import Load, describe_stream
 from godwitknot.mesh.model import HttpResponse
 from godwitknot.mesh.noderelay import RelayServer
@@ -18,6 +20,7 @@
 # Takes 3 s on the link.
 BODY = b'x' * 300_000
 BYTES_PER_SECOND = 100_000
+LARGE_BYTES = 33554432
 
 
 class OpenSidecar:
@@ -80,6 +83,35 @@
     return asyncio.run(scenario())
 
 
+class LargeSidecar(OpenSidecar):
+    """Answers with far more than the kernel keeps for a connection."""
+
+    async def run(self, reservation):
+        return HttpResponse(200, [], bytes(LARGE_BYTES))
+
+
+def test_answer_is_charged_while_the_other_node_reads_slowly(log):
+    """Guards against answers that nobody counts once they are read."""
+
+    async def leave_unread():
+        ledger = Ledger()
+        server = RelayServer(LargeSidecar(), refuse_gossip, log, ledger.nodes)
+        address = reserve_addresses(1)[0]
+        listener = await listen(address, server.serve, ledger.nodes)
+        link = frames.FrameChannel(await open_channel(address, 1))
+        link.send(frames.encode_offer(make_offer()))
+        await asyncio.sleep(0.5)
+        held = ledger.held
+        link.abort()
+        while ledger.held or server.active:
+            await asyncio.sleep(0.01)
+        listener.close()
+        return held
+
+    # The answer itself, and its frame, of which the kernel has a part.
+    assert asyncio.run(leave_unread()) > 1.5 * LARGE_BYTES
+
+
 def make_booking(seconds_left):
     return make_offer(body=BODY, repeatable=False, seconds_left=seconds_left)
 
