Take no evidence from runs whose body has not arrived

Cause: a run of a request that may be repeated is cancelled when its caller leaves within a large body, or when the body exceeds its limit. The sidecar counted it as a run that the server had not answered.

Change: it does not while the body is still arriving.

Measured: the new test failed for a caller that leaves, with one unanswered run, and passes now.

--- a/godwitknot/mesh/serverproxy.py
+++ b/godwitknot/mesh/serverproxy.py
@@ -94,7 +94,7 @@
         self._health.record_failed_call()
 
     def _end(self, reservation: SlotReservation, task: asyncio.Task) -> None:
-        if task.cancelled():
+        if task.cancelled() and not reservation.awaits_body:
             # A hedged send elsewhere ends the first one early, so that a hung
             # server would otherwise leave no evidence.
             self._health.record_unanswered(
--- a/tests/godwitknot/mesh/test_serverproxy.py
+++ b/tests/godwitknot/mesh/test_serverproxy.py
@@ -11,9 +11,11 @@
 from test_admissioncontrol import SLOTS, make_offer
 
 from godwitknot.mesh.admissioncontrol import AdmissionControl
+from godwitknot.mesh.bodystream import BodyStream
 from godwitknot.mesh.httpclient import HttpClient
 from godwitknot.mesh.keepalive import DEFAULT_MAX_IDLE_SECONDS
 from godwitknot.mesh.localserver import LocalServer
+from godwitknot.mesh.messages import describe_stream
 from godwitknot.mesh.model import Heartbeat, ResponseMetadata, ServerState
 from godwitknot.mesh.retrybudget import RetryBudget
 from godwitknot.mesh.runtime import Runtime
@@ -105,6 +107,10 @@
     def __init__(self, clock, log):
         super().__init__(clock, log)
         self.failed = []
+        self.unanswered = 0
+
+    def record_unanswered(self, began, objective):
+        self.unanswered += 1
 
     def record_success(self, seconds, objective, zone):
         self.failed.append(False)
@@ -386,6 +392,50 @@
     assert server.received == [['a1'], ['a2']]
 
 
+class EndlessBody(BodyStream):
+    """A body of unstated length that goes on for ever."""
+
+    async def _read_part(self):
+        await asyncio.sleep(0.01)
+        return b'x'
+
+
+@pytest.mark.parametrize('max_bytes', [3, 10**6])
+def test_run_whose_body_does_not_arrive_whole_is_no_evidence(
+    build, clock, max_bytes
+):
+    """Guards against ejecting servers for callers that leave or exceed limits.
+
+    A caller's node cancels the run of a request that may be repeated.
+    """
+
+    async def receive(reader, writer):
+        with contextlib.closing(writer):
+            with contextlib.suppress(OSError):
+                await reader.read()
+
+    async def leave():
+        listener = await asyncio.start_server(receive, '127.0.0.1', 0)
+        sidecar = build(listener.sockets[0].getsockname()[1])
+        stream = EndlessBody(max_bytes, is_stated=False)
+        offer = make_offer(repeatable=True, **describe_stream(stream))
+        reservation = await sidecar.admission.admit(offer)
+        run = asyncio.ensure_future(sidecar.run(reservation))
+        await asyncio.sleep(0.2)
+        clock.advance(2)
+        run.cancel()
+        await asyncio.wait((run,))
+        while sidecar.admission.running:
+            await asyncio.sleep(0.001)
+        listener.close()
+        await asyncio.sleep(0.05)
+        return sidecar.admission
+
+    admission = asyncio.run(leave())
+    assert not admission._health.failed
+    assert not admission._health.unanswered
+
+
 @pytest.mark.parametrize('repeatable', [True, False])
 @pytest.mark.parametrize('size', range(1, len(respond('a2'))))
 def test_response_cut_at_any_byte_may_have_run(build, size, repeatable):
