Bound bodies of unstated length at a server

Cause: large bodies at one server add up to at most its memory, but one of unstated length counted only with what had arrived when the next request was admitted. Several of them could grow beyond the memory together.

Change: a part waits until the server has room for it. Room for the rest of the earliest such body is kept, so that they never wait for each other in a circle. The decision is memory/serverbodies.py.

--- a/godwitknot/mesh/admissioncontrol.py
+++ b/godwitknot/mesh/admissioncontrol.py
@@ -1,9 +1,11 @@
 """Admission control for the local server: slots, a short queue and health."""
 
 import asyncio
+import operator
 from collections.abc import Callable
 
 from godwitknot.clock import Clock
+from godwitknot.memory.serverbodies import fits, may_continue
 from godwitknot.mesh.accountchecks import AccountChecks
 from godwitknot.mesh.headroom import Headroom
 from godwitknot.mesh.localserver import LocalServer
@@ -258,10 +260,27 @@
         """
         if not (offer.body_bytes and self.server_bytes):
             return
-        held = sum(each.offer.held_bytes for each in self._running)
-        if held and held + offer.held_bytes > self.server_bytes:
+        others = [each.offer.large_body for each in self._list_uploads()]
+        if not fits(self.server_bytes, others, offer.large_body):
             raise RefusalError(Code.QUEUE_FULL, retry_after=_MIN_RETRY_SECONDS)
 
+    def _list_uploads(self) -> list[SlotReservation]:
+        """Return the running requests with large bodies, the first one first.
+
+        The time of the grant is that of the start while a body arrives.
+        """
+        uploads = [each for each in self._running if each.offer.body_bytes]
+        return sorted(uploads, key=operator.attrgetter('granted_at'))
+
+    def may_continue_body(self, reservation: SlotReservation) -> bool:
+        """Return whether the server has room for more of a large body."""
+        uploads = self._list_uploads()
+        if not self.server_bytes or reservation not in uploads:
+            return True
+        bodies = [each.offer.large_body for each in uploads]
+        index = uploads.index(reservation)
+        return may_continue(self.server_bytes, bodies, index)
+
     def _grant(self, reservation: SlotReservation) -> None:
         self._running.add(reservation)
         reservation.granted_at = self._clock.now()
--- a/godwitknot/mesh/bodystream.py
+++ b/godwitknot/mesh/bodystream.py
@@ -28,6 +28,9 @@
 # without data for this long is given up.
 _SILENCE_SECONDS = 3.0
 
+# How often a part that has to wait is tried again.
+_POLL_SECONDS = 0.05
+
 _Answer = typing.TypeVar('_Answer')
 
 
@@ -61,6 +64,8 @@
         self.size = size
         self.is_stated = is_stated
         self.received = 0
+        # Whether there is room for the next part where it goes.
+        self.may_read: Callable[[], bool] = _always
         self.started = False
         self.prefix = b''
         self._early_parts: list[bytes] = []
@@ -68,6 +73,11 @@
         self._given_up = False
         self._limit: asyncio.Timeout | None = None
 
+    @property
+    def has_arrived(self) -> bool:
+        """Whether nothing of the body is still to arrive."""
+        return self._has_arrived
+
     @property
     def ended(self) -> bool:
         """Whether the whole body has been read."""
@@ -95,6 +105,8 @@
         :raises BodyLostError: if the rest will not arrive.
         """
         self.started = True
+        while not (self._given_up or self.may_read()):
+            await asyncio.sleep(_POLL_SECONDS)
         if self._given_up:
             raise BodyLostError('request has ended')
         if self._early_parts:
@@ -177,6 +189,10 @@
         """
 
 
+def _always() -> bool:
+    return True
+
+
 def build_body_refusal(error: BodyLostError) -> RefusalError:
     """Return the refusal of a request whose body was passed on in part.
 
--- a/godwitknot/mesh/messages.py
+++ b/godwitknot/mesh/messages.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from godwitknot.memory.serverbodies import LargeBody
 from godwitknot.mesh.bodystream import BodyStream
 from godwitknot.mesh.memberdirectory import Crash, Member
 from godwitknot.mesh.model import Fields
@@ -121,14 +122,15 @@
         return self.two_phase or not self.repeatable or bool(has_body)
 
     @property
-    def held_bytes(self) -> int:
-        """Bytes of a large body that its server holds or will hold.
-
-        Of a body of unstated length, those that have arrived.
-        """
+    def large_body(self) -> LargeBody:
+        """What its server holds, or may get, of a body that is not small."""
         if not self.body_unstated:
-            return self.body_bytes
-        return self.stream.received if self.stream else 0
+            return LargeBody(self.body_bytes, self.body_bytes)
+        if self.stream is None:
+            return LargeBody(0, self.body_bytes)
+        arrived = self.stream.received
+        has_all = self.stream.has_arrived
+        return LargeBody(arrived, arrived if has_all else self.body_bytes)
 
 
 def describe_stream(stream: BodyStream | None) -> dict[str, typing.Any]:
--- a/godwitknot/mesh/serverproxy.py
+++ b/godwitknot/mesh/serverproxy.py
@@ -1,6 +1,7 @@
 """The sidecar, which runs requests on the local server; the only path to it."""
 
 import asyncio
+import functools
 
 from godwitknot.errors import (
     BodyLostError,
@@ -218,6 +219,9 @@
         if http_request.stream is None:
             return await reading
         reservation.awaits_body = True
+        http_request.stream.may_read = functools.partial(
+            self.admission.may_continue_body, reservation
+        )
         return await exchange_body(
             connection.send_body(http_request.stream),
             reading,
--- a/tests/godwitknot/mesh/test_admissioncontrol.py
+++ b/tests/godwitknot/mesh/test_admissioncontrol.py
@@ -498,6 +498,25 @@
     assert refusal.outcome is Outcome.NOT_RUN
 
 
+def test_bodies_of_unstated_length_wait_for_the_memory_of_the_server(
+    admission, clock
+):
+    """Guards against bodies that fill a server while they arrive."""
+    admission.server_bytes = 1000000
+
+    async def admit_bodies():
+        uploads = []
+        for _ in range(2):
+            offer = make_offer(body_bytes=800000, body_unstated=True)
+            uploads.append(await admission.admit(offer))
+            clock.advance(0.1)
+        may_continue = [admission.may_continue_body(each) for each in uploads]
+        admission.release(uploads[0])
+        return *may_continue, admission.may_continue_body(uploads[1])
+
+    assert asyncio.run(admit_bodies()) == (True, False, True)
+
+
 def test_request_that_would_end_late_is_refused_at_once(admission, health):
     """Guards against requests that are refused at their deadline only."""
     for _ in range(20):
--- a/tests/godwitknot/mesh/test_bodystream.py
+++ b/tests/godwitknot/mesh/test_bodystream.py
@@ -94,6 +94,22 @@
     assert not ledger.held
 
 
+def test_part_waits_until_there_is_room_where_it_goes():
+    """Guards against a server that gets more than it has memory for."""
+
+    async def read_later():
+        stream = ScriptedBody(3, b'abc')
+        room = []
+        stream.may_read = lambda: bool(room)
+        reading = asyncio.ensure_future(stream.read())
+        await asyncio.sleep(0.1)
+        assert not reading.done()
+        room.append(1)
+        return await asyncio.wait_for(reading, 1)
+
+    assert asyncio.run(read_later()) == b'abc'
+
+
 async def answer_after(seconds, error=None):
     await asyncio.sleep(seconds)
     if error is not None:
