--- a/godwitknot/mesh/serverproxy.py
+++ b/godwitknot/mesh/serverproxy.py
@@ -1,6 +1,7 @@
 """The sidecar, which runs requests on the local server; the only path to it."""
 
 import asyncio
+import functools
 
 from godwitknot.errors import (
     BodyLostError,
@@ -94,7 +95,7 @@
         self._health.record_failed_call()
 
     def _end(self, reservation: SlotReservation, task: asyncio.Task) -> None:
-        if task.cancelled():
+        if task.cancelled() and not reservation.awaits_body:
             # A hedged send elsewhere ends the first one early, so that a hung
             # server would otherwise leave no evidence.
             self._health.record_unanswered(
@@ -218,6 +219,9 @@
         if http_request.stream is None:
             return await reading
         reservation.awaits_body = True
+        http_request.stream.may_read = functools.partial(
+            self.admission.may_continue_body, reservation
+        )
         return await exchange_body(
             connection.send_body(http_request.stream),
             reading,
--- a/tests/godwitknot/mesh/test_noderelay.py
+++ b/tests/godwitknot/mesh/test_noderelay.py
@@ -103,7 +103,7 @@
         await asyncio.sleep(0.5)
         held = ledger.held
         link.abort()
-        while ledger.held:
+        while ledger.held or server.active:
             await asyncio.sleep(0.01)
         listener.close()
         return held
