Count what nodes admitted before a restart in the quota experiment

Cause: the experiment dropped what a node had admitted before it died, and counted it as wrongly refused; overruns could be missed the same way. Restarted nodes had full buckets, as at the first start of the whole system. Change: admitted requests of replaced nodes count, and restarted nodes start with low buckets. New columns show waits over 0.5 s and messages per admitted request, and an option limits the strategies.

--- a/bench/accounts/__main__.py
+++ b/bench/accounts/__main__.py
@@ -14,11 +14,12 @@
 
 _NODES = (30, 100, 300)
 _ACCOUNTS = (100, 1000, 10000)
+_STRATEGIES = (HOMES, *STRATEGIES)
 _SECONDS = 15
 _HEADER = (
     '| nodes | accounts | event | strategy | wrongly refused '
-    '| of the hot account | overruns | worst | messages/s | kB/s '
-    '| of these between regions |'
+    '| of the hot account | waited over 0.5 s | overruns | worst '
+    '| messages/s | per request | kB/s | of these between regions |'
 )
 
 
@@ -27,6 +28,9 @@
     parser.add_argument('--nodes', type=int, nargs='+', default=_NODES)
     parser.add_argument('--accounts', type=int, nargs='+', default=_ACCOUNTS)
     parser.add_argument('--events', nargs='+', choices=EVENTS, default=EVENTS)
+    parser.add_argument(
+        '--strategies', nargs='+', choices=_STRATEGIES, default=_STRATEGIES
+    )
     parser.add_argument('--seeds', type=int, default=2, help='seeds 0 to N-1')
     parser.add_argument('--jobs', type=int, default=2)
     return parser.parse_args()
@@ -47,9 +51,11 @@
         play.strategy,
         f'{total.refused / total.central:.2%}',
         f'{hot:.2%}',
+        f'{total.delayed / max(1, total.waits):.2%}',
         total.overruns,
         f'{total.worst:.1%}',
         f'{total.traffic.messages / seconds:.0f}',
+        f'{total.traffic.messages / total.admitted:.2f}',
         f'{total.traffic.sent_bytes / seconds / 1000:.0f}',
         f'{total.traffic.region_bytes / seconds / 1000:.0f}',
     )
@@ -68,7 +74,7 @@
     with futures.ProcessPoolExecutor(arguments.jobs) as executor:
         groups = []
         for nodes, accounts, event in cases:
-            for strategy in (HOMES, *STRATEGIES):
+            for strategy in arguments.strategies:
                 plays = [
                     Play(strategy, nodes, accounts, event, seed)
                     for seed in range(arguments.seeds)
--- a/bench/accounts/plays.py
+++ b/bench/accounts/plays.py
@@ -31,6 +31,8 @@
 _CUT_SECONDS, _HEAL_SECONDS = 4.0, 11.0
 _DEATH_SECONDS, _RESTART_SECONDS = 5.0, 7.0
 _DEATH_SHARE = 0.1
+# Waits for a token above this are counted.
+_DELAY_SECONDS = 0.5
 
 
 @attrs.frozen
@@ -40,6 +42,10 @@
     :param refused: requests that one bucket for all nodes would have admitted.
     :param overruns: accounts whose worst window exceeds the limit.
     :param worst: largest overrun, as a share of the limit.
+    :param admitted: requests of all accounts.
+    :param waits: requests without those of the hot account, whose nodes wait
+        for tokens at all times.
+    :param delayed: those of them that waited long for a token or a refusal.
     """
 
     central: int = 0
@@ -49,6 +55,9 @@
     overruns: int = 0
     worst: float = 0
     traffic: Traffic = attrs.field(factory=Traffic)
+    admitted: int = 0
+    waits: int = 0
+    delayed: int = 0
 
     def add(self, other: 'Result') -> 'Result':
         """Return the sum with another result."""
@@ -65,6 +74,9 @@
             self.overruns + other.overruns,
             max(self.worst, other.worst),
             traffic,
+            self.admitted + other.admitted,
+            self.waits + other.waits,
+            self.delayed + other.delayed,
         )
 
 
@@ -98,7 +110,10 @@
             admitted = {
                 each.name: fleet.list_admitted(each.name) for each in accounts
             }
-            return _judge(arrivals, accounts, admitted, fleet.traffic)
+            total = _judge(arrivals, accounts, admitted, fleet.traffic)
+            waits = fleet.list_waits(each.name for each in accounts[1:])
+            delayed = sum(wait > _DELAY_SECONDS for wait in waits)
+            return attrs.evolve(total, waits=len(waits), delayed=delayed)
         running.cancel()
         return _judge(arrivals, accounts, strategy.admitted, strategy.traffic)
 
@@ -136,7 +151,7 @@
     by_name = collections.defaultdict(list)
     for arrival in arrivals:
         by_name[arrival.name].append(arrival)
-    total = Result(traffic=traffic)
+    total = Result(traffic=traffic, admitted=sum(map(len, admitted.values())))
     for number, account in enumerate(accounts):
         moments = sorted(admitted.get(account.name, ()))
         central = count_central(
--- a/bench/accounts/quotanodes.py
+++ b/bench/accounts/quotanodes.py
@@ -6,8 +6,9 @@
 
 import asyncio
 import functools
+import itertools
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 
@@ -150,7 +151,10 @@
 
 @attrs.define(eq=False)
 class QuotaNode:
-    """One node, with the times at which it has admitted requests."""
+    """One node, with the times at which it has admitted requests.
+
+    :ivar waits: seconds from each request of an account to its answer.
+    """
 
     member: Member
     directory: Directory
@@ -161,18 +165,22 @@
     ticking: asyncio.Task
     admitted: dict[str, list[float]] = attrs.field(factory=dict)
     refused: dict[str, list[float]] = attrs.field(factory=dict)
+    waits: dict[str, list[float]] = attrs.field(factory=dict)
 
     async def send(self, name: str, seconds_left: float = 5) -> bool:
         """Send a request of an account; return whether it was admitted."""
         account = self.holder.accounts[name]
+        loop = asyncio.get_running_loop()
+        start = loop.time()
         try:
             await self.quotas.acquire(account, seconds_left)
         except RefusalError:
             results, is_admitted = self.refused, False
         else:
             results, is_admitted = self.admitted, True
-        now = asyncio.get_running_loop().time()
+        now = loop.time()
         results.setdefault(name, []).append(now)
+        self.waits.setdefault(name, []).append(now - start)
         return is_admitted
 
 
@@ -202,10 +210,14 @@
         )
         self.members = make_members(count)
         self.nodes: dict[Address, QuotaNode] = {}
+        # With those that were replaced by a restart.
+        self.started: list[QuotaNode] = []
         self._accounts = {account.name: account for account in accounts}
         self._first_start = first_start
         for member in self.members:
             self.start(member)
+        # A node that starts again has first_start=false in its settings.
+        self._first_start = False
 
     @property
     def all(self) -> list[QuotaNode]:
@@ -241,6 +253,7 @@
             member, directory, holder, quotas, telemetry, log, ticking
         )
         self.nodes[member.address] = node
+        self.started.append(node)
         return node
 
     def kill(self, member: Member) -> None:
@@ -316,10 +329,19 @@
         """Return the times of the admitted requests of an account."""
         return sorted(
             moment
-            for node in self.nodes.values()
+            for node in self.started
             for moment in node.admitted.get(name, ())
         )
 
+    def list_waits(self, names: Iterable[str]) -> list[float]:
+        """Return the seconds until the answer of each request.
+
+        :param names: of accounts.
+        """
+        pairs = itertools.product(self.started, names)
+        waits = (node.waits.get(name, ()) for node, name in pairs)
+        return list(itertools.chain.from_iterable(waits))
+
 
 def _are_apart(group: set[Address], one: Member, other: Member) -> bool:
     return (one.address in group) != (other.address in group)
--- a/tests/godwitknot/mesh/test_accountquotas.py
+++ b/tests/godwitknot/mesh/test_accountquotas.py
@@ -279,6 +279,19 @@
     assert run_virtually(run()) == 0
 
 
+def test_requests_count_that_a_node_admitted_before_it_died():
+    """Guards against overruns and refusals that a restart hides or adds."""
+
+    async def run():
+        fleet = QuotaNodes(3, [SMALL], 1, first_start=True)
+        node = fleet.all[0]
+        assert await node.send(SMALL.name)
+        assert fleet.restart(node.member) is not node
+        return fleet.list_admitted(SMALL.name)
+
+    assert len(run_virtually(run())) == 1
+
+
 async def exhaust(node):
     """Use up the bucket of an account; return the refusal."""
     try:
