Check the loss of a quota home after its first unanswered call

Cause: a node called a silent home twice before it asked the next one, which called it twice in turn before it asked witnesses; a witness that had heard the home within 0.6 s vetoed the check. The new home also set half a second of the rate aside, however long the old one had been lost. Change: the second try goes to the home and to the next node at the same time. That node calls the home and asks the witnesses at once, and counts it as lost if all these calls fail. Time since the start of the check is not set aside.

--- a/godwitknot/accounts/quotahome.py
+++ b/godwitknot/accounts/quotahome.py
@@ -25,8 +25,8 @@
 # A node has been paused if nothing has happened for this long. Another one may
 # have been the home meanwhile.
 _PAUSE_SECONDS = 1.5
-# Time during which the previous home may still issue tokens, until all nodes
-# have heard of the change.
+# Time during which tokens of the previous home may still become ready: it has
+# issued them ahead, or some nodes have not heard of the change.
 _HANDOVER_SECONDS = 0.5
 # A bucket below this level is short of tokens.
 _LOW_LEVEL = 1.0
@@ -123,16 +123,19 @@
         version: int,
         asker: Hashable,
         wanted: int,
+        *,
+        vacant: float = 0,
     ) -> Grant:
         """Answer a request for tokens.
 
         :param version: of the configuration that holds the account.
         :param asker: node that asks.
         :param wanted: number of tokens, above 0.
+        :param vacant: seconds for which the previous home has been lost.
         """
         self.tick()
         now = self._clock.now()
-        state = self._find_state(account, now)
+        state = self._find_state(account, vacant, now)
         tokens = self._take(state, asker, wanted, now)
         if state.bucket.level < _LOW_LEVEL:
             state.short_at = now
@@ -149,14 +152,16 @@
             version,
         )
 
-    def _find_state(self, account: ClientAccount, now: float) -> _AccountState:
+    def _find_state(
+        self, account: ClientAccount, vacant: float, now: float
+    ) -> _AccountState:
         rate = account.rate * self.share
         capacity = (account.burst + self._bounds.added_burst) * self.share
         capacity = max(1, capacity)
         state = self._states.get(account.name)
         if state is None:
             level = min(capacity, self._bounds.start_tokens)
-            level -= _HANDOVER_SECONDS * rate
+            level -= max(0, _HANDOVER_SECONDS - vacant) * rate
             if self._starts_full:
                 level = capacity
             state = _AccountState(TokenBucket(rate, capacity, level, now))
--- a/godwitknot/accounts/reachability.py
+++ b/godwitknot/accounts/reachability.py
@@ -84,6 +84,18 @@
         contact.lost_at = contact.failed_at
         return True
 
+    def confirm_lost(self, node: Hashable) -> bool:
+        """Count a node as lost after one call; return whether it is new.
+
+        The calls of other nodes have failed too.
+        """
+        if self.is_lost(node):
+            return False
+        contact = self._contacts[node]
+        contact.failures = _LOST_FAILURES
+        contact.lost_at = self._clock.now()
+        return True
+
     def forget(self, node: Hashable) -> None:
         """Drop what is known of a node, which has restarted or is gone."""
         self._contacts.pop(node, None)
@@ -93,12 +105,14 @@
         contact = self._contacts.get(node)
         return contact is not None and contact.failures >= _LOST_FAILURES
 
-    def has_heard(self, node: Hashable) -> bool:
+    def has_heard(
+        self, node: Hashable, seconds: float = _HEARD_SECONDS
+    ) -> bool:
         """Return whether a node was heard within the last seconds."""
         contact = self._contacts.get(node)
         if contact is None or contact.failures:
             return False
-        return self._clock.now() - contact.heard_at < _HEARD_SECONDS
+        return self._clock.now() - contact.heard_at < seconds
 
     def has_failed(self, node: Hashable) -> bool:
         """Return whether a call has failed within the last seconds."""
--- a/godwitknot/accounts/takeovers.py
+++ b/godwitknot/accounts/takeovers.py
@@ -29,7 +29,9 @@
         self._clock = clock
         self._rng = rng
         self._confirmed: dict[Hashable, float] = {}
+        self._lost_since: dict[Hashable, float] = {}
         self._next_checks: dict[Hashable, float] = {}
+        self._check_starts: dict[Hashable, float] = {}
 
     def is_confirmed(self, node: Hashable) -> bool:
         """Return whether the loss of a node was confirmed lately."""
@@ -38,12 +40,23 @@
             return False
         return self._clock.now() - confirmed_at < _CONFIRMED_SECONDS
 
+    def measure_loss(self, node: Hashable) -> float:
+        """Return the seconds since the start of the check of a lost node.
+
+        All calls of that check were made later and have failed.
+
+        :returns: 0 without a confirmed loss.
+        """
+        now = self._clock.now()
+        return now - self._lost_since.get(node, now)
+
     def begin_check(self, node: Hashable) -> bool:
         """Return whether a check is due; the next one is due later."""
         now = self._clock.now()
         if now < self._next_checks.get(node, now):
             return False
         self._next_checks[node] = now + _RECHECK_SECONDS
+        self._check_starts[node] = now
         return True
 
     def draw_witnesses(self, nodes: Collection[Hashable]) -> list[Hashable]:
@@ -75,14 +88,18 @@
         )
         now = self._clock.now()
         if is_confirmed:
+            if not self.is_confirmed(node):
+                self._lost_since[node] = self._check_starts.get(node, now)
             self._confirmed[node] = now
             self._next_checks[node] = now + _RECHECK_SECONDS
         else:
-            self._confirmed.pop(node, None)
+            self.forget(node)
             self._next_checks[node] = now + _RETRY_SECONDS
         return is_confirmed
 
     def forget(self, node: Hashable) -> None:
         """Drop a loss, since the node was heard or is no longer one."""
         self._confirmed.pop(node, None)
+        self._lost_since.pop(node, None)
         self._next_checks.pop(node, None)
+        self._check_starts.pop(node, None)
--- a/godwitknot/mesh/accountquotas.py
+++ b/godwitknot/mesh/accountquotas.py
@@ -24,6 +24,7 @@
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.storesync import ConfigurationHolder
 from godwitknot.outcomes import Code, RefusalError
+from godwitknot.units import Address
 
 # Longest wait for a token.
 _MAX_WAIT_SECONDS = 2.0
@@ -194,7 +195,13 @@
             return Grant(Verdict.NOT_HOME)
         if account.name not in self._home:
             self._home.share = self._peers.compute_issued_share()
-        grant = self._home.grant(account, self._holder.version, asker, wanted)
+        grant = self._home.grant(
+            account,
+            self._holder.version,
+            asker,
+            wanted,
+            vacant=self._peers.measure_vacancy(account.name),
+        )
         self._telemetry.count('quota_tokens_issued', grant.tokens.count)
         if grant.retry_after > 0:
             self._telemetry.count('quota_denials')
@@ -242,17 +249,14 @@
     async def _ask_home(
         self, account: ClientAccount, client: QuotaClient
     ) -> bool:
-        for _ in range(_TRIES_PER_ASK):
+        for number in range(_TRIES_PER_ASK):
             home = self._peers.find_home(account.name)
             if home is None:
                 break
             ask = client.begin_ask()
-            if home == self._local:
-                grant = self._grant(account, home, ask.wanted)
-            else:
-                grant = await self._peers.request(
-                    home, account=account.name, wanted=ask.wanted
-                )
+            grant = await self._request(
+                account, home, ask.wanted, is_retry=number > 0
+            )
             if grant is None:
                 continue
             if grant.verdict is not Verdict.GRANTED:
@@ -265,6 +269,30 @@
         self._not_home[account.name] = self._clock.now() + _NOT_HOME_SECONDS
         return False
 
+    async def _request(
+        self,
+        account: ClientAccount,
+        home: Address,
+        wanted: int,
+        *,
+        is_retry: bool,
+    ) -> Grant | None:
+        """Ask the home for tokens; after a failure, also the node after it.
+
+        That node then checks whether the home is lost.
+        """
+        if home == self._local:
+            return self._grant(account, home, wanted)
+        addresses = [home]
+        heir = self._peers.find_heir(account.name) if is_retry else None
+        if heir is not None and heir != self._local:
+            addresses.append(heir)
+        elif heir is not None:
+            self._peers.probe_predecessors(account.name)
+        return await self._peers.request_first(
+            addresses, account=account.name, wanted=wanted
+        )
+
     async def _use_fallback(
         self, account: ClientAccount, client: QuotaClient, latest: float
     ) -> bool:
--- a/godwitknot/mesh/quotapeers.py
+++ b/godwitknot/mesh/quotapeers.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from godwitknot.accounts.homechoice import HomeChoice
 from godwitknot.accounts.quotabounds import QuotaBounds
@@ -25,9 +25,13 @@
 _SAMPLES_PER_DOMAIN = 3
 # In a partition, a node checks the losses of many others at once.
 _SAMPLE_SECONDS = 0.4
-# A witness that does not know calls the node before it is asked again.
-_WITNESS_PAUSE_SECONDS = 0.35
-_WITNESS_ROUNDS = 2
+# A witness that does not know calls the node before it is asked again. Its call
+# takes as long as that of this node, apart from the ways.
+_WITNESS_MARGIN_SECONDS = 0.02
+_WITNESS_ROUNDS = 3
+# A node that was heard within this time is in touch. It is shorter than the time
+# limit of a call, after which other nodes ask.
+_RECENT_SECONDS = 0.2
 
 
 class QuotaPeers:
@@ -59,7 +63,6 @@
         # Other nodes by failure domain, ``None`` if they have changed.
         self._domains: dict[str, list[Address]] | None = None
         self._incarnations: dict[Address, int] = {}
-        self._probed: set[Address] = set()
         self._sampled_at = -math.inf
         # Called when the home of an account may have changed.
         self.change_listeners: list[Callable[[], None]] = []
@@ -86,6 +89,27 @@
                 return address
         return None
 
+    def find_heir(self, name: str) -> Address | None:
+        """Return the node that replaces the home if it is lost."""
+        found = [
+            address
+            for address in self._choice.rank(name)
+            if not self._reachability.is_lost(address)
+        ]
+        return found[1] if len(found) > 1 else None
+
+    def measure_vacancy(self, name: str) -> float:
+        """Return for how long the nodes before this one have been lost.
+
+        :returns: 0 for the first node in the rank of an account.
+        """
+        losses: list[float] = []
+        for address in self._choice.rank(name):
+            if address == self._local:
+                break
+            losses.append(self._takeovers.measure_loss(address))
+        return min(losses, default=0)
+
     def is_home(self, name: str) -> bool:
         """Return whether this node may issue tokens of an account.
 
@@ -103,7 +127,7 @@
         return False
 
     def probe_predecessors(self, name: str) -> None:
-        """Call the nodes that come before this one, which others have lost.
+        """Check the nodes that come before this one, which others have lost.
 
         :param name: account whose tokens another node has asked for here.
         """
@@ -112,11 +136,10 @@
             return
         for address in ranked[: ranked.index(self._local)]:
             is_known = self._reachability.has_heard(
-                address
+                address, _RECENT_SECONDS
             ) or self._reachability.is_lost(address)
-            if not is_known and address not in self._probed:
-                self._probed.add(address)
-                self._tasks.spawn(self._probe(address))
+            if not is_known and self._takeovers.begin_check(address):
+                self._tasks.spawn(self._check_loss(address))
 
     def compute_issued_share(self) -> float:
         """Return the share of a quota that this node may issue as home.
@@ -129,6 +152,28 @@
             return 1
         return max(1 - lost, 1 / self.node_count)
 
+    async def request_first(
+        self, addresses: Sequence[Address], **fields
+    ) -> Grant | None:
+        """Send a request to several nodes; return the first grant.
+
+        :returns: the last answer if none of them grants tokens, ``None`` if
+            there is none in time.
+        """
+        calls = [
+            asyncio.ensure_future(self.request(address, **fields))
+            for address in addresses
+        ]
+        for call in calls:
+            self._tasks.track(call)
+        answer = None
+        for finished in asyncio.as_completed(calls):
+            grant = await finished
+            answer = answer if grant is None else grant
+            if grant is not None and grant.verdict is Verdict.GRANTED:
+                break
+        return answer
+
     async def request(self, address: Address, **fields) -> Grant | None:
         """Send a request and return the answer.
 
@@ -164,7 +209,9 @@
 
         If it knows nothing, it calls that node.
         """
-        if address == self._local or self._reachability.has_heard(address):
+        if address == self._local or self._reachability.has_heard(
+            address, _RECENT_SECONDS
+        ):
             return Verdict.REACHABLE
         if self._reachability.has_failed(address):
             return Verdict.LOST
@@ -232,16 +279,6 @@
         for listener in self.change_listeners:
             listener()
 
-    async def _probe(self, address: Address) -> None:
-        """Call a node; if it does not answer, check its loss."""
-        try:
-            if await self.request(address) is not None:
-                return
-            if self._takeovers.begin_check(address):
-                await self._check_loss(address)
-        finally:
-            self._probed.discard(address)
-
     async def _check_loss(self, lost: Address) -> None:
         """Ask witnesses about a lost node, and call it and others again."""
         others = self._choice.nodes - {self._local, lost}
@@ -251,20 +288,23 @@
         verdicts: dict[Address, Verdict | None] = dict.fromkeys(
             witnesses, Verdict.UNKNOWN
         )
-        calls = asyncio.gather(
-            self.request(lost), self.sample(_SAMPLES_PER_DOMAIN)
+        self._tasks.spawn(self.sample(_SAMPLES_PER_DOMAIN))
+        answer, _ = await asyncio.gather(
+            self.request(lost), self._ask_witnesses(lost, verdicts)
         )
-        for number in range(_WITNESS_ROUNDS):
-            if number:
-                await asyncio.sleep(_WITNESS_PAUSE_SECONDS)
+        for _ in range(_WITNESS_ROUNDS - 1):
+            if answer is not None or Verdict.UNKNOWN not in verdicts.values():
+                break
+            await asyncio.sleep(_WITNESS_MARGIN_SECONDS)
             await self._ask_witnesses(lost, verdicts)
-        await calls
-        if not self._reachability.is_lost(lost):
-            self._takeovers.forget(lost)
+        if not self._reachability.has_failed(lost):
+            self._takeovers.conclude(lost, [Verdict.REACHABLE], others=1)
             return
         is_confirmed = self._takeovers.conclude(
             lost, list(verdicts.values()), others=len(others)
         )
+        if is_confirmed and self._reachability.confirm_lost(lost):
+            self._log.write('quota peer lost', peer=str(lost))
         self._log.write(
             'quota home checked',
             peer=str(lost),
--- a/tests/godwitknot/accounts/test_quotas.py
+++ b/tests/godwitknot/accounts/test_quotas.py
@@ -87,6 +87,15 @@
     assert issued >= ACCOUNT.rate * 4.5
 
 
+@pytest.mark.parametrize(('vacant', 'ready'), [(0, 0), (0.3, 3), (9, 5)])
+def test_home_starts_with_more_if_the_previous_one_is_long_lost(
+    home, vacant, ready
+):
+    """Guards against tokens beside those that the lost home issued ahead."""
+    grant = home.grant(ACCOUNT, 1, 'node', 100, vacant=vacant)
+    assert grant.tokens.ready == ready
+
+
 def test_first_start_of_the_system_has_the_burst(clock, rng):
     home = QuotaHome(BOUNDS, clock, rng, first_start=True)
     grant = home.grant(ACCOUNT, 1, 'node', 100)
@@ -356,6 +365,30 @@
     assert not takeovers.is_confirmed('a-1')
 
 
+def test_loss_lasts_from_the_start_of_the_first_check(clock, rng):
+    """Guards against a loss counted from before others had lost the node."""
+    takeovers = Takeovers(clock, rng)
+    lost = [Verdict.LOST, Verdict.LOST]
+    assert not takeovers.measure_loss('a-1')
+    for verdicts in ([Verdict.REACHABLE], lost, lost):
+        assert takeovers.begin_check('a-1')
+        clock.advance(0.5)
+        takeovers.conclude('a-1', verdicts, others=9)
+        clock.advance(5)
+    assert takeovers.measure_loss('a-1') == pytest.approx(11)
+    takeovers.forget('a-1')
+    assert not takeovers.measure_loss('a-1')
+
+
+def test_node_that_others_have_lost_too_is_lost_after_one_call(clock):
+    reachability = Reachability(clock)
+    reachability.record_failed('a-1', clock.now())
+    assert reachability.confirm_lost('a-1')
+    assert reachability.is_lost('a-1')
+    assert not reachability.confirm_lost('a-1')
+    assert reachability.record_heard('a-1')
+
+
 def test_use_is_counted_for_a_bounded_number_of_accounts():
     """Guards against metrics and logs that grow with the accounts."""
     use = QuotaUse()
--- a/tests/godwitknot/mesh/test_accountquotas.py
+++ b/tests/godwitknot/mesh/test_accountquotas.py
@@ -31,6 +31,8 @@
 DEMAND = 0.7
 # Shares of the requests, or of the rate, that must be served.
 ALL_BUT_FEW, MOST, MANY = 0.99, 0.9, 0.8
+# In seconds, while a home is replaced.
+LONGEST_WAIT = 1.3
 
 
 class Scene:
@@ -186,6 +188,18 @@
         assert refused <= (fault is not None) * 2 * DEMAND * LARGE.rate
 
 
+@pytest.mark.parametrize('seed', SEEDS)
+def test_requests_wait_little_for_a_new_home(seed):
+    """Guards against a loss that is found by one time limit after the other.
+
+    The calls to the home end after 0.25 s; it is checked in another 0.35 s, and
+    tokens of the next 0.5 s are waited for.
+    """
+    scene = play(LARGE, DEMAND, kill_home, seed)
+    assert max(scene.fleet.list_waits([LARGE.name])) < LONGEST_WAIT
+    assert scene.admitted_share > ALL_BUT_FEW
+
+
 def test_small_account_at_a_hundred_nodes_is_admitted():
     """Guards against shares below one token: a request a minute at each node."""
     account = ClientAccount('thin', frozenset(), rate=2, burst=2)
