Pass a confirmed loss of a quota home on to the homes of its accounts

Cause: each node that became the home of an account of a lost node asked its own witnesses, once the first request came. Change: a node that has confirmed a loss tells the others that become homes. Each calls the lost node once and needs no witnesses. quotaRequest has a new field, confirmed; nodes that do not know it take the frame as a question about the node, as before.

--- a/godwitknot/accounts/takeovers.py
+++ b/godwitknot/accounts/takeovers.py
@@ -17,6 +17,8 @@
 # still be cut.
 _RECHECK_SECONDS = 5.0
 _CONFIRMED_SECONDS = 10.0
+# For a loss that another node has confirmed.
+_ADOPTED_RECHECK_SECONDS = 7.0
 # After a check that has not confirmed the loss.
 _RETRY_SECONDS = 0.5
 
@@ -32,6 +34,7 @@
         self._lost_since: dict[Hashable, float] = {}
         self._next_checks: dict[Hashable, float] = {}
         self._check_starts: dict[Hashable, float] = {}
+        self._adopted: set[Hashable] = set()
 
     def is_confirmed(self, node: Hashable) -> bool:
         """Return whether the loss of a node was confirmed lately."""
@@ -50,6 +53,13 @@
         now = self._clock.now()
         return now - self._lost_since.get(node, now)
 
+    def is_adopted(self, node: Hashable) -> bool:
+        """Return whether another node has confirmed a loss lately.
+
+        That node has told the others.
+        """
+        return node in self._adopted and self.is_confirmed(node)
+
     def begin_check(self, node: Hashable) -> bool:
         """Return whether a check is due; the next one is due later."""
         now = self._clock.now()
@@ -57,6 +67,7 @@
             return False
         self._next_checks[node] = now + _RECHECK_SECONDS
         self._check_starts[node] = now
+        self._adopted.discard(node)
         return True
 
     def draw_witnesses(self, nodes: Collection[Hashable]) -> list[Hashable]:
@@ -97,9 +108,26 @@
             self._next_checks[node] = now + _RETRY_SECONDS
         return is_confirmed
 
+    def adopt(self, node: Hashable, since: float) -> None:
+        """Accept a loss that another node has confirmed.
+
+        That node checks the loss again first.
+
+        :param since: start of this node's own call, which has failed.
+        """
+        now = self._clock.now()
+        if not self.is_confirmed(node):
+            self._lost_since[node] = since
+        self._confirmed[node] = now
+        self._adopted.add(node)
+        spread = _ADOPTED_RECHECK_SECONDS - _RECHECK_SECONDS
+        delay = _ADOPTED_RECHECK_SECONDS + spread * self._rng.random()
+        self._next_checks[node] = now + delay
+
     def forget(self, node: Hashable) -> None:
         """Drop a loss, since the node was heard or is no longer one."""
         self._confirmed.pop(node, None)
         self._lost_since.pop(node, None)
         self._next_checks.pop(node, None)
         self._check_starts.pop(node, None)
+        self._adopted.discard(node)
--- a/godwitknot/mesh/accountquotas.py
+++ b/godwitknot/mesh/accountquotas.py
@@ -69,7 +69,9 @@
         self._clock = runtime.clock
         self._log = runtime.log
         self._telemetry = runtime.telemetry
-        self._peers = QuotaPeers(directory, relay, bounds, runtime)
+        self._peers = QuotaPeers(
+            directory, relay, bounds, runtime, self._list_limited
+        )
         self._local = directory.local_member.address
         self._home = QuotaHome(
             bounds, runtime.clock, runtime.rng, first_start=first_start
@@ -178,6 +180,8 @@
 
     def _answer(self, request: QuotaRequest) -> Grant:
         if request.subject is not None:
+            if request.confirmed:
+                self._peers.accept_loss(request.subject)
             return Grant(self._peers.judge(request.subject))
         if not request.account:
             return Grant(Verdict.REACHABLE)
@@ -357,6 +361,14 @@
             return None
         return configuration.accounts.get(name)
 
+    def _list_limited(self) -> list[str]:
+        """Return the names of the accounts with a limit."""
+        configuration = self._holder.current
+        if configuration is None or configuration.accounts is None:
+            return []
+        accounts = configuration.accounts.values()
+        return [account.name for account in accounts if account.rate > 0]
+
     def _handle_peer_change(self) -> None:
         """Drop buckets of other homes, and update the share of the others."""
         if self._home.names:
--- a/godwitknot/mesh/framedecoder.py
+++ b/godwitknot/mesh/framedecoder.py
@@ -271,6 +271,7 @@
         check_name(entry.account, 'account'),
         check_range(entry.wanted, 'wanted', MAX_TOKENS),
         subject,
+        entry.confirmed,
     )
 
 
--- a/godwitknot/mesh/frames.py
+++ b/godwitknot/mesh/frames.py
@@ -295,6 +295,7 @@
             'account': request.account,
             'wanted': request.wanted,
             'subject': str(request.subject or ''),
+            'confirmed': request.confirmed,
         },
     )
 
--- a/godwitknot/mesh/mesh.capnp
+++ b/godwitknot/mesh/mesh.capnp
@@ -123,6 +123,7 @@
   account @1 :Text;
   wanted @2 :UInt32;       # number of tokens
   subject @3 :Text;        # host:port of a node that the sender has lost
+  confirmed @4 :Bool;      # whether witnesses have lost the subject too
 }
 
 struct QuotaGrant {
--- a/godwitknot/mesh/messages.py
+++ b/godwitknot/mesh/messages.py
@@ -198,9 +198,11 @@
     :param wanted: number of tokens.
     :param subject: relay address of a node that the sender has lost; ``None``
         asks whether the receiver is in touch.
+    :param confirmed: whether witnesses of the sender have lost the subject too.
     """
 
     sender: Address
     account: str = ''
     wanted: int = 0
     subject: Address | None = None
+    confirmed: bool = False
--- a/godwitknot/mesh/quotapeers.py
+++ b/godwitknot/mesh/quotapeers.py
@@ -34,6 +34,10 @@
 _RECENT_SECONDS = 0.2
 
 
+# Accounts whose nodes are ranked at a time.
+_NAMES_PER_STEP = 50
+
+
 class QuotaPeers:
     """The other nodes that can be quota homes."""
 
@@ -43,11 +47,14 @@
         relay: RelayClient,
         bounds: QuotaBounds,
         runtime: Runtime,
+        list_names: Callable[[], Sequence[str]],
     ) -> None:
         """Create a view in which all nodes are in touch.
 
         :param relay: sends frames to other nodes.
+        :param list_names: returns the accounts that have a home.
         """
+        self._list_names = list_names
         self._directory = directory
         self._local = directory.local_member.address
         self._relay = relay
@@ -218,6 +225,18 @@
         self._tasks.spawn(self.request(address))
         return Verdict.UNKNOWN
 
+    def accept_loss(self, address: Address) -> None:
+        """Accept a loss that another node has confirmed.
+
+        A node that can reach the lost one does not.
+        """
+        is_known = address == self._local or self._reachability.has_heard(
+            address, _RECENT_SECONDS
+        )
+        if is_known or address not in self._choice.nodes:
+            return
+        self._tasks.spawn(self._adopt_loss(address))
+
     async def sample(self, count: int = 1) -> None:
         """Call nodes of each failure domain that were not heard lately.
 
@@ -300,11 +319,14 @@
         if not self._reachability.has_failed(lost):
             self._takeovers.conclude(lost, [Verdict.REACHABLE], others=1)
             return
+        was_adopted = self._takeovers.is_adopted(lost)
         is_confirmed = self._takeovers.conclude(
             lost, list(verdicts.values()), others=len(others)
         )
         if is_confirmed and self._reachability.confirm_lost(lost):
             self._log.write('quota peer lost', peer=str(lost))
+        if is_confirmed and not was_adopted:
+            self._tasks.spawn(self._announce_loss(lost))
         self._log.write(
             'quota home checked',
             peer=str(lost),
@@ -313,6 +335,42 @@
         )
         self._notify_listeners()
 
+    async def _adopt_loss(self, lost: Address) -> None:
+        """Call a node that others have lost; if it fails, so has this one."""
+        started = self._clock.now()
+        is_lost = self._reachability.has_failed(lost)
+        if not is_lost and await self.request(lost) is not None:
+            return
+        self._takeovers.adopt(lost, started)
+        if self._reachability.confirm_lost(lost):
+            self._log.write('quota peer lost', peer=str(lost))
+        self._notify_listeners()
+
+    async def _announce_loss(self, lost: Address) -> None:
+        """Tell the nodes that become homes of the lost one's accounts."""
+        heirs: set[Address] = set()
+        for number, name in enumerate(self._list_names()):
+            if number % _NAMES_PER_STEP == 0:
+                await asyncio.sleep(0)
+            if lost in self._choice.rank(name):
+                heir = self._find_replacement(name, lost)
+                heirs.add(heir)
+        heirs -= {self._local, None}
+        await asyncio.gather(
+            *(
+                self.request(heir, subject=lost, confirmed=True)
+                for heir in sorted(heirs, key=str)
+            )
+        )
+
+    def _find_replacement(self, name: str, lost: Address) -> Address | None:
+        """Return the home of an account if it comes after a lost node."""
+        ranked = self._choice.rank(name)
+        home = self.find_home(name)
+        if home is None or ranked.index(lost) > ranked.index(home):
+            return None
+        return home
+
     async def _ask_witnesses(
         self, lost: Address, verdicts: dict[Address, Verdict | None]
     ) -> None:
--- a/tests/godwitknot/accounts/test_quotas.py
+++ b/tests/godwitknot/accounts/test_quotas.py
@@ -380,6 +380,19 @@
     assert not takeovers.measure_loss('a-1')
 
 
+def test_loss_that_another_node_confirmed_is_checked_later(clock, rng):
+    """Guards against all homes that check a loss again at the same time."""
+    takeovers = Takeovers(clock, rng)
+    takeovers.adopt('a-1', clock.now())
+    assert takeovers.is_adopted('a-1')
+    clock.advance(6)
+    assert takeovers.is_confirmed('a-1')
+    assert not takeovers.begin_check('a-1')
+    clock.advance(4)
+    assert not takeovers.is_adopted('a-1')
+    assert takeovers.begin_check('a-1')
+
+
 def test_node_that_others_have_lost_too_is_lost_after_one_call(clock):
     reachability = Reachability(clock)
     reachability.record_failed('a-1', clock.now())
--- a/tests/godwitknot/mesh/test_accountquotas.py
+++ b/tests/godwitknot/mesh/test_accountquotas.py
@@ -33,6 +33,8 @@
 ALL_BUT_FEW, MOST, MANY = 0.99, 0.9, 0.8
 # In seconds, while a home is replaced.
 LONGEST_WAIT = 1.3
+# Until a loss that one node has confirmed is known, and time of a lost call.
+CONFIRMED_SECONDS, ONE_CALL = 0.5, 0.35
 
 
 class Scene:
@@ -200,6 +202,33 @@
     assert scene.admitted_share > ALL_BUT_FEW
 
 
+def test_one_confirmed_loss_serves_all_accounts_of_a_home():
+    """Guards against a loss that is checked anew for each account."""
+    accounts = [
+        attrs.evolve(SMALL, name=f'small-{number}') for number in range(200)
+    ]
+
+    async def run():
+        fleet = QuotaNodes(20, accounts, 1)
+        home = fleet.find_home(accounts[0].name)
+        peers = fleet.all[0].quotas.peers
+        shared = [
+            each.name for each in accounts if fleet.find_home(each.name) is home
+        ]
+        heirs = {peers.rank(name)[1]: name for name in shared}
+        assert len(heirs) > 3
+        fleet.kill(home.member)
+        node, other = [each for each in fleet.all if each is not home][:2]
+        await node.send(shared[0])
+        await asyncio.sleep(CONFIRMED_SECONDS)
+        for name in heirs.values():
+            await other.send(name)
+        return other.waits
+
+    waits = run_virtually(run())
+    assert max(itertools.chain.from_iterable(waits.values())) < ONE_CALL
+
+
 def test_small_account_at_a_hundred_nodes_is_admitted():
     """Guards against shares below one token: a request a minute at each node."""
     account = ClientAccount('thin', frozenset(), rate=2, burst=2)
--- a/tests/godwitknot/mesh/test_frames.py
+++ b/tests/godwitknot/mesh/test_frames.py
@@ -97,6 +97,7 @@
     requests = [
         QuotaRequest(LOCAL.address, 'cargo', 3),
         QuotaRequest(LOCAL.address, subject=LOCAL.address),
+        QuotaRequest(LOCAL.address, subject=LOCAL.address, confirmed=True),
     ]
     for request in requests:
         decoded = frames.decode(frames.encode_quota_request(request))
