Let a quota home notice that it is cut off while it has tokens

Cause: a home called other nodes only while an account was short of tokens. Change: a home that has heard no node for 0.9 s calls one of each failure domain.

--- a/godwitknot/accounts/reachability.py
+++ b/godwitknot/accounts/reachability.py
@@ -15,6 +15,8 @@
 
 # A node that was silent for longer may be called to see whether it is in touch.
 _HEARD_SECONDS = 0.6
+# Without a frame for as long, a home checks whether it is cut off.
+_SILENCE_SECONDS = 0.9
 # A call to a node shows for this long that it is out of touch.
 _FAILED_SECONDS = 3.0
 # Calls that failed, without any that succeeded, until a node counts as lost:
@@ -49,10 +51,19 @@
     def __init__(self, clock: Clock) -> None:
         """Count all nodes as in touch."""
         self._clock = clock
+        self._heard_at = clock.now()
         self._contacts: dict[Hashable, _Contact] = collections.defaultdict(
             _Contact
         )
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether no node at all was heard lately.
+
+        This one may be cut off from all others.
+        """
+        return self._clock.now() - self._heard_at > _SILENCE_SECONDS
+
     def record_heard(self, node: Hashable, *, answered: bool = False) -> bool:
         """Record a frame of a node; return whether it was lost.
 
@@ -61,6 +72,7 @@
         contact = self._contacts[node]
         was_lost = contact.failures >= _LOST_FAILURES
         contact.heard_at = self._clock.now()
+        self._heard_at = contact.heard_at
         if answered:
             contact.answered_at = contact.heard_at
         contact.failures = 0
--- a/godwitknot/mesh/accountquotas.py
+++ b/godwitknot/mesh/accountquotas.py
@@ -110,7 +110,7 @@
         if self._clients or self._home.names:
             self._peers.probe_lost()
         self._report_use()
-        if self._home.is_short:
+        if self._home.is_short or (self._home.names and self._peers.is_silent):
             await self._peers.sample()
         if self._home.names:
             self._home.share = self._peers.compute_issued_share()
--- a/godwitknot/mesh/quotapeers.py
+++ b/godwitknot/mesh/quotapeers.py
@@ -82,6 +82,11 @@
         """Number of nodes among which a quota is shared."""
         return max(1, len(self._choice.nodes))
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether this node has heard no other one lately."""
+        return self._reachability.is_silent
+
     def rank(self, name: str) -> tuple[Address, ...]:
         """Return the nodes that may be the home of an account, in order."""
         return self._choice.rank(name)
--- a/tests/godwitknot/mesh/test_accountquotas.py
+++ b/tests/godwitknot/mesh/test_accountquotas.py
@@ -25,7 +25,7 @@
 FREE = ClientAccount('free', frozenset())
 NODES = 60
 EVEN = [1 for _ in range(NODES)]
-START, FAULT, END = 1, 4, 16
+START, FAULT, CALM, END = 1, 4, 10, 16
 SEEDS = (1, 2)
 # Share of the rate that callers within the quota use.
 DEMAND = 0.7
@@ -166,6 +166,52 @@
     assert scene.overrun <= 0
 
 
+def play_after_calm(account, demand, fault, weights, seed):
+    """Send a fifth of the rate, then more; return by how much it is exceeded."""
+
+    async def run():
+        scene = Scene(account, seed)
+        arrivals = [
+            arrival
+            for share, period in (
+                (1 / 5, (START, CALM)),
+                (demand, (CALM, CALM + 10)),
+            )
+            for arrival in draw_arrivals(
+                account, share * account.rate, weights, period, scene.rng
+            )
+        ]
+        events = [] if fault is None else [(CALM, lambda: fault(scene))]
+        await scene.fleet.play(arrivals, events)
+        return scene.fleet.list_admitted(account.name)
+
+    return find_overrun(run_virtually(run()), account, QuotaBounds())
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize(
+    'fault', [None, kill_home, cut_home, cut_region, restart_all]
+)
+@pytest.mark.parametrize('account', [LARGE, SMALL], ids=['large', 'small'])
+def test_quota_is_kept_after_a_calm_time(account, fault, seed):
+    """Guards against a home that is cut off, but has tokens and does not notice.
+
+    The account sends seven times its rate at a third of the nodes.
+    """
+    assert play_after_calm(account, 7, fault, EVEN[:20], seed) <= 0
+
+
+def test_quota_is_kept_if_each_side_of_a_cut_needs_less():
+    """Guards against a home that has tokens for its side and misses the cut.
+
+    Both sides together send 1.8 times the rate.
+    """
+    overruns = [
+        play_after_calm(LARGE, 1.8, cut_region, EVEN, seed) for seed in SEEDS
+    ]
+    assert max(overruns) <= 0
+
+
 @pytest.mark.parametrize(
     'fault', [kill_home, cut_home, restart_all, heal_later]
 )
