Lease tokens for longer while an account is below its limit

Cause: each request cost a message both ways, since tokens were valid for 0.4 s and most nodes have fewer requests of an account than that. Change: a home whose bucket is more than half full adds tokens that the node may hold for 15 s, as many as it expects to use; fewer if the account is busy. The capacity of the bucket is smaller by the tokens held, so that the limit does not change. New fields: expected of quotaRequest and seconds of quotaGrant. A home checks whether it is cut off after 1.9 s without a frame instead of 0.9 s, since it is now asked less often.

--- a/bench/accounts/__main__.py
+++ b/bench/accounts/__main__.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 from concurrent import futures
 
+from bench.accounts.load import DEMAND_SHARE
 from bench.accounts.plays import EVENTS, HOMES, STRATEGIES, Play, Result
 
 _NODES = (30, 100, 300)
@@ -31,6 +32,12 @@
     parser.add_argument(
         '--strategies', nargs='+', choices=_STRATEGIES, default=_STRATEGIES
     )
+    parser.add_argument(
+        '--demand',
+        type=float,
+        default=DEMAND_SHARE,
+        help='of an account, as a share of its rate',
+    )
     parser.add_argument('--seeds', type=int, default=2, help='seeds 0 to N-1')
     parser.add_argument('--jobs', type=int, default=2)
     return parser.parse_args()
@@ -76,7 +83,9 @@
         for nodes, accounts, event in cases:
             for strategy in arguments.strategies:
                 plays = [
-                    Play(strategy, nodes, accounts, event, seed)
+                    Play(
+                        strategy, nodes, accounts, event, seed, arguments.demand
+                    )
                     for seed in range(arguments.seeds)
                 ]
                 pending = [executor.submit(each.run) for each in plays]
--- a/bench/accounts/load.py
+++ b/bench/accounts/load.py
@@ -9,7 +9,7 @@
 from godwitknot.accounts.clientaccount import ClientAccount
 
 # Demand of an account as a share of its rate, and of one that is hot.
-_DEMAND_SHARE = 0.8
+DEMAND_SHARE = 0.8
 HOT_FACTOR = 7.0
 # Accounts whose callers all use the same node.
 _SINGLE_NODE_SHARE = 0.2
@@ -28,12 +28,15 @@
     name: str
 
 
-def make_accounts(count: int, total_demand: float) -> list[ClientAccount]:
+def make_accounts(
+    count: int, total_demand: float, demand_share: float = DEMAND_SHARE
+) -> list[ClientAccount]:
     """Return accounts of very different sizes.
 
     The hundredth account is a tenth as large as the first.
 
     :param total_demand: requests per second of all accounts.
+    :param demand_share: demand of an account as a share of its rate.
     """
     sizes = [1 / (number + 1) ** 0.5 for number in range(count)]
     scale = total_demand / sum(sizes)
@@ -41,8 +44,8 @@
         ClientAccount(
             f'account-{number}',
             frozenset(),
-            rate=scale * size / _DEMAND_SHARE,
-            burst=scale * size / _DEMAND_SHARE,
+            rate=scale * size / demand_share,
+            burst=scale * size / demand_share,
         )
         for number, size in enumerate(sizes)
     ]
@@ -86,6 +89,7 @@
     nodes: int,
     bounds: Sequence[float],
     rng: random.Random,
+    demand_share: float = DEMAND_SHARE,
 ) -> list[Arrival]:
     """Return the requests of all accounts; the largest one is hot.
 
@@ -93,7 +97,7 @@
     """
     arrivals: list[Arrival] = []
     for index, account in enumerate(accounts):
-        factor = HOT_FACTOR if index == 0 else _DEMAND_SHARE
+        factor = HOT_FACTOR if index == 0 else demand_share
         for period in itertools.pairwise(bounds):
             weights = draw_weights(nodes, rng)
             arrivals += draw_arrivals(
--- a/bench/accounts/plays.py
+++ b/bench/accounts/plays.py
@@ -8,6 +8,7 @@
 import attrs
 
 from bench.accounts.load import (
+    DEMAND_SHARE,
     Arrival,
     count_central,
     make_accounts,
@@ -82,13 +83,17 @@
 
 @attrs.frozen
 class Play:
-    """One play, by the names of its parts."""
+    """One play, by the names of its parts.
+
+    :param demand: of an account, as a share of its rate.
+    """
 
     strategy: str
     nodes: int
     accounts: int
     event: str
     seed: int
+    demand: float = DEMAND_SHARE
 
     def run(self) -> Result:
         """Play it and return the result."""
@@ -96,9 +101,11 @@
 
     async def _run(self) -> Result:
         rng = random.Random(self.seed)
-        accounts = make_accounts(self.accounts, _DEMAND)
+        accounts = make_accounts(self.accounts, _DEMAND, self.demand)
         moves = _MOVES if self.event == 'moves' else ()
-        arrivals = make_load(accounts, self.nodes, (0, *moves, _SECONDS), rng)
+        arrivals = make_load(
+            accounts, self.nodes, (0, *moves, _SECONDS), rng, self.demand
+        )
         fleet = QuotaNodes(self.nodes, accounts, self.seed, first_start=True)
         strategy = None
         if self.strategy != HOMES:
--- a/godwitknot/accounts/quotabounds.py
+++ b/godwitknot/accounts/quotabounds.py
@@ -30,6 +30,16 @@
         """
         return _TOKEN_SHARE * self.window * self.overage
 
+    @property
+    def lease_seconds(self) -> float:
+        """How long the tokens of a lease may be spent.
+
+        Leases hold their place in the bucket, so that any time keeps the limit.
+        Longer ones save messages of nodes with few requests, but tokens that
+        callers have left behind stay out of use for as long.
+        """
+        return 3 * self.window
+
     @property
     def start_tokens(self) -> float:
         """Tokens of a node that has just become a home.
--- a/godwitknot/accounts/quotaclient.py
+++ b/godwitknot/accounts/quotaclient.py
@@ -5,6 +5,7 @@
 import attrs
 
 from godwitknot.accounts.clientaccount import ClientAccount
+from godwitknot.accounts.eventrate import EventRate
 from godwitknot.accounts.quotabounds import QuotaBounds
 from godwitknot.accounts.quotagrants import Grant
 from godwitknot.clock import Clock
@@ -15,6 +16,10 @@
 _MIN_EXPECTED = 2.0
 _MAX_WANTED = 10000
 _SMOOTHING_SECONDS = 1.0
+# For the requests that are expected while a lease is valid, and the time in
+# which they come. It is shorter than a lease, so that few tokens expire.
+_LEASE_SMOOTHING_SECONDS = 10.0
+_EXPECTED_SECONDS = 12.0
 # A token whose request reached no server may be used again for this long.
 _RETURNED_SECONDS = 0.5
 # Longest Retry-After for callers, the window of the quota.
@@ -41,10 +46,12 @@
 
     :param sent_at: start of the time for which granted tokens are valid. The
         home issues them later, so that they end no later than it assumes.
+    :param expected: tokens beyond those wanted, for the next seconds.
     """
 
     sent_at: float
     wanted: int
+    expected: int = 0
 
 
 class QuotaClient:
@@ -63,8 +70,9 @@
         self._tokens: list[Token] = []
         # Version of the configuration that has lowered the limit.
         self._lowered_in = 0
-        self._arrival_rate = float(0)
-        self._arrived_at = clock.now()
+        now = clock.now()
+        self._arrivals = EventRate(_SMOOTHING_SECONDS, now)
+        self._lease_arrivals = EventRate(_LEASE_SMOOTHING_SECONDS, now)
         self._denied_until = -math.inf
         self._pace = float(0)
         self._refused = 0
@@ -92,10 +100,8 @@
     def record_arrival(self) -> None:
         """Count a request of the account, for the expected use."""
         now = self._clock.now()
-        age = now - self._arrived_at
-        decay = math.exp(-age / _SMOOTHING_SECONDS)
-        self._arrival_rate = self._arrival_rate * decay + 1 / _SMOOTHING_SECONDS
-        self._arrived_at = now
+        self._arrivals.record(now)
+        self._lease_arrivals.record(now)
 
     def take(self, latest: float) -> Token | None:
         """Reserve the earliest token.
@@ -135,14 +141,17 @@
     def begin_ask(self) -> Ask:
         """Start a request for tokens; an earlier one no longer counts."""
         now = self._clock.now()
-        age = now - self._arrived_at
-        rate = self._arrival_rate * math.exp(-age / _SMOOTHING_SECONDS)
-        expected = rate * _LEASE_SECONDS
+        expected = self._arrivals.estimate(now) * _LEASE_SECONDS
         wanted = max(1, self.waiting)
         if expected >= _MIN_EXPECTED:
             wanted = max(wanted, int(expected))
         wanted = min(wanted, _MAX_WANTED)
-        self._ask = Ask(now, wanted)
+        # Without the request that has just come, the rate has no bias.
+        later = (
+            self._lease_arrivals.estimate(now) - 1 / _LEASE_SMOOTHING_SECONDS
+        )
+        later = min(max(0, round(later * _EXPECTED_SECONDS)), _MAX_WANTED)
+        self._ask = Ask(now, wanted, later)
         return self._ask
 
     def apply(self, ask: Ask, grant: Grant) -> bool:
@@ -165,8 +174,11 @@
             self._denied_until = now + grant.retry_after
         if grant.version < self._lowered_in:
             return True
-        for delay in grant.tokens.list_delays():
-            expires_at = ask.sent_at + delay + self._bounds.token_seconds
+        seconds = min(grant.seconds, self._bounds.lease_seconds)
+        for number, delay in enumerate(grant.tokens.list_delays()):
+            is_held = seconds > 0 and number >= ask.wanted
+            expires_at = ask.sent_at + delay
+            expires_at += seconds if is_held else self._bounds.token_seconds
             token = Token(now + delay, expires_at, self._limit)
             if token.expires_at > token.ready_at:
                 self.put_back(token)
--- a/godwitknot/accounts/quotagrants.py
+++ b/godwitknot/accounts/quotagrants.py
@@ -29,6 +29,7 @@
     :param pace: seconds between two requests refused by this node after
         which each finds a token.
     :param version: of the configuration whose limit applies.
+    :param seconds: for which the tokens are valid, 0 for the usual time.
     """
 
     verdict: Verdict
@@ -36,3 +37,4 @@
     retry_after: float = 0
     pace: float = 0
     version: int = 0
+    seconds: float = 0
--- a/godwitknot/accounts/quotahome.py
+++ b/godwitknot/accounts/quotahome.py
@@ -7,8 +7,10 @@
 import attrs
 
 from godwitknot.accounts.clientaccount import ClientAccount
+from godwitknot.accounts.eventrate import EventRate
 from godwitknot.accounts.quotabounds import QuotaBounds
 from godwitknot.accounts.quotagrants import Grant, Verdict
+from godwitknot.accounts.quotaleases import Leases
 from godwitknot.accounts.tokenbucket import TokenBucket, Tokens
 from godwitknot.clock import Clock
 
@@ -28,6 +30,17 @@
 # Time during which tokens of the previous home may still become ready: it has
 # issued them ahead, or some nodes have not heard of the change.
 _HANDOVER_SECONDS = 0.5
+# A lease leaves this share of the capacity in the bucket, for other nodes.
+_SPARE_SHARE = 0.5
+# An account that has used more than this share of its rate for some seconds is
+# busy. Its leases hold only what is used soon, since tokens that wait at nodes
+# with few requests are missing at the others.
+_LOW_USE = 0.4
+_BUSY_DIVISOR = 3
+# Above this level, each node that asks holds a token for its next request, if
+# the account is not busy.
+_AMPLE_SHARE = 0.8
+_USE_SECONDS = 5.0
 # A bucket below this level is short of tokens.
 _LOW_LEVEL = 1.0
 
@@ -37,8 +50,10 @@
     """A bucket and the nodes that were denied tokens lately, with the time."""
 
     bucket: TokenBucket
+    issued: EventRate
     denied: dict[Hashable, float] = attrs.field(factory=dict)
     short_at: float = -math.inf
+    leases: Leases = attrs.field(factory=Leases)
 
     def count_competitors(self, now: float) -> int:
         """Return the number of nodes that were denied tokens lately."""
@@ -124,6 +139,7 @@
         asker: Hashable,
         wanted: int,
         *,
+        expected: int = 0,
         vacant: float = 0,
     ) -> Grant:
         """Answer a request for tokens.
@@ -131,12 +147,24 @@
         :param version: of the configuration that holds the account.
         :param asker: node that asks.
         :param wanted: number of tokens, above 0.
+        :param expected: number of tokens that it is to hold for later use.
         :param vacant: seconds for which the previous home has been lost.
         """
         self.tick()
         now = self._clock.now()
         state = self._find_state(account, vacant, now)
+        state.leases.end_spent(asker, now)
+        self._update_capacity(state, account, now)
+        tokens = self._lease(state, account, asker, wanted, expected, now)
+        if tokens is not None:
+            return Grant(
+                Verdict.GRANTED,
+                tokens,
+                version=version,
+                seconds=self._bounds.lease_seconds,
+            )
         tokens = self._take(state, asker, wanted, now)
+        state.issued.record(now, tokens.count)
         if state.bucket.level < _LOW_LEVEL:
             state.short_at = now
         if tokens.count == wanted:
@@ -156,20 +184,63 @@
         self, account: ClientAccount, vacant: float, now: float
     ) -> _AccountState:
         rate = account.rate * self.share
-        capacity = (account.burst + self._bounds.added_burst) * self.share
-        capacity = max(1, capacity)
+        capacity = self._compute_capacity(account)
         state = self._states.get(account.name)
         if state is None:
             level = min(capacity, self._bounds.start_tokens)
             level -= max(0, _HANDOVER_SECONDS - vacant) * rate
             if self._starts_full:
                 level = capacity
-            state = _AccountState(TokenBucket(rate, capacity, level, now))
+            state = _AccountState(
+                TokenBucket(rate, capacity, level, now),
+                EventRate(_USE_SECONDS, now, rate * _LOW_USE),
+            )
             self._states[account.name] = state
+        return state
+
+    def _compute_capacity(self, account: ClientAccount) -> float:
+        capacity = account.burst + self._bounds.added_burst
+        return max(1, capacity * self.share)
+
+    def _update_capacity(
+        self, state: _AccountState, account: ClientAccount, now: float
+    ) -> None:
+        """Apply the limit, less the tokens that nodes hold."""
+        rate = account.rate * self.share
+        capacity = self._compute_capacity(account) - state.leases.count_held(
+            now
+        )
         bucket = state.bucket
         if (bucket.rate, bucket.capacity) != (rate, capacity):
             bucket.change(rate, capacity, now)
-        return state
+
+    def _lease(
+        self,
+        state: _AccountState,
+        account: ClientAccount,
+        asker: Hashable,
+        wanted: int,
+        expected: int,
+        now: float,
+    ) -> Tokens | None:
+        """Issue tokens for the next seconds, if the account has many."""
+        bucket = state.bucket
+        bucket.advance(now)
+        capacity = self._compute_capacity(account)
+        level = bucket.level - wanted
+        if state.issued.estimate(now) > bucket.rate * _LOW_USE:
+            expected //= _BUSY_DIVISOR
+        elif level > capacity * _AMPLE_SHARE:
+            expected = max(1, expected)
+        spare = math.ceil((level - capacity * _SPARE_SHARE) / 2)
+        count = wanted + min(expected, spare)
+        if count <= wanted:
+            return None
+        state.leases.add(asker, count - wanted, now, self._bounds.lease_seconds)
+        tokens = bucket.take(count, 0, now)
+        state.issued.record(now, count)
+        self._update_capacity(state, account, now)
+        return tokens
 
     def _take(
         self, state: _AccountState, asker: Hashable, wanted: int, now: float
--- a/godwitknot/accounts/reachability.py
+++ b/godwitknot/accounts/reachability.py
@@ -16,7 +16,7 @@
 # A node that was silent for longer may be called to see whether it is in touch.
 _HEARD_SECONDS = 0.6
 # Without a frame for as long, a home checks whether it is cut off.
-_SILENCE_SECONDS = 0.9
+_SILENCE_SECONDS = 1.9
 # A call to a node shows for this long that it is out of touch.
 _FAILED_SECONDS = 3.0
 # Calls that failed, without any that succeeded, until a node counts as lost:
--- a/godwitknot/mesh/accountquotas.py
+++ b/godwitknot/mesh/accountquotas.py
@@ -10,7 +10,7 @@
 from godwitknot.accounts.clientaccount import ClientAccount
 from godwitknot.accounts.fallbackshare import FallbackShares
 from godwitknot.accounts.quotabounds import QuotaBounds
-from godwitknot.accounts.quotaclient import QuotaClient, Token
+from godwitknot.accounts.quotaclient import Ask, QuotaClient, Token
 from godwitknot.accounts.quotagrants import Grant, Verdict
 from godwitknot.accounts.quotahome import QuotaHome
 from godwitknot.accounts.quotause import QuotaUse, Use
@@ -188,10 +188,12 @@
         account = self._find_account(request.account)
         if account is None or account.rate <= 0 or not request.wanted:
             return Grant(Verdict.NOT_HOME)
-        return self._grant(account, request.sender, request.wanted)
+        return self._grant(
+            account, request.sender, request.wanted, request.expected
+        )
 
     def _grant(
-        self, account: ClientAccount, asker: object, wanted: int
+        self, account: ClientAccount, asker: object, wanted: int, expected: int
     ) -> Grant:
         if not self._peers.is_home(account.name):
             self._telemetry.count('quota_asked_as_other_home')
@@ -204,6 +206,7 @@
             self._holder.version,
             asker,
             wanted,
+            expected=expected,
             vacant=self._peers.measure_vacancy(account.name),
         )
         self._telemetry.count('quota_tokens_issued', grant.tokens.count)
@@ -258,9 +261,7 @@
             if home is None:
                 break
             ask = client.begin_ask()
-            grant = await self._request(
-                account, home, ask.wanted, is_retry=number > 0
-            )
+            grant = await self._request(account, home, ask, is_retry=number > 0)
             if grant is None:
                 continue
             if grant.verdict is not Verdict.GRANTED:
@@ -277,7 +278,7 @@
         self,
         account: ClientAccount,
         home: Address,
-        wanted: int,
+        ask: Ask,
         *,
         is_retry: bool,
     ) -> Grant | None:
@@ -286,15 +287,18 @@
         That node then checks whether the home is lost.
         """
         if home == self._local:
-            return self._grant(account, home, wanted)
+            return self._grant(account, home, ask.wanted, ask.expected)
         addresses = [home]
         heir = self._peers.find_heir(account.name) if is_retry else None
-        if heir is not None and heir != self._local:
-            addresses.append(heir)
-        elif heir is not None:
+        if heir == self._local:
             self._peers.probe_predecessors(account.name)
+        elif heir is not None:
+            addresses.append(heir)
         return await self._peers.request_first(
-            addresses, account=account.name, wanted=wanted
+            addresses,
+            account=account.name,
+            wanted=ask.wanted,
+            expected=ask.expected,
         )
 
     async def _use_fallback(
@@ -363,11 +367,8 @@
 
     def _list_limited(self) -> list[str]:
         """Return the names of the accounts with a limit."""
-        configuration = self._holder.current
-        if configuration is None or configuration.accounts is None:
-            return []
-        accounts = configuration.accounts.values()
-        return [account.name for account in accounts if account.rate > 0]
+        accounts = getattr(self._holder.current, 'accounts', None) or {}
+        return [name for name, each in accounts.items() if each.rate > 0]
 
     def _handle_peer_change(self) -> None:
         """Drop buckets of other homes, and update the share of the others."""
--- a/godwitknot/mesh/framedecoder.py
+++ b/godwitknot/mesh/framedecoder.py
@@ -272,6 +272,7 @@
         check_range(entry.wanted, 'wanted', MAX_TOKENS),
         subject,
         entry.confirmed,
+        check_range(entry.expected, 'expected', MAX_TOKENS),
     )
 
 
@@ -289,6 +290,7 @@
         check_duration(entry.retryAfter, 'retryAfter'),
         check_duration(entry.pace, 'pace'),
         entry.version,
+        check_duration(entry.seconds, 'seconds'),
     )
 
 
--- a/godwitknot/mesh/frames.py
+++ b/godwitknot/mesh/frames.py
@@ -296,6 +296,7 @@
             'wanted': request.wanted,
             'subject': str(request.subject or ''),
             'confirmed': request.confirmed,
+            'expected': request.expected,
         },
     )
 
@@ -313,6 +314,7 @@
             'retryAfter': grant.retry_after,
             'pace': grant.pace,
             'version': grant.version,
+            'seconds': grant.seconds,
         },
     )
 
--- a/godwitknot/mesh/mesh.capnp
+++ b/godwitknot/mesh/mesh.capnp
@@ -123,6 +123,8 @@
   account @1 :Text;
   wanted @2 :UInt32;       # number of tokens
   subject @3 :Text;        # host:port of a node that the sender has lost
+  expected @5 :UInt32;     # tokens beyond those wanted that the sender expects
+                           # to use in the next seconds
   confirmed @4 :Bool;      # whether witnesses have lost the subject too
 }
 
@@ -135,6 +137,7 @@
   retryAfter @5 :Float32;  # seconds until the sender may ask again
   pace @6 :Float32;        # seconds between two refused requests
   version @7 :Int64;       # of the configuration with the limit
+  seconds @8 :Float32;     # for which tokens are valid; 0 for the usual time
 }
 
 enum QuotaVerdict {
--- a/godwitknot/mesh/messages.py
+++ b/godwitknot/mesh/messages.py
@@ -198,6 +198,8 @@
     :param wanted: number of tokens.
     :param subject: relay address of a node that the sender has lost; ``None``
         asks whether the receiver is in touch.
+    :param expected: tokens beyond those wanted that the sender expects to use
+        in the next seconds.
     :param confirmed: whether witnesses of the sender have lost the subject too.
     """
 
@@ -206,3 +208,4 @@
     wanted: int = 0
     subject: Address | None = None
     confirmed: bool = False
+    expected: int = 0
--- a/tests/godwitknot/accounts/test_quotas.py
+++ b/tests/godwitknot/accounts/test_quotas.py
@@ -12,6 +12,7 @@
 from godwitknot.accounts.quotaclient import QuotaClient
 from godwitknot.accounts.quotagrants import Grant, Verdict
 from godwitknot.accounts.quotahome import QuotaHome
+from godwitknot.accounts.quotaleases import Leases
 from godwitknot.accounts.quotause import (
     MAX_NAMES,
     OTHER_NAME,
@@ -402,6 +403,53 @@
     assert reachability.record_heard('a-1')
 
 
+def test_leases_and_the_bucket_stay_within_its_capacity(clock, rng):
+    """Guards against a bucket that fills up while nodes hold its tokens."""
+    home = QuotaHome(BOUNDS, clock, rng, first_start=True)
+    capacity = ACCOUNT.burst + BOUNDS.added_burst
+    grant = home.grant(ACCOUNT, 1, 'calm', 1, expected=50)
+    held = grant.tokens.count - 1
+    assert capacity / 5 < held < capacity / 2
+    assert grant.seconds == BOUNDS.lease_seconds
+    home.tick()
+    clock.advance(1)
+    issued = home.grant(ACCOUNT, 1, 'hot', 100).tokens
+    assert issued.ready == capacity - held
+    assert not home.grant(ACCOUNT, 1, 'new', 1, expected=5).seconds
+    # Half a second is issued ahead.
+    assert run_home(home, clock, ACCOUNT, 5) <= ACCOUNT.rate * 5.5
+
+
+def test_lease_gives_its_place_back_when_it_is_spent_or_over(clock):
+    """Guards against a bucket that stays small, and one that grows at a retry.
+
+    After a retry, the node may use either of two grants.
+    """
+    leases = Leases()
+    leases.add('a', 3, clock.now(), 15)
+    leases.add('b', 4, clock.now(), 15)
+    clock.advance(0.5)
+    leases.end_spent('a', clock.now())
+    assert leases.count_held(clock.now()) == 7
+    clock.advance(0.6)
+    leases.end_spent('a', clock.now())
+    assert leases.count_held(clock.now()) == 4
+    clock.advance(15)
+    assert leases.count_held(clock.now()) == 0
+
+
+def test_only_tokens_beyond_those_wanted_are_held(client, clock):
+    """Guards against more than the home counts as held."""
+    ask = client.begin_ask()
+    tokens = Tokens(3, 3)
+    client.apply(ask, Grant(Verdict.GRANTED, tokens, seconds=1000))
+    clock.advance(BOUNDS.lease_seconds - 0.1)
+    assert [take(client, clock) is None for _ in range(3)] == [0, 0, 1]
+    client.apply(client.begin_ask(), Grant(Verdict.GRANTED, tokens, seconds=9))
+    clock.advance(BOUNDS.lease_seconds)
+    assert take(client, clock) is None
+
+
 def test_use_is_counted_for_a_bounded_number_of_accounts():
     """Guards against metrics and logs that grow with the accounts."""
     use = QuotaUse()
--- a/tests/godwitknot/mesh/test_accountquotas.py
+++ b/tests/godwitknot/mesh/test_accountquotas.py
@@ -308,6 +308,13 @@
     assert scene.sent > 6 * LARGE.rate * (END - START)
 
 
+def test_account_far_below_its_limit_costs_few_messages():
+    """Guards against a message both ways for each request."""
+    scene = play(LARGE, 1 / 5, weights=EVEN[:10])
+    assert scene.admitted_share > ALL_BUT_FEW
+    assert 2 * scene.fleet.traffic.messages < 3 * scene.sent
+
+
 def test_moving_callers_are_admitted():
     """Guards against shares that lag behind the callers."""
 
--- a/tests/godwitknot/mesh/test_frames.py
+++ b/tests/godwitknot/mesh/test_frames.py
@@ -93,9 +93,9 @@
 
 def test_frames_of_quotas_survive_encoding():
     tokens = Tokens(9, 2, delay=0.5, interval=0.25)
-    grant = Grant(Verdict.GRANTED, tokens, 1.5, 0.125, 7)
+    grant = Grant(Verdict.GRANTED, tokens, 1.5, 0.125, 7, seconds=15)
     requests = [
-        QuotaRequest(LOCAL.address, 'cargo', 3),
+        QuotaRequest(LOCAL.address, 'cargo', 3, expected=7),
         QuotaRequest(LOCAL.address, subject=LOCAL.address),
         QuotaRequest(LOCAL.address, subject=LOCAL.address, confirmed=True),
     ]
