--- a/bench/accounts/plays.py
+++ b/bench/accounts/plays.py
@@ -8,6 +8,7 @@
 import attrs
 
 from bench.accounts.load import (
+    DEMAND_SHARE,
     Arrival,
     count_central,
     make_accounts,
@@ -31,6 +32,8 @@
 _CUT_SECONDS, _HEAL_SECONDS = 4.0, 11.0
 _DEATH_SECONDS, _RESTART_SECONDS = 5.0, 7.0
 _DEATH_SHARE = 0.1
+# Waits for a token above this are counted.
+_DELAY_SECONDS = 0.5
 
 
 @attrs.frozen
@@ -40,6 +43,10 @@
     :param refused: requests that one bucket for all nodes would have admitted.
     :param overruns: accounts whose worst window exceeds the limit.
     :param worst: largest overrun, as a share of the limit.
+    :param admitted: requests of all accounts.
+    :param waits: requests without those of the hot account, whose nodes wait
+        for tokens at all times.
+    :param delayed: those of them that waited long for a token or a refusal.
     """
 
     central: int = 0
@@ -49,6 +56,9 @@
     overruns: int = 0
     worst: float = 0
     traffic: Traffic = attrs.field(factory=Traffic)
+    admitted: int = 0
+    waits: int = 0
+    delayed: int = 0
 
     def add(self, other: 'Result') -> 'Result':
         """Return the sum with another result."""
@@ -65,18 +75,25 @@
             self.overruns + other.overruns,
             max(self.worst, other.worst),
             traffic,
+            self.admitted + other.admitted,
+            self.waits + other.waits,
+            self.delayed + other.delayed,
         )
 
 
 @attrs.frozen
 class Play:
-    """One play, by the names of its parts."""
+    """One play, by the names of its parts.
+
+    :param demand: of an account, as a share of its rate.
+    """
 
     strategy: str
     nodes: int
     accounts: int
     event: str
     seed: int
+    demand: float = DEMAND_SHARE
 
     def run(self) -> Result:
         """Play it and return the result."""
@@ -84,9 +101,11 @@
 
     async def _run(self) -> Result:
         rng = random.Random(self.seed)
-        accounts = make_accounts(self.accounts, _DEMAND)
+        accounts = make_accounts(self.accounts, _DEMAND, self.demand)
         moves = _MOVES if self.event == 'moves' else ()
-        arrivals = make_load(accounts, self.nodes, (0, *moves, _SECONDS), rng)
+        arrivals = make_load(
+            accounts, self.nodes, (0, *moves, _SECONDS), rng, self.demand
+        )
         fleet = QuotaNodes(self.nodes, accounts, self.seed, first_start=True)
         strategy = None
         if self.strategy != HOMES:
@@ -98,7 +117,10 @@
             admitted = {
                 each.name: fleet.list_admitted(each.name) for each in accounts
             }
-            return _judge(arrivals, accounts, admitted, fleet.traffic)
+            total = _judge(arrivals, accounts, admitted, fleet.traffic)
+            waits = fleet.list_waits(each.name for each in accounts[1:])
+            delayed = sum(wait > _DELAY_SECONDS for wait in waits)
+            return attrs.evolve(total, waits=len(waits), delayed=delayed)
         running.cancel()
         return _judge(arrivals, accounts, strategy.admitted, strategy.traffic)
 
@@ -136,7 +158,7 @@
     by_name = collections.defaultdict(list)
     for arrival in arrivals:
         by_name[arrival.name].append(arrival)
-    total = Result(traffic=traffic)
+    total = Result(traffic=traffic, admitted=sum(map(len, admitted.values())))
     for number, account in enumerate(accounts):
         moments = sorted(admitted.get(account.name, ()))
         central = count_central(
--- a/godwitknot/mesh/accountquotas.py
+++ b/godwitknot/mesh/accountquotas.py
@@ -10,7 +10,7 @@
 from godwitknot.accounts.clientaccount import ClientAccount
 from godwitknot.accounts.fallbackshare import FallbackShares
 from godwitknot.accounts.quotabounds import QuotaBounds
-from godwitknot.accounts.quotaclient import QuotaClient, Token
+from godwitknot.accounts.quotaclient import Ask, QuotaClient, Token
 from godwitknot.accounts.quotagrants import Grant, Verdict
 from godwitknot.accounts.quotahome import QuotaHome
 from godwitknot.accounts.quotause import QuotaUse, Use
@@ -24,6 +24,7 @@
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.storesync import ConfigurationHolder
 from godwitknot.outcomes import Code, RefusalError
+from godwitknot.units import Address
 
 # Longest wait for a token.
 _MAX_WAIT_SECONDS = 2.0
@@ -71,7 +72,9 @@
         self._clock = runtime.clock
         self._log = runtime.log
         self._telemetry = runtime.telemetry
-        self._peers = QuotaPeers(directory, relay, bounds, runtime)
+        self._peers = QuotaPeers(
+            directory, relay, bounds, runtime, self._list_limited
+        )
         self._local = directory.local_member.address
         self._home = QuotaHome(
             bounds, runtime.clock, runtime.rng, first_start=first_start
@@ -116,7 +119,7 @@
         if self._clients or self._home.names:
             self._peers.probe_lost()
         self._report_use()
-        if self._home.is_short:
+        if self._home.is_short or (self._home.names and self._peers.is_silent):
             await self._peers.sample()
         if self._home.names:
             self._home.share = self._peers.compute_issued_share()
@@ -186,16 +189,20 @@
 
     def _answer(self, request: QuotaRequest) -> Grant:
         if request.subject is not None:
+            if request.confirmed:
+                self._peers.accept_loss(request.subject)
             return Grant(self._peers.judge(request.subject))
         if not request.account:
             return Grant(Verdict.REACHABLE)
         account = self._find_account(request.account)
         if account is None or account.rate <= 0 or not request.wanted:
             return Grant(Verdict.NOT_HOME)
-        return self._grant(account, request.sender, request.wanted)
+        return self._grant(
+            account, request.sender, request.wanted, request.expected
+        )
 
     def _grant(
-        self, account: ClientAccount, asker: object, wanted: int
+        self, account: ClientAccount, asker: object, wanted: int, expected: int
     ) -> Grant:
         if not self._peers.is_home(account.name):
             self._telemetry.count('quota_asked_as_other_home')
@@ -203,7 +210,14 @@
             return Grant(Verdict.NOT_HOME)
         if account.name not in self._home:
             self._home.share = self._peers.compute_issued_share()
-        grant = self._home.grant(account, self._holder.version, asker, wanted)
+        grant = self._home.grant(
+            account,
+            self._holder.version,
+            asker,
+            wanted,
+            expected=expected,
+            vacant=self._peers.measure_vacancy(account.name),
+        )
         self._telemetry.count('quota_tokens_issued', grant.tokens.count)
         if grant.retry_after > 0:
             self._telemetry.count('quota_denials')
@@ -251,17 +265,12 @@
     async def _ask_home(
         self, account: ClientAccount, client: QuotaClient
     ) -> bool:
-        for _ in range(_TRIES_PER_ASK):
+        for number in range(_TRIES_PER_ASK):
             home = self._peers.find_home(account.name)
             if home is None:
                 break
             ask = client.begin_ask()
-            if home == self._local:
-                grant = self._grant(account, home, ask.wanted)
-            else:
-                grant = await self._peers.request(
-                    home, account=account.name, wanted=ask.wanted
-                )
+            grant = await self._request(account, home, ask, is_retry=number > 0)
             if grant is None:
                 continue
             if grant.verdict is not Verdict.GRANTED:
@@ -274,6 +283,33 @@
         self._not_home[account.name] = self._clock.now() + _NOT_HOME_SECONDS
         return False
 
+    async def _request(
+        self,
+        account: ClientAccount,
+        home: Address,
+        ask: Ask,
+        *,
+        is_retry: bool,
+    ) -> Grant | None:
+        """Ask the home for tokens; after a failure, also the node after it.
+
+        That node then checks whether the home is lost.
+        """
+        if home == self._local:
+            return self._grant(account, home, ask.wanted, ask.expected)
+        addresses = [home]
+        heir = self._peers.find_heir(account.name) if is_retry else None
+        if heir == self._local:
+            self._peers.probe_predecessors(account.name)
+        elif heir is not None:
+            addresses.append(heir)
+        return await self._peers.request_first(
+            addresses,
+            account=account.name,
+            wanted=ask.wanted,
+            expected=ask.expected,
+        )
+
     async def _use_fallback(
         self, account: ClientAccount, client: QuotaClient, latest: float
     ) -> bool:
@@ -338,6 +374,11 @@
             return None
         return configuration.accounts.get(name)
 
+    def _list_limited(self) -> list[str]:
+        """Return the names of the accounts with a limit."""
+        accounts = getattr(self._holder.current, 'accounts', None) or {}
+        return [name for name, each in accounts.items() if each.rate > 0]
+
     def _handle_peer_change(self) -> None:
         """Drop buckets of other homes, and update the share of the others."""
         if self._home.names:
--- a/godwitknot/mesh/frames.py
+++ b/godwitknot/mesh/frames.py
@@ -311,6 +311,8 @@
             'account': request.account,
             'wanted': request.wanted,
             'subject': str(request.subject or ''),
+            'confirmed': request.confirmed,
+            'expected': request.expected,
         },
     )
 
@@ -328,6 +330,7 @@
             'retryAfter': grant.retry_after,
             'pace': grant.pace,
             'version': grant.version,
+            'seconds': grant.seconds,
         },
     )
 
--- a/godwitknot/mesh/quotapeers.py
+++ b/godwitknot/mesh/quotapeers.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from godwitknot.accounts.homechoice import HomeChoice
 from godwitknot.accounts.quotabounds import QuotaBounds
@@ -25,9 +25,17 @@
 _SAMPLES_PER_DOMAIN = 3
 # In a partition, a node checks the losses of many others at once.
 _SAMPLE_SECONDS = 0.4
-# A witness that does not know calls the node before it is asked again.
-_WITNESS_PAUSE_SECONDS = 0.35
-_WITNESS_ROUNDS = 2
+# A witness that does not know calls the node before it is asked again. Its call
+# takes as long as that of this node, apart from the ways.
+_WITNESS_MARGIN_SECONDS = 0.02
+_WITNESS_ROUNDS = 3
+# A node that was heard within this time is in touch. It is shorter than the time
+# limit of a call, after which other nodes ask.
+_RECENT_SECONDS = 0.2
+
+
+# Accounts whose nodes are ranked at a time.
+_NAMES_PER_STEP = 50
 
 
 class QuotaPeers:
@@ -39,11 +47,14 @@
         relay: RelayClient,
         bounds: QuotaBounds,
         runtime: Runtime,
+        list_names: Callable[[], Sequence[str]],
     ) -> None:
         """Create a view in which all nodes are in touch.
 
         :param relay: sends frames to other nodes.
+        :param list_names: returns the accounts that have a home.
         """
+        self._list_names = list_names
         self._directory = directory
         self._local = directory.local_member.address
         self._relay = relay
@@ -59,7 +70,6 @@
         # Other nodes by failure domain, ``None`` if they have changed.
         self._domains: dict[str, list[Address]] | None = None
         self._incarnations: dict[Address, int] = {}
-        self._probed: set[Address] = set()
         self._sampled_at = -math.inf
         # Called when the home of an account may have changed.
         self.change_listeners: list[Callable[[], None]] = []
@@ -72,6 +82,11 @@
         """Number of nodes among which a quota is shared."""
         return max(1, len(self._choice.nodes))
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether this node has heard no other one lately."""
+        return self._reachability.is_silent
+
     def rank(self, name: str) -> tuple[Address, ...]:
         """Return the nodes that may be the home of an account, in order."""
         return self._choice.rank(name)
@@ -86,6 +101,27 @@
                 return address
         return None
 
+    def find_heir(self, name: str) -> Address | None:
+        """Return the node that replaces the home if it is lost."""
+        found = [
+            address
+            for address in self._choice.rank(name)
+            if not self._reachability.is_lost(address)
+        ]
+        return found[1] if len(found) > 1 else None
+
+    def measure_vacancy(self, name: str) -> float:
+        """Return for how long the nodes before this one have been lost.
+
+        :returns: 0 for the first node in the rank of an account.
+        """
+        losses: list[float] = []
+        for address in self._choice.rank(name):
+            if address == self._local:
+                break
+            losses.append(self._takeovers.measure_loss(address))
+        return min(losses, default=0)
+
     def is_home(self, name: str) -> bool:
         """Return whether this node may issue tokens of an account.
 
@@ -103,7 +139,7 @@
         return False
 
     def probe_predecessors(self, name: str) -> None:
-        """Call the nodes that come before this one, which others have lost.
+        """Check the nodes that come before this one, which others have lost.
 
         :param name: account whose tokens another node has asked for here.
         """
@@ -112,11 +148,10 @@
             return
         for address in ranked[: ranked.index(self._local)]:
             is_known = self._reachability.has_heard(
-                address
+                address, _RECENT_SECONDS
             ) or self._reachability.is_lost(address)
-            if not is_known and address not in self._probed:
-                self._probed.add(address)
-                self._tasks.spawn(self._probe(address))
+            if not is_known and self._takeovers.begin_check(address):
+                self._tasks.spawn(self._check_loss(address))
 
     def compute_issued_share(self) -> float:
         """Return the share of a quota that this node may issue as home.
@@ -129,6 +164,28 @@
             return 1
         return max(1 - lost, 1 / self.node_count)
 
+    async def request_first(
+        self, addresses: Sequence[Address], **fields
+    ) -> Grant | None:
+        """Send a request to several nodes; return the first grant.
+
+        :returns: the last answer if none of them grants tokens, ``None`` if
+            there is none in time.
+        """
+        calls = [
+            asyncio.ensure_future(self.request(address, **fields))
+            for address in addresses
+        ]
+        for call in calls:
+            self._tasks.track(call)
+        answer = None
+        for finished in asyncio.as_completed(calls):
+            grant = await finished
+            answer = answer if grant is None else grant
+            if grant is not None and grant.verdict is Verdict.GRANTED:
+                break
+        return answer
+
     async def request(self, address: Address, **fields) -> Grant | None:
         """Send a request and return the answer.
 
@@ -164,13 +221,27 @@
 
         If it knows nothing, it calls that node.
         """
-        if address == self._local or self._reachability.has_heard(address):
+        if address == self._local or self._reachability.has_heard(
+            address, _RECENT_SECONDS
+        ):
             return Verdict.REACHABLE
         if self._reachability.has_failed(address):
             return Verdict.LOST
         self._tasks.spawn(self.request(address))
         return Verdict.UNKNOWN
 
+    def accept_loss(self, address: Address) -> None:
+        """Accept a loss that another node has confirmed.
+
+        A node that can reach the lost one does not.
+        """
+        is_known = address == self._local or self._reachability.has_heard(
+            address, _RECENT_SECONDS
+        )
+        if is_known or address not in self._choice.nodes:
+            return
+        self._tasks.spawn(self._adopt_loss(address))
+
     async def sample(self, count: int = 1) -> None:
         """Call nodes of each failure domain that were not heard lately.
 
@@ -232,16 +303,6 @@
         for listener in self.change_listeners:
             listener()
 
-    async def _probe(self, address: Address) -> None:
-        """Call a node; if it does not answer, check its loss."""
-        try:
-            if await self.request(address) is not None:
-                return
-            if self._takeovers.begin_check(address):
-                await self._check_loss(address)
-        finally:
-            self._probed.discard(address)
-
     async def _check_loss(self, lost: Address) -> None:
         """Ask witnesses about a lost node, and call it and others again."""
         others = self._choice.nodes - {self._local, lost}
@@ -251,20 +312,26 @@
         verdicts: dict[Address, Verdict | None] = dict.fromkeys(
             witnesses, Verdict.UNKNOWN
         )
-        calls = asyncio.gather(
-            self.request(lost), self.sample(_SAMPLES_PER_DOMAIN)
+        self._tasks.spawn(self.sample(_SAMPLES_PER_DOMAIN))
+        answer, _ = await asyncio.gather(
+            self.request(lost), self._ask_witnesses(lost, verdicts)
         )
-        for number in range(_WITNESS_ROUNDS):
-            if number:
-                await asyncio.sleep(_WITNESS_PAUSE_SECONDS)
+        for _ in range(_WITNESS_ROUNDS - 1):
+            if answer is not None or Verdict.UNKNOWN not in verdicts.values():
+                break
+            await asyncio.sleep(_WITNESS_MARGIN_SECONDS)
             await self._ask_witnesses(lost, verdicts)
-        await calls
-        if not self._reachability.is_lost(lost):
-            self._takeovers.forget(lost)
+        if not self._reachability.has_failed(lost):
+            self._takeovers.conclude(lost, [Verdict.REACHABLE], others=1)
             return
+        was_adopted = self._takeovers.is_adopted(lost)
         is_confirmed = self._takeovers.conclude(
             lost, list(verdicts.values()), others=len(others)
         )
+        if is_confirmed and self._reachability.confirm_lost(lost):
+            self._log.write('quota peer lost', peer=str(lost))
+        if is_confirmed and not was_adopted:
+            self._tasks.spawn(self._announce_loss(lost))
         self._log.write(
             'quota home checked',
             peer=str(lost),
@@ -273,6 +340,42 @@
         )
         self._notify_listeners()
 
+    async def _adopt_loss(self, lost: Address) -> None:
+        """Call a node that others have lost; if it fails, so has this one."""
+        started = self._clock.now()
+        is_lost = self._reachability.has_failed(lost)
+        if not is_lost and await self.request(lost) is not None:
+            return
+        self._takeovers.adopt(lost, started)
+        if self._reachability.confirm_lost(lost):
+            self._log.write('quota peer lost', peer=str(lost))
+        self._notify_listeners()
+
+    async def _announce_loss(self, lost: Address) -> None:
+        """Tell the nodes that become homes of the lost one's accounts."""
+        heirs: set[Address] = set()
+        for number, name in enumerate(self._list_names()):
+            if number % _NAMES_PER_STEP == 0:
+                await asyncio.sleep(0)
+            if lost in self._choice.rank(name):
+                heir = self._find_replacement(name, lost)
+                heirs.add(heir)
+        heirs -= {self._local, None}
+        await asyncio.gather(
+            *(
+                self.request(heir, subject=lost, confirmed=True)
+                for heir in sorted(heirs, key=str)
+            )
+        )
+
+    def _find_replacement(self, name: str, lost: Address) -> Address | None:
+        """Return the home of an account if it comes after a lost node."""
+        ranked = self._choice.rank(name)
+        home = self.find_home(name)
+        if home is None or ranked.index(lost) > ranked.index(home):
+            return None
+        return home
+
     async def _ask_witnesses(
         self, lost: Address, verdicts: dict[Address, Verdict | None]
     ) -> None:
--- a/tests/godwitknot/accounts/test_quotas.py
+++ b/tests/godwitknot/accounts/test_quotas.py
@@ -12,6 +12,7 @@
 from godwitknot.accounts.quotaclient import QuotaClient
 from godwitknot.accounts.quotagrants import Grant, Verdict
 from godwitknot.accounts.quotahome import QuotaHome
+from godwitknot.accounts.quotaleases import Leases
 from godwitknot.accounts.quotause import (
     MAX_NAMES,
     OTHER_NAME,
@@ -87,6 +88,15 @@
     assert issued >= ACCOUNT.rate * 4.5
 
 
+@pytest.mark.parametrize(('vacant', 'ready'), [(0, 0), (0.3, 3), (9, 5)])
+def test_home_starts_with_more_if_the_previous_one_is_long_lost(
+    home, vacant, ready
+):
+    """Guards against tokens beside those that the lost home issued ahead."""
+    grant = home.grant(ACCOUNT, 1, 'node', 100, vacant=vacant)
+    assert grant.tokens.ready == ready
+
+
 def test_first_start_of_the_system_has_the_burst(clock, rng):
     home = QuotaHome(BOUNDS, clock, rng, first_start=True)
     grant = home.grant(ACCOUNT, 1, 'node', 100)
@@ -356,6 +366,90 @@
     assert not takeovers.is_confirmed('a-1')
 
 
+def test_loss_lasts_from_the_start_of_the_first_check(clock, rng):
+    """Guards against a loss counted from before others had lost the node."""
+    takeovers = Takeovers(clock, rng)
+    lost = [Verdict.LOST, Verdict.LOST]
+    assert not takeovers.measure_loss('a-1')
+    for verdicts in ([Verdict.REACHABLE], lost, lost):
+        assert takeovers.begin_check('a-1')
+        clock.advance(0.5)
+        takeovers.conclude('a-1', verdicts, others=9)
+        clock.advance(5)
+    assert takeovers.measure_loss('a-1') == pytest.approx(11)
+    takeovers.forget('a-1')
+    assert not takeovers.measure_loss('a-1')
+
+
+def test_loss_that_another_node_confirmed_is_checked_later(clock, rng):
+    """Guards against all homes that check a loss again at the same time."""
+    takeovers = Takeovers(clock, rng)
+    takeovers.adopt('a-1', clock.now())
+    assert takeovers.is_adopted('a-1')
+    clock.advance(6)
+    assert takeovers.is_confirmed('a-1')
+    assert not takeovers.begin_check('a-1')
+    clock.advance(4)
+    assert not takeovers.is_adopted('a-1')
+    assert takeovers.begin_check('a-1')
+
+
+def test_node_that_others_have_lost_too_is_lost_after_one_call(clock):
+    reachability = Reachability(clock)
+    reachability.record_failed('a-1', clock.now())
+    assert reachability.confirm_lost('a-1')
+    assert reachability.is_lost('a-1')
+    assert not reachability.confirm_lost('a-1')
+    assert reachability.record_heard('a-1')
+
+
+def test_leases_and_the_bucket_stay_within_its_capacity(clock, rng):
+    """Guards against a bucket that fills up while nodes hold its tokens."""
+    home = QuotaHome(BOUNDS, clock, rng, first_start=True)
+    capacity = ACCOUNT.burst + BOUNDS.added_burst
+    grant = home.grant(ACCOUNT, 1, 'calm', 1, expected=50)
+    held = grant.tokens.count - 1
+    assert capacity / 5 < held < capacity / 2
+    assert grant.seconds == BOUNDS.lease_seconds
+    home.tick()
+    clock.advance(1)
+    issued = home.grant(ACCOUNT, 1, 'hot', 100).tokens
+    assert issued.ready == capacity - held
+    assert not home.grant(ACCOUNT, 1, 'new', 1, expected=5).seconds
+    # Half a second is issued ahead.
+    assert run_home(home, clock, ACCOUNT, 5) <= ACCOUNT.rate * 5.5
+
+
+def test_lease_gives_its_place_back_when_it_is_spent_or_over(clock):
+    """Guards against a bucket that stays small, and one that grows at a retry.
+
+    After a retry, the node may use either of two grants.
+    """
+    leases = Leases()
+    leases.add('a', 3, clock.now(), 15)
+    leases.add('b', 4, clock.now(), 15)
+    clock.advance(0.5)
+    leases.end_spent('a', clock.now())
+    assert leases.count_held(clock.now()) == 7
+    clock.advance(0.6)
+    leases.end_spent('a', clock.now())
+    assert leases.count_held(clock.now()) == 4
+    clock.advance(15)
+    assert leases.count_held(clock.now()) == 0
+
+
+def test_only_tokens_beyond_those_wanted_are_held(client, clock):
+    """Guards against more than the home counts as held."""
+    ask = client.begin_ask()
+    tokens = Tokens(3, 3)
+    client.apply(ask, Grant(Verdict.GRANTED, tokens, seconds=1000))
+    clock.advance(BOUNDS.lease_seconds - 0.1)
+    assert [take(client, clock) is None for _ in range(3)] == [0, 0, 1]
+    client.apply(client.begin_ask(), Grant(Verdict.GRANTED, tokens, seconds=9))
+    clock.advance(BOUNDS.lease_seconds)
+    assert take(client, clock) is None
+
+
 def test_use_is_counted_for_a_bounded_number_of_accounts():
     """Guards against metrics and logs that grow with the accounts."""
     use = QuotaUse()
