Let homes of busy large accounts notice a partition before they are short

Cause: a home estimated the nodes in touch only while an account was short of tokens.

Change: homes also sample while an account has used more than 0.4 of its rate and two homes could exceed its limit; small accounts cannot.

--- a/godwitknot/accounts/quotabounds.py
+++ b/godwitknot/accounts/quotabounds.py
@@ -61,3 +61,11 @@
     def ignored_share(self) -> float:
         """Share of the nodes that may be out of touch without an effect."""
         return self.overage / 2
+
+    def is_exceeded_by_two(self, rate: float, burst: float) -> bool:
+        """Return whether two homes that issue a rate exceed its limit.
+
+        :param burst: that one of them may issue at once.
+        """
+        limit = (rate * self.window + burst) * (1 + self.overage) + self.slack
+        return 2 * rate * self.window > limit
--- a/godwitknot/accounts/quotahome.py
+++ b/godwitknot/accounts/quotahome.py
@@ -34,7 +34,8 @@
 _SPARE_SHARE = 0.5
 # An account that has used more than this share of its rate for some seconds is
 # busy. Its leases hold only what is used soon, since tokens that wait at nodes
-# with few requests are missing at the others.
+# with few requests are missing at the others. In a partition, it may use all of
+# its rate on each side before the side of its home is short of tokens.
 _LOW_USE = 0.4
 _BUSY_DIVISOR = 3
 # Above this level, each node that asks holds a token for its next request, if
@@ -106,13 +107,24 @@
         return tuple(self._states)
 
     @property
-    def is_short(self) -> bool:
-        """Whether some account has used up its quota lately.
+    def needs_contact(self) -> bool:
+        """Whether it matters which nodes are out of touch.
 
-        Only then does it matter which nodes are out of touch.
+        It does if some account has used up its quota lately, or could exceed
+        its limit with another home in a partition.
         """
-        earliest = self._clock.now() - _ASKER_SECONDS
-        return any(state.short_at > earliest for state in self._states.values())
+        now = self._clock.now()
+        return any(
+            state.short_at > now - _ASKER_SECONDS
+            or self._may_exceed(state, now)
+            for state in self._states.values()
+        )
+
+    def _may_exceed(self, state: _AccountState, now: float) -> bool:
+        rate = state.bucket.rate
+        if state.issued.estimate(now) < rate * _LOW_USE:
+            return False
+        return self._bounds.is_exceeded_by_two(rate, state.bucket.capacity)
 
     def tick(self) -> bool:
         """Note that the process runs, at least every second.
--- a/godwitknot/mesh/accountquotas.py
+++ b/godwitknot/mesh/accountquotas.py
@@ -119,7 +119,8 @@
         if self._clients or self._home.names:
             self._peers.probe_lost()
         self._report_use()
-        if self._home.is_short or (self._home.names and self._peers.is_silent):
+        is_silent = self._home.names and self._peers.is_silent
+        if is_silent or self._home.needs_contact:
             await self._peers.sample()
         if self._home.names:
             self._home.share = self._peers.compute_issued_share()
