Ask a region with room before requests wait in a full one

Cause: while a wave fills a region, its requests waited there for up to 0.3 of their objective before another region was asked, beside free slots. Change: a forecast of the busy slots of each region from the loads in replies. If the own region is expected at 1.2 of its slots and another stays below 0.75 for a second, that one is asked before the short queues, within a bound on the bytes of a node, and not while servers of the own region hang.

--- a/bench/overload/spreadplay.py
+++ b/bench/overload/spreadplay.py
@@ -75,7 +75,7 @@
 
 
 class CountedSelector(ServerSelector):
-    """Today's selector, which also counts the replies to its offers."""
+    """The node's selector, which also counts the replies to its offers."""
 
     def __init__(self, tally: SpreadTally, *arguments) -> None:
         """Create a selector whose replies are counted.
@@ -92,7 +92,14 @@
         counter[target.member.service, self._distance(target.member)] += 1
 
 
-class TwoChoicesSelector(CountedSelector):
+class LocalFirstSelector(CountedSelector):
+    """Never asks another region ahead of need."""
+
+    def find_lender(self, service: str) -> str | None:
+        """Return no region."""
+
+
+class TwoChoicesSelector(LocalFirstSelector):
     """Takes the better of two random servers within the reach."""
 
     def choose(
@@ -115,7 +122,11 @@
         return super().choose(service, excluded, reach=reach, **options)
 
 
-SELECTORS = {'today': CountedSelector, 'two choices': TwoChoicesSelector}
+SELECTORS = {
+    'local first': LocalFirstSelector,
+    'two choices': TwoChoicesSelector,
+    'ahead': CountedSelector,
+}
 
 
 def _make_route(
--- a/godwitknot/mesh/dispatcher.py
+++ b/godwitknot/mesh/dispatcher.py
@@ -62,7 +62,7 @@
         self._relay = relay
         self._durations = RunDurations()
         self._search = TargetSearch(
-            selector, self._durations, shutdown, runtime.clock
+            selector, self._durations, shutdown, runtime
         )
         self._returns = ReturnSchedule(runtime.clock)
         self._clock = runtime.clock
@@ -146,6 +146,7 @@
             response = attempt.task.result()
             context.may_have_run = True
             self._returns.record_served(context.service)
+            self._search.record_response(context, response)
             if response.status in SUCCESS:
                 self._durations.add(
                     self._clock.now() - attempt.started,
--- a/godwitknot/mesh/requestcontext.py
+++ b/godwitknot/mesh/requestcontext.py
@@ -177,6 +177,14 @@
         self.doubts.clear()
         return addresses
 
+    def reject_doubtful(self) -> None:
+        """Offer it to servers that are not doubtful only.
+
+        While it may wait for one in its own region, a doubtful server of
+        another region is no better.
+        """
+        self.accepts_doubtful = self.is_last_resort
+
     @property
     def may_send_again(self) -> bool:
         """Whether the route allows another send."""
--- a/godwitknot/mesh/serverselector.py
+++ b/godwitknot/mesh/serverselector.py
@@ -15,6 +15,7 @@
 from godwitknot.mesh.messages import Load
 from godwitknot.mesh.model import Placement
 from godwitknot.mesh.runtime import Runtime
+from godwitknot.overload.borrowing import Borrowing
 from godwitknot.units import Address
 
 # Cost of a server by distance, in seconds of a caller's time. It covers network
@@ -138,6 +139,7 @@
         self._statuses: dict[tuple[Address, str], _ServerStatus] = {}
         self._remote: dict[str, _RemoteAcceptance] = {}
         self.contacts = Contacts()
+        self._borrowing = Borrowing(runtime.clock, placement.region)
 
     @property
     def unreachable(self) -> dict[Address, float]:
@@ -152,6 +154,7 @@
         avoided: bool,
         reach: Reach,
         protocol: int = 0,
+        region: str | None = None,
     ) -> Target | None:
         """Return the server with the lowest cost that is not excluded.
 
@@ -159,16 +162,20 @@
         :param avoided: also consider servers that are to be avoided.
         :param protocol: oldest version of the protocol that their nodes may
             speak.
+        :param region: the only one of the other regions that is considered,
+            ``None`` for all.
         """
         now = self._clock.now()
         local_only = reach is Reach.OWN_REGION
         if not local_only and not self._may_ask_remote(service, now):
             return None
-        region = self._placement.region
+        own_region = self._placement.region
         best: Member | None = None
         best_cost = float(0)
         for member in self._directory.find_servers(service):
-            if local_only != (member.region == region):
+            if local_only != (member.region == own_region):
+                continue
+            if region is not None and member.region != region:
                 continue
             if member.address in excluded or member.protocol < protocol:
                 continue
@@ -191,6 +198,24 @@
                 return self._make_target(member)
         return None
 
+    def find_lender(self, service: str) -> str | None:
+        """Return the region to ask before requests wait in the own one.
+
+        :returns: ``None`` if they are to stay in the own region first.
+        """
+        servers = self._directory.find_servers(service)
+        return self._borrowing.find_lender(
+            service, {member.region for member in servers}
+        )
+
+    def count_region_nodes(self) -> int:
+        """Return how many serving nodes the own region has."""
+        region = self._placement.region
+        return sum(
+            member.serving and member.region == region
+            for member in self._directory.members
+        )
+
     def record_sent(self, target: Target) -> None:
         """Record a request that was sent."""
         status = self._find_status(target.member)
@@ -204,6 +229,12 @@
         if load is not None:
             status.reported_load = load
             status.reported_at = self._clock.now()
+            self._borrowing.record_load(
+                target.member.service,
+                target.member.region,
+                (load.running + load.waiting) / max(1, load.slots),
+                load.doubt,
+            )
 
     def record_reply(self, target: Target, *, accepted: bool) -> None:
         """Record whether the sidecar of a server accepted an offer."""
--- a/godwitknot/mesh/targetsearch.py
+++ b/godwitknot/mesh/targetsearch.py
@@ -1,11 +1,13 @@
 """Search for a server that may take a request, and for how long it may wait."""
 
-from godwitknot.clock import Clock
 from godwitknot.mesh.attempts import Attempt
+from godwitknot.mesh.model import HttpRequest, HttpResponse
 from godwitknot.mesh.requestcontext import RequestContext
 from godwitknot.mesh.rundurations import RunDurations
+from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.serverselector import Reach, ServerSelector, Target
 from godwitknot.mesh.shutdown import Shutdown
+from godwitknot.overload.bytebound import ByteBound
 from godwitknot.units import Address
 
 # An attempt takes at most about this multiple of its typical time.
@@ -16,7 +18,9 @@
     """Decides where a request is offered next.
 
     Free servers of the own region come first, then short waits there, then
-    other regions, then long waits.
+    other regions, then long waits. While all slots of the own region are
+    expected to be busy, a region that is expected to have free ones comes
+    before the short waits, within a bound on its bytes.
     """
 
     def __init__(
@@ -24,7 +28,7 @@
         selector: ServerSelector,
         durations: RunDurations,
         shutdown: Shutdown,
-        clock: Clock,
+        runtime: Runtime,
     ) -> None:
         """Create a search.
 
@@ -34,7 +38,10 @@
         self._selector = selector
         self._durations = durations
         self._shutdown = shutdown
-        self._clock = clock
+        self._clock = runtime.clock
+        self._log = runtime.log
+        self._telemetry = runtime.telemetry
+        self._byte_bound = ByteBound(runtime.clock)
 
     def choose(self, context: RequestContext) -> tuple[Target | None, float]:
         """Return a server, and how long the request may wait there.
@@ -58,6 +65,12 @@
         # All servers that were asked are busy or ejected.
         return self._join_queue(context, set())
 
+    def record_response(
+        self, context: RequestContext, response: HttpResponse
+    ) -> None:
+        """Learn the size of a service's responses."""
+        self._byte_bound.record_response(context.service, len(response.body))
+
     def choose_hedge(
         self,
         context: RequestContext,
@@ -128,6 +141,7 @@
             return None, 0
         short_wait = min(max_wait, context.short_queue_seconds)
         for wait, choose in (
+            (short_wait, self._choose_ahead),
             (short_wait, self._choose_queue),
             (short_wait, self._choose_remote),
             (max_wait, self._choose_long_queue),
@@ -175,10 +189,42 @@
             protocol=context.protocol,
         )
 
-    def _choose_remote(
+    def _choose_ahead(
         self, context: RequestContext, used: set[Address]
     ) -> Target | None:
-        """Return a server of another region, if it is likely to accept."""
+        """Return a server of a region with room, if the own one has none."""
+        region = self._selector.find_lender(context.service)
+        if region is None or not context.may_ask_remote:
+            return None
+        if not self._byte_bound.try_spend(
+            context.service,
+            _count_body_bytes(context.http_request),
+            self._selector.count_region_nodes(),
+        ):
+            self._telemetry.count('requests_kept_by_byte_bound')
+            return None
+        target = self._choose_remote(context, used, region)
+        if target is not None:
+            context.reject_doubtful()
+            self._telemetry.count('requests_sent_ahead')
+            self._log.write_good(
+                'request sent ahead',
+                request=context.attempt_id,
+                service=context.service,
+                region=region,
+            )
+        return target
+
+    def _choose_remote(
+        self,
+        context: RequestContext,
+        used: set[Address],
+        region: str | None = None,
+    ) -> Target | None:
+        """Return a server of another region, if it is likely to accept.
+
+        :param region: the only one considered, ``None`` for all.
+        """
         if not context.may_ask_remote:
             return None
         target = self._selector.choose(
@@ -187,7 +233,13 @@
             avoided=False,
             reach=Reach.OTHER_REGIONS,
             protocol=context.protocol,
+            region=region,
         )
         if target is not None:
             context.record_remote_offer()
         return target
+
+
+def _count_body_bytes(http_request: HttpRequest) -> int:
+    stream = http_request.stream
+    return len(http_request.body) if stream is None else stream.size
--- a/tests/godwitknot/mesh/test_offerorder.py
+++ b/tests/godwitknot/mesh/test_offerorder.py
@@ -16,6 +16,7 @@
 from godwitknot.mesh.dispatcher import Dispatcher
 from godwitknot.mesh.localserver import LocalServer
 from godwitknot.mesh.memberdirectory import Directory
+from godwitknot.mesh.messages import Load
 from godwitknot.mesh.model import HttpResponse, RouteKind
 from godwitknot.mesh.runtime import Runtime
 from godwitknot.mesh.serverselector import ServerSelector
@@ -38,6 +39,8 @@
 GRACE_SECONDS = 6
 # Longest wait in the own region before others are asked.
 SHORT_WAIT_SECONDS = 0.3
+# More than a node may move to other regions ahead of need at once.
+LARGE = 2_000_000
 
 
 class ScriptedRelay:
@@ -156,6 +159,29 @@
     assert relay.offers[-1].max_wait <= SHORT_WAIT_SECONDS
 
 
+@pytest.mark.parametrize(('size', 'crosses'), [(4, True), (LARGE, False)])
+def test_full_region_asks_another_one_before_requests_wait(
+    run, relay, size, crosses
+):
+    """Guards against a wave that waits in its region beside free slots.
+
+    Large responses would fill the link between the regions.
+    """
+
+    async def report_load(address, round_trip, exchange):
+        relay.offers.append(exchange.offer)
+        is_remote = exchange.offer.server_id in OTHER_REGION
+        exchange.load = Load(1, 0, 5) if is_remote else Load(5, 3, 5)
+        if not (is_remote or exchange.offer.max_wait):
+            raise FULL
+        return HttpResponse(200, [], bytes(size))
+
+    relay.run = report_load
+    results, _ = run(RouteKind.AT_MOST_ONCE, 4)
+    assert {each.status for each in results} == {200}
+    assert (relay.servers[-1] in OTHER_REGION) == crosses
+
+
 def test_region_that_accepts_nothing_is_rarely_asked(run, relay):
     """Guards against offers that fill the link between saturated regions.
 
