--- a/godwitknot/mesh/dispatcher.py
+++ b/godwitknot/mesh/dispatcher.py
@@ -62,7 +62,7 @@
         self._relay = relay
         self._durations = RunDurations()
         self._search = TargetSearch(
-            selector, self._durations, shutdown, runtime.clock
+            selector, self._durations, shutdown, runtime
         )
         self._returns = ReturnSchedule(runtime.clock)
         self._clock = runtime.clock
@@ -168,6 +168,7 @@
             self._counts.count_answer(
                 context.active, member.zone, member.region
             )
+            self._search.record_response(context, response)
             if response.status in SUCCESS:
                 self._durations.add(
                     self._clock.now() - attempt.started,
--- a/godwitknot/mesh/model.py
+++ b/godwitknot/mesh/model.py
@@ -121,6 +121,9 @@
         ``None`` if it is not limited.
     :param strict_revoke: whether a node that may have missed a revocation
         refuses requests with keys.
+    :param region_link_bytes: that all nodes together may move between two
+        regions, in bytes a second each way. Without it, 0, no request is sent
+        to another region ahead of need.
     """
 
     stop_grace_seconds: float
@@ -130,6 +133,7 @@
     quota: QuotaBounds = QuotaBounds()
     revoke_seconds: float | None = None
     strict_revoke: bool = False
+    region_link_bytes: float = 0
 
 
 @attrs.define
--- a/godwitknot/mesh/serverselector.py
+++ b/godwitknot/mesh/serverselector.py
@@ -17,6 +17,7 @@
 from godwitknot.mesh.messages import Load
 from godwitknot.mesh.model import Placement
 from godwitknot.mesh.runtime import Runtime
+from godwitknot.overload.borrowing import Borrowing
 from godwitknot.units import Address
 
 # Of the status of a server; 407 as measured with 5,000.
@@ -153,12 +154,18 @@
         # Doubts that servers usually report, by service.
         self._usual_doubts: dict[str, float] = {}
         self.contacts = Contacts()
+        self._borrowing = Borrowing(runtime.clock, placement.region)
 
     @property
     def unreachable(self) -> dict[Address, float]:
         """Nodes that did not answer, and since when."""
         return self.contacts.unreachable
 
+    @property
+    def region_link_bytes(self) -> float:
+        """Bound on bytes between regions by the settings, 0 if none."""
+        return self._placement.bounds.region_link_bytes
+
     def choose(
         self,
         service: str,
@@ -167,6 +174,7 @@
         avoided: bool,
         reach: Reach,
         protocol: int = 0,
+        region: str | None = None,
     ) -> Target | None:
         """Return the server with the lowest cost that is not excluded.
 
@@ -174,16 +182,20 @@
         :param avoided: also consider servers that are to be avoided.
         :param protocol: oldest version of the protocol that their nodes may
             speak.
+        :param region: the only one of the other regions that is considered,
+            ``None`` for all.
         """
         now = self._clock.now()
         local_only = reach is Reach.OWN_REGION
         if not local_only and not self._may_ask_remote(service, now):
             return None
-        region = self._placement.region
+        own_region = self._placement.region
         best: Member | None = None
         best_cost = float(0)
         for member in self._directory.find_servers(service):
-            if local_only != (member.region == region):
+            if local_only != (member.region == own_region):
+                continue
+            if region is not None and member.region != region:
                 continue
             if member.address in excluded or member.protocol < protocol:
                 continue
@@ -206,6 +218,27 @@
                 return self._make_target(member)
         return None
 
+    def find_lender(self, service: str) -> str | None:
+        """Return the region to ask before requests wait in the own one.
+
+        :returns: ``None`` if they are to stay in the own region first, as they
+            always are without a bound on bytes between regions.
+        """
+        if not self.region_link_bytes:
+            return None
+        servers = self._directory.find_servers(service)
+        return self._borrowing.find_lender(
+            service, {member.region for member in servers}
+        )
+
+    def count_region_nodes(self) -> int:
+        """Return how many serving nodes the own region has."""
+        region = self._placement.region
+        return sum(
+            member.serving and member.region == region
+            for member in self._directory.members
+        )
+
     def record_sent(self, target: Target) -> None:
         """Record a request that was sent."""
         status = self._find_status(target.member)
@@ -223,6 +256,12 @@
             usual = self._usual_doubts.get(service, load.doubt)
             usual += _DOUBT_SMOOTHING * (load.doubt - usual)
             self._usual_doubts[service] = usual
+            self._borrowing.record_load(
+                target.member.service,
+                target.member.region,
+                (load.running + load.waiting) / max(1, load.slots),
+                load.doubt,
+            )
 
     def record_reply(self, target: Target, *, accepted: bool) -> None:
         """Record whether the sidecar of a server accepted an offer."""
--- a/godwitknot/platform/settings.py
+++ b/godwitknot/platform/settings.py
@@ -33,6 +33,9 @@
 # Millions of bytes.
 _MEMORY_MB = Limits(1, 10**7)
 _MB = 1000000
+_LINK_MBPS = Limits(1, 10**7)
+# Bytes a second.
+_MBPS_BYTES = 125000
 # Share of a quota that may be exceeded.
 _QUOTA_OVERAGE = Limits(0, 10)
 # Scalars such as dates and numbers are converted while a file is parsed.
@@ -125,6 +128,7 @@
         quota=_decode_quota_bounds(fields),
         revoke_seconds=_parse_revocation(fields),
         strict_revoke=_parse_flag(fields, 'strict_revoke'),
+        region_link_bytes=_parse_link(fields),
     )
 
 
@@ -151,6 +155,13 @@
     return _parse_bound(fields, 'revoke_ms', _DURATION_MS) / _MS_PER_SECOND
 
 
+def _parse_link(fields: Mapping) -> float:
+    """Return the bound on bytes between regions, 0 if there is none."""
+    if 'region_link_mbps' not in fields:
+        return 0
+    return _parse_bound(fields, 'region_link_mbps', _LINK_MBPS) * _MBPS_BYTES
+
+
 def _parse_flag(fields: Mapping, name: str) -> bool:
     word = fields.get(name, 'false').strip().lower()
     if word not in {'true', 'false'}:
--- a/tests/godwitknot/platform/test_settings_file.py
+++ b/tests/godwitknot/platform/test_settings_file.py
@@ -70,6 +70,15 @@
             read_bounds(entry)
 
 
+def test_link_between_regions_has_no_bound_where_it_is_missing():
+    """Guards against requests that cross regions in older deployments."""
+    assert not read_bounds().region_link_bytes
+    assert read_bounds('region_link_mbps=30').region_link_bytes == 3750000
+    for number in ('much', '-1', 'nan'):
+        with pytest.raises(PlatformFormatError, match='region_link_mbps'):
+            read_bounds(f'region_link_mbps={number}')
+
+
 @pytest.mark.parametrize('text', ['', '[1]', 'a: [', 'node_id: x', 'bounds: 3'])
 def test_damaged_settings_have_an_error_of_their_own(text):
     with pytest.raises(PlatformFormatError):
