Move the limit on doubtful servers out of the request context

Change: overload/doubtlimit.py has the limit, its state and the order in which doubtful servers are accepted.

Result: no change of behaviour; tests of offer order, dispatcher, request context, attempts and layers pass.

--- a/godwitknot/mesh/attempts.py
+++ b/godwitknot/mesh/attempts.py
@@ -139,7 +139,9 @@
         last_resort=context.is_last_resort,
         account=context.account_name,
         account_version=0 if target.local else context.account_version,
-        max_doubt=context.max_doubt,
+        max_doubt=context.doubt_limit.find_limit(
+            is_final_send=context.is_final_send
+        ),
         returning=context.returning,
         # Most offers to other regions are refused.
         two_phase=target.remote and has_new_protocol,
--- a/godwitknot/mesh/requestcontext.py
+++ b/godwitknot/mesh/requestcontext.py
@@ -8,6 +8,7 @@
 from godwitknot.mesh.messages import Load
 from godwitknot.mesh.model import HttpRequest, HttpResponse, Route
 from godwitknot.outcomes import Code, Outcome, RefusalError
+from godwitknot.overload.doubtlimit import DoubtLimit
 from godwitknot.overload.waitlimits import WaitLimits
 from godwitknot.overload.workcounts import ActiveRequest
 from godwitknot.units import Address
@@ -30,12 +31,6 @@
 _LAST_RESORT_ROUND = 2
 # A repeat that is refused for want of a budget is hardly covered elsewhere.
 _MAX_BUDGET_REFUSALS = 2
-# A request that is sent for the last time goes first to servers that hang no
-# more probably than this: servers with recent answers, and idle ones where
-# hangs are rare. With 0.17, 0.176 of such requests were lost
-# beside servers that hang instead of 0.164. With 0.02, healthy servers got too
-# few trials after faults.
-_MAX_DOUBT = 0.08
 # Retry time for callers when no server has stated one.
 _DEFAULT_RETRY_SECONDS = 0.5
 # First version of the protocol with accounts in offers.
@@ -56,8 +51,7 @@
     :ivar barred: nodes that refused it for a reason other than lack of
         capacity.
     :ivar queued_at: nodes whose queue it has tried to join.
-    :ivar doubts: probability of a hang of the servers that refused it in this
-        round for that only.
+    :ivar doubt_limit: which doubtful servers it accepts.
     :ivar round_refusals: refusals in this round.
     :ivar rounds: rounds of offers that were begun after the first one.
     :ivar asked_remote: whether it was offered to another region in this round.
@@ -75,8 +69,6 @@
         was told to.
     :ivar returns_early: whether its caller returns before it was told to, so
         that it waits for no slot.
-    :ivar accepts_doubtful: whether the servers that are not doubtful have no
-        room.
     :ivar active: its entry in the counts of work.
     :ivar fallback: response for the caller if no better one arrives.
     """
@@ -94,7 +86,7 @@
     refused_by: set[Address] = attrs.field(factory=set)
     barred: set[Address] = attrs.field(factory=set)
     queued_at: set[Address] = attrs.field(factory=set)
-    doubts: dict[Address, float] = attrs.field(factory=dict)
+    doubt_limit: DoubtLimit = attrs.field(factory=DoubtLimit)
     round_refusals: int = 0
     rounds: int = 0
     asked_remote: bool = False
@@ -110,7 +102,6 @@
     may_have_run: bool = False
     active: ActiveRequest | None = None
     fallback: HttpResponse | None = None
-    accepts_doubtful: bool = False
     returning: bool = False
     returns_early: bool = False
 
@@ -164,35 +155,6 @@
         """Whether no other send can replace the one that was counted last."""
         return not (self.repeatable and self.may_send_again)
 
-    @property
-    def max_doubt(self) -> float:
-        """Highest probability of a hang of a server that it is offered to.
-
-        0 leaves the limit to the server.
-        """
-        if self.is_final_send and not self.accepts_doubtful:
-            return _MAX_DOUBT
-        return 0
-
-    def accept_doubtful(self) -> list[Address]:
-        """Offer it to doubtful servers too, since no other one has room.
-
-        :returns: nodes of those that refused it for their doubt only, the
-            least doubtful one first.
-        """
-        self.accepts_doubtful = True
-        addresses = sorted(self.doubts, key=self.doubts.__getitem__)
-        self.doubts.clear()
-        return addresses
-
-    def reject_doubtful(self) -> None:
-        """Offer it to servers that are not doubtful only.
-
-        While it may wait for one in its own region, a doubtful server of
-        another region is no better.
-        """
-        self.accepts_doubtful = self.is_last_resort
-
     @property
     def may_send_again(self) -> bool:
         """Whether the route allows another send."""
@@ -269,8 +231,7 @@
         """Start a round in which nodes that refused it may be asked again."""
         self.rounds += 1
         self.refused_by.clear()
-        self.doubts.clear()
-        self.accepts_doubtful = self.is_last_resort
+        self.doubt_limit.begin_round(is_last_resort=self.is_last_resort)
         self.round_refusals = 0
         self.asked_remote = False
         self.asked_long_queue = False
@@ -347,7 +308,7 @@
         if error.code not in {Code.QUEUE_FULL, Code.DOUBTFUL}:
             self.barred.add(address)
         if error.code is Code.DOUBTFUL and load is not None:
-            self.doubts[address] = load.doubt
+            self.doubt_limit.record(address, load.doubt)
         if error.code is Code.SERVER_SHED:
             self.excluded.add(address)
             return
--- a/godwitknot/mesh/targetsearch.py
+++ b/godwitknot/mesh/targetsearch.py
@@ -120,7 +120,7 @@
 
         A request is not refused untried while a server is free.
         """
-        for address in context.accept_doubtful():
+        for address in context.doubt_limit.accept():
             target = self._selector.find(context.service, address)
             if target is not None:
                 return target
@@ -205,7 +205,8 @@
             return None
         target = self._choose_remote(context, used, region)
         if target is not None:
-            context.reject_doubtful()
+            # A doubtful server there is no better than a wait here.
+            context.doubt_limit.accepts_doubtful = context.is_last_resort
             self._telemetry.count('requests_sent_ahead')
             self._log.write_good(
                 'request sent ahead',
