Ask nodes last that have not answered the latest probe

Change: nodes whose latest probe is unanswered come last, and draws no longer depend on the order of a set.

Result: the new test passes; tests of freshness pass.

--- a/godwitknot/accounts/majoritycontact.py
+++ b/godwitknot/accounts/majoritycontact.py
@@ -57,7 +57,8 @@
     ) -> list[Hashable]:
         """Return nodes to ask now, so that a majority stays in contact.
 
-        Those that answered last come first, then those not asked lately.
+        Those that answered last come first, then those not asked lately. Nodes
+        that have not answered the latest probe come last.
 
         :param max_seconds: longest age of a contact that counts.
         """
@@ -77,6 +78,8 @@
         if missing <= 0:
             return []
         candidates = [node for node in due if node not in waiting]
+        # Sets have no fixed order, which would make draws differ for one seed.
+        candidates.sort(key=str)
         rng.shuffle(candidates)
         candidates.sort(key=self._rate_age)
         spare = -(-missing // _NODES_PER_SPARE)
@@ -84,9 +87,10 @@
         self._probed.update(dict.fromkeys(drawn, now))
         return drawn
 
-    def _rate_age(self, node: Hashable) -> tuple[float, float]:
+    def _rate_age(self, node: Hashable) -> tuple[bool, float, float]:
         reached = self._reached.get(node, -math.inf)
-        return (-reached, self._probed.get(node, -math.inf))
+        probed = self._probed.get(node, -math.inf)
+        return (probed > reached, -reached, probed)
 
     def _count_missing(self, max_seconds: float) -> int:
         """Return how many more nodes have to answer for a majority.
--- a/tests/godwitknot/accounts/test_freshness.py
+++ b/tests/godwitknot/accounts/test_freshness.py
@@ -7,6 +7,7 @@
 import pytest
 
 from godwitknot.accounts.freshness import Freshness
+from godwitknot.accounts.majoritycontact import MajorityContact
 from godwitknot.clock import ManualClock
 
 OLD_VERSION = 4
@@ -150,6 +151,20 @@
     assert not freshness.list_probes(nodes, REVOKE_SECONDS, random.Random(1))
 
 
+def test_nodes_that_do_not_answer_are_asked_last(clock):
+    """Guards against live nodes that are not asked while others are gone."""
+    contact = MajorityContact(clock)
+    contact.update_nodes(range(9), 10)
+    for node in range(9):
+        contact.record(node, clock.now())
+    clock.advance(6)
+    first = contact.draw_probes(10, random.Random(1))
+    clock.advance(1.1)
+    second = contact.draw_probes(10, random.Random(1))
+    assert second
+    assert not set(first) & set(second[: 9 - len(first)])
+
+
 def test_node_of_the_previous_release_counts_as_before(freshness, clock):
     """Guards against accounts that stop during the change of a release."""
     freshness.record_configuration(OLD_VERSION)
