See a key that was lost over a version without accounts

Cause, found in review: a version without accounts discarded the table that the next one is compared with, so that a sender which missed both went on with a key that the account had lost.

Change: the last table stays; without accounts, offers are not checked.

Result: the new test is one of the sequence that the review describes; the tests of account checks pass.

--- a/godwitknot/mesh/accountchecks.py
+++ b/godwitknot/mesh/accountchecks.py
@@ -175,6 +175,8 @@
 
         :raises RefusalError: not run.
         """
+        if self._keyring is None:
+            return
         if offer.account in self._removed:
             raise RefusalError(Code.ACCOUNT_KEY, detail='removed account')
         needed_version = self._losses.find_version(offer.account)
@@ -238,9 +240,8 @@
         self, accounts: Mapping[str, ClientAccount] | None
     ) -> None:
         if accounts is None:
-            # Nobody needs an account any more.
-            self._accounts = {}
-            self._removed.clear()
+            # Nobody needs an account now. A later version is compared with the
+            # last accounts, since senders may have missed both versions.
             return
         self._losses.record(self.version, self._accounts, accounts)
         for added in accounts:
--- a/tests/godwitknot/mesh/test_accountchecks.py
+++ b/tests/godwitknot/mesh/test_accountchecks.py
@@ -395,6 +395,19 @@
     assert caught.value.needed_version == 2
 
 
+def test_key_lost_over_a_version_without_accounts_is_a_loss(
+    admission, accounts
+):
+    """Guards against a revoked key of a sender that missed both versions."""
+    accounts.adopt()
+    admission.release(asyncio.run(admission.admit(make_offer(account='fjord'))))
+    accounts.adopt(make_account('fjord', 'k9'), SKERRY)
+    with pytest.raises(RefusalError) as caught:
+        offer = make_offer(account='fjord', account_version=1)
+        asyncio.run(admission.admit(offer))
+    assert caught.value.needed_version == 3
+
+
 def test_account_that_returns_is_served_again(admission, accounts):
     """Guards against accounts that stay removed."""
     accounts.adopt(SKERRY)
