Gather a body until the deadline only

Cause, found in review: a caller that sends one byte each few seconds of a body that must be gathered whole held its memory and its quota long past the deadline.

Change: the wait ends at the deadline, and the request as not run.

Result: the new test fails with the old code (5 s pass without an end) and passes; tests of the dispatcher pass.

--- a/godwitknot/mesh/dispatcher.py
+++ b/godwitknot/mesh/dispatcher.py
@@ -272,7 +272,7 @@
             target, max_wait = self._search.choose(context)
             if target is not None:
                 if not target.takes(context.http_request.stream):
-                    await context.gather_body()
+                    await context.gather_body(self._clock.now())
                 self._send(context, target, max_wait, attempts)
                 return
             pause = context.begin_pause(self._clock.now())
--- a/godwitknot/mesh/requestcontext.py
+++ b/godwitknot/mesh/requestcontext.py
@@ -1,5 +1,7 @@
 """The state of one caller's request over all its attempts."""
 
+import asyncio
+
 import attrs
 
 from godwitknot.accounts.clientaccount import ClientAccount
@@ -166,14 +168,18 @@
         stream = self.http_request.stream
         return stream is not None and stream.started
 
-    async def gather_body(self) -> None:
+    async def gather_body(self, now: float) -> None:
         """Hold the whole body, for a node that does not take it in parts.
 
+        :param now: time on the node's clock.
         :raises RefusalError: not run, if the body does not arrive or there is
             no room for it.
         """
         try:
-            body = await self.http_request.stream.gather()
+            async with asyncio.timeout(max(0, self.deadline - now)):
+                body = await self.http_request.stream.gather()
+        except TimeoutError as error:
+            raise self.conclude_late() from error
         except BodyTooLargeError as error:
             raise RefusalError(Code.BODY_TOO_LARGE) from error
         except BodyLostError as error:
--- a/tests/godwitknot/mesh/test_requestcontext.py
+++ b/tests/godwitknot/mesh/test_requestcontext.py
@@ -1,8 +1,12 @@
 """The final refusal tells the caller whether the request has run."""
 
+import asyncio
+
+import attrs
 import pytest
 from test_dispatcher import make_context
 
+from godwitknot.mesh.bodystream import BodyStream
 from godwitknot.mesh.model import RouteKind
 from godwitknot.outcomes import Code, Outcome, RefusalError
 from godwitknot.units import Address
@@ -47,3 +51,27 @@
         clock.advance(pause or 0)
     assert context.rounds == expected
     assert context.is_last_resort == (code is Code.EJECTED)
+
+
+class EndlessBody(BodyStream):
+    """Arrives in small parts and never ends."""
+
+    async def _read_part(self):
+        await asyncio.sleep(0.01)
+        return b'x'
+
+
+def test_body_is_not_gathered_beyond_the_deadline(clock):
+    """Guards against a slow body that holds memory for ever."""
+    context = make_context(clock, RouteKind.AT_MOST_ONCE, 0.1, 0.1)
+    stream = EndlessBody(1000000)
+    context.http_request = attrs.evolve(context.http_request, stream=stream)
+
+    async def gather():
+        async with asyncio.timeout(5):
+            await context.gather_body(clock.now())
+
+    with pytest.raises(RefusalError) as caught:
+        asyncio.run(gather())
+    assert caught.value.code is Code.QUEUE_FULL
+    assert caught.value.outcome is Outcome.NOT_RUN
