Rename what a reviewer had to look up

Borrowing becomes RegionOverflow, find_lender find_region_with_room and is_refused record_refusal, which changes state. Three comments say what they mean.

--- a/bench/overload/spreadplay.py
+++ b/bench/overload/spreadplay.py
@@ -95,7 +95,7 @@
 class LocalFirstSelector(CountedSelector):
     """Never asks another region ahead of need."""
 
-    def find_lender(self, service: str) -> str | None:
+    def find_region_with_room(self, service: str) -> str | None:
         """Return no region."""
 
 
--- a/godwitknot/accounts/fallbackshare.py
+++ b/godwitknot/accounts/fallbackshare.py
@@ -17,8 +17,8 @@
 class FallbackShares:
     """A bucket of the rate divided by the number of nodes, for each account.
 
-    The share of a small account is below one token for minutes. A request then
-    stakes the fraction that is there: the expected use over all nodes is
+    The share of a small account is below one token for minutes. A request then runs
+    with the probability of that fraction: the expected use over all nodes is
     exactly the quota, and nodes that have all saved a fraction cannot spend a
     whole token each at the same time.
     """
@@ -56,9 +56,9 @@
         if share.level >= 1:
             share.level -= 1
             return True
-        staked = share.level
+        probability = share.level
         share.level = float(0)
-        return self._rng.random() < staked
+        return self._rng.random() < probability
 
     def forget(self, name: str) -> None:
         """Empty a share, once the home of the account answers."""
--- a/godwitknot/memory/serverbodies.py
+++ b/godwitknot/memory/serverbodies.py
@@ -42,7 +42,7 @@
     """Return whether the next part of a body may be sent.
 
     Room for the rest of the earliest body that is still arriving is kept, so
-    that bodies never wait for each other in a circle: it waits only for bodies
+    that bodies cannot deadlock: it waits only for bodies
     that are complete, and thus for the ends of their runs.
 
     :param budget: bytes that the server may hold.
--- a/godwitknot/mesh/accountchecks.py
+++ b/godwitknot/mesh/accountchecks.py
@@ -50,8 +50,8 @@
         """Whether it must be checked under a newer configuration first."""
         return not self.revoked and self.checks.version < self.needed_version
 
-    def is_refused(self, node: Address, error: RefusalError) -> bool:
-        """Return whether a node refused it as checked too long ago.
+    def record_refusal(self, node: Address, error: RefusalError) -> bool:
+        """Record a refusal; return whether it was checked too long ago.
 
         Its next check waits for the version that the node has asked for. A
         node that asks for the same one again refuses the request as others do.
--- a/godwitknot/mesh/bodystream.py
+++ b/godwitknot/mesh/bodystream.py
@@ -28,7 +28,7 @@
 # without data for this long is given up.
 _SILENCE_SECONDS = 3.0
 
-# How often a part that has to wait is tried again.
+# How often a part that waits for room at the server is tried again.
 _POLL_SECONDS = 0.05
 
 _Answer = typing.TypeVar('_Answer')
--- a/godwitknot/mesh/requestcontext.py
+++ b/godwitknot/mesh/requestcontext.py
@@ -305,7 +305,7 @@
                 raise error
             return
         self.refusals += 1
-        if self.key is not None and self.key.is_refused(address, error):
+        if self.key is not None and self.key.record_refusal(address, error):
             self.sends -= 1
             return
         self.round_refusals += 1
--- a/godwitknot/mesh/serverselector.py
+++ b/godwitknot/mesh/serverselector.py
@@ -17,7 +17,7 @@
 from godwitknot.mesh.messages import Load
 from godwitknot.mesh.model import Placement
 from godwitknot.mesh.runtime import Runtime
-from godwitknot.overload.borrowing import Borrowing
+from godwitknot.overload.regionoverflow import RegionOverflow
 from godwitknot.units import Address
 
 # Of the status of a server; 407 as measured with 5,000.
@@ -154,7 +154,7 @@
         # Doubts that servers usually report, by service.
         self._usual_doubts: dict[str, float] = {}
         self.contacts = Contacts()
-        self._borrowing = Borrowing(runtime.clock, placement.region)
+        self._overflow = RegionOverflow(runtime.clock, placement.region)
 
     @property
     def unreachable(self) -> dict[Address, float]:
@@ -218,7 +218,7 @@
                 return self._make_target(member)
         return None
 
-    def find_lender(self, service: str) -> str | None:
+    def find_region_with_room(self, service: str) -> str | None:
         """Return the region to ask before requests wait in the own one.
 
         :returns: ``None`` if they are to stay in the own region first, as they
@@ -227,7 +227,7 @@
         if not self.region_link_bytes:
             return None
         servers = self._directory.find_servers(service)
-        return self._borrowing.find_lender(
+        return self._overflow.find_region_with_room(
             service, {member.region for member in servers}
         )
 
@@ -256,7 +256,7 @@
             usual = self._usual_doubts.get(service, load.doubt)
             usual += _DOUBT_SMOOTHING * (load.doubt - usual)
             self._usual_doubts[service] = usual
-            self._borrowing.record_load(
+            self._overflow.record_load(
                 target.member.service,
                 target.member.region,
                 (load.running + load.waiting) / max(1, load.slots),
--- a/godwitknot/mesh/targetsearch.py
+++ b/godwitknot/mesh/targetsearch.py
@@ -193,7 +193,7 @@
         self, context: RequestContext, used: set[Address]
     ) -> Target | None:
         """Return a server of a region with room, if the own one has none."""
-        region = self._selector.find_lender(context.service)
+        region = self._selector.find_region_with_room(context.service)
         if region is None or not context.may_ask_remote:
             return None
         if not self._byte_bound.try_spend(
--- a/godwitknot/overload/borrowing.py
+++ b/godwitknot/overload/regionoverflow.py
@@ -22,7 +22,7 @@
 _MAX_SERVICES = 64
 
 
-class Borrowing:
+class RegionOverflow:
     """Compares the forecasts of the regions that serve a service."""
 
     def __init__(self, clock: Clock, region: str) -> None:
@@ -50,7 +50,9 @@
         if service in self._doubted or len(self._doubted) < _MAX_SERVICES:
             self._doubted[service] = self._clock.now()
 
-    def find_lender(self, service: str, regions: Collection[str]) -> str | None:
+    def find_region_with_room(
+        self, service: str, regions: Collection[str]
+    ) -> str | None:
         """Return the region that is to take a request ahead of need.
 
         :param regions: with servers of the service.
--- a/tests/godwitknot/overload/test_borrowing.py
+++ b/tests/godwitknot/overload/test_regionoverflow.py
@@ -8,13 +8,13 @@
 import pytest
 
 from godwitknot.clock import ManualClock
-from godwitknot.overload.borrowing import Borrowing
+from godwitknot.overload.regionoverflow import RegionOverflow
 from godwitknot.overload.bytebound import ByteBound
 
 STEP_SECONDS = 0.25
 # Time until reports count for next to nothing.
 FORGOTTEN_SECONDS = 30
-# Load of the other region at its start, and at which it is to lend no more.
+# Load of the other region at its start, and at which it is to take no more.
 STARTED, STOPPED = 0.3, 0.7
 # Part of the time in which one region is full and the other has room.
 LEAST_SHARE, LARGEST_SHARE = 0.2, 0.6
@@ -28,19 +28,21 @@
 @pytest.fixture
 def play(clock):
     """Report the loads of both regions for some seconds."""
-    borrowing = Borrowing(clock, 'own')
+    overflow = RegionOverflow(clock, 'own')
 
     def report(find_own, find_other, seconds=6):
-        lenders = []
+        regions = []
         for step in range(int(seconds / STEP_SECONDS)):
             clock.advance(STEP_SECONDS)
             at = step * STEP_SECONDS
-            borrowing.record_load('seat', 'own', find_own(at))
-            borrowing.record_load('seat', 'other', find_other(at))
-            lenders.append(borrowing.find_lender('seat', {'own', 'other'}))
-        return lenders
-
-    report.borrowing = borrowing
+            overflow.record_load('seat', 'own', find_own(at))
+            overflow.record_load('seat', 'other', find_other(at))
+            regions.append(
+                overflow.find_region_with_room('seat', {'own', 'other'})
+            )
+        return regions
+
+    report.overflow = overflow
     return report
 
 
@@ -49,7 +51,7 @@
     assert not any(play(lambda at: 0.9, lambda at: 0))
 
 
-def test_full_region_borrows_from_one_with_room(play):
+def test_full_region_asks_one_with_room(play):
     assert play(lambda at: 1.3, lambda at: 0.4)[-1] == 'other'
 
 
@@ -58,14 +60,14 @@
     assert not any(play(lambda at: 1.3, lambda at: 1.2)[4:])
 
 
-def test_rising_wave_stops_borrowing_before_the_peak(play):
+def test_rising_wave_stops_requests_before_its_peak(play):
     """Guards against a wave that finds its region full of other requests."""
 
     def rise(at):
         return 0.3 + 0.1 * at
 
-    lenders = play(lambda at: 1.3, rise, seconds=8)
-    last = max(index for index, each in enumerate(lenders) if each)
+    regions = play(lambda at: 1.3, rise, seconds=8)
+    last = max(index for index, each in enumerate(regions) if each)
     assert STARTED < rise(last * STEP_SECONDS) < STOPPED
 
 
@@ -73,16 +75,16 @@
     def wave(phase):
         return lambda at: 0.8 + 0.5 * math.cos(2 * math.pi * at / 17 - phase)
 
-    lenders = play(wave(0), wave(math.pi), seconds=34)
-    share = lenders.count('other') / len(lenders)
+    regions = play(wave(0), wave(math.pi), seconds=34)
+    share = regions.count('other') / len(regions)
     assert LEAST_SHARE < share < LARGEST_SHARE
 
 
 def test_old_reports_are_forgotten(play, clock):
-    """Guards against borrowing because of a wave that has passed."""
+    """Guards against overflow because of a wave that has passed."""
     play(lambda at: 1.4, lambda at: 0)
     clock.advance(FORGOTTEN_SECONDS)
-    assert play.borrowing.find_lender('seat', {'own', 'other'}) is None
+    assert play.overflow.find_region_with_room('seat', {'own', 'other'}) is None
 
 
 def test_bytes_between_regions_stay_below_the_share_of_a_node(clock):
@@ -106,9 +108,9 @@
     assert bound.try_spend('seat', 1000, nodes=10)
 
 
-def test_region_with_hanging_servers_borrows_nothing(play, clock):
+def test_region_with_hanging_servers_asks_no_other(play, clock):
     """Guards against offers that cross because hung runs fill the slots."""
     play(lambda at: 1.3, lambda at: 0.4)
-    play.borrowing.record_load('seat', 'own', 1.3, 0.9)
-    assert play.borrowing.find_lender('seat', {'own', 'other'}) is None
+    play.overflow.record_load('seat', 'own', 1.3, 0.9)
+    assert play.overflow.find_region_with_room('seat', {'own', 'other'}) is None
     assert play(lambda at: 1.3, lambda at: 0.4)[-1] == 'other'
