--- a/bench/gray/rules.py
+++ b/bench/gray/rules.py
@@ -202,6 +202,7 @@
         avoided: bool,
         reach: Reach,
         protocol: int = 0,
+        region: str | None = None,
     ) -> Target | None:
         """Return the server that was selected longest ago."""
         members = [
@@ -210,6 +211,7 @@
             if member.address not in excluded
             and (member.region == self._placement.region)
             == (reach is Reach.OWN_REGION)
+            and region in {None, member.region}
         ]
         if not members:
             return None
