Apply a reloaded bound on bytes between regions

Cause: the byte bound was read once at the start, while the rest of the decision reads the current settings. A bound added by a reload enabled the decision with a budget of 0, so that each request was kept back until a restart; a changed one was ignored.

Change: each decision uses the bound of the current settings.

--- a/godwitknot/mesh/targetsearch.py
+++ b/godwitknot/mesh/targetsearch.py
@@ -196,6 +196,8 @@
         region = self._selector.find_region_with_room(context.service)
         if region is None or not context.may_ask_remote:
             return None
+        # The settings may have been reloaded.
+        self._byte_bound.link_bytes = self._selector.region_link_bytes
         if not self._byte_bound.try_spend(
             context.service,
             _count_body_bytes(context.http_request),
--- a/godwitknot/overload/bytebound.py
+++ b/godwitknot/overload/bytebound.py
@@ -20,11 +20,11 @@
 
     Both ways count together, which uses less than the bound of either.
 
-    :param link_bytes: that the link carries, in bytes a second each way.
+    :ivar link_bytes: that the link carries, in bytes a second each way.
     """
 
     _clock: Clock
-    _link_bytes: float
+    link_bytes: float
     _spent: float = 0
     _updated: float = 0
     _response_bytes: dict[str, float] = attrs.field(factory=dict)
@@ -50,7 +50,7 @@
         """
         expected = self._response_bytes.get(service, _INITIAL_RESPONSE_BYTES)
         cost = body_bytes + expected
-        rate = _USED_SHARE * self._link_bytes / max(1, nodes)
+        rate = _USED_SHARE * self.link_bytes / max(1, nodes)
         now = self._clock.now()
         # What was spent is refilled at the rate, which changes with the fleet.
         spent = max(0, self._spent - rate * (now - self._updated))
--- a/tests/godwitknot/mesh/test_offerorder.py
+++ b/tests/godwitknot/mesh/test_offerorder.py
@@ -194,6 +194,25 @@
     assert (relay.servers[-1] in OTHER_REGION) == crosses
 
 
+def test_bound_of_reloaded_settings_is_used(run, relay, placement):
+    """Guards against a bound that takes effect only after a restart."""
+
+    async def report_load(address, round_trip, exchange):
+        placement.bounds = attrs.evolve(
+            placement.bounds, region_link_bytes=LINK_BYTES
+        )
+        relay.offers.append(exchange.offer)
+        is_remote = exchange.offer.server_id in OTHER_REGION
+        exchange.load = Load(1, 0, 5) if is_remote else Load(5, 3, 5)
+        if not (is_remote or exchange.offer.max_wait):
+            raise FULL
+        return HttpResponse(200, [], b'done')
+
+    relay.run = report_load
+    run(RouteKind.AT_MOST_ONCE, 4)
+    assert relay.servers[-1] in OTHER_REGION
+
+
 def test_region_that_accepts_nothing_is_rarely_asked(run, relay):
     """Guards against offers that fill the link between saturated regions.
 
