--- a/review/smallfleet.py
+++ b/review/smallfleet.py
@@ -443,3 +443,62 @@
         sealed=response.headers.get('Godwitknot-Server-Seal') is not None,
         retry_after=response.headers.get('Retry-After'),
     )
+
+
+class Proxy:
+    """A TCP proxy whose open connections can go silent while new ones work."""
+
+    def __init__(self, host, target):
+        self._target = target
+        self._open = []
+        self._lock = threading.Lock()
+        self._listener = socket.create_server((host, 0), backlog=256)
+        self.address = '{}:{}'.format(*self._listener.getsockname()[:2])
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def silence(self):
+        """Pass on nothing more on the connections that are open."""
+        with self._lock:
+            for link in self._open:
+                link['silent'] = True
+            count = len(self._open)
+            self._open.clear()
+        return count
+
+    def _accept(self):
+        host, port = self._target.split(':')
+        while True:
+            client, _ = self._listener.accept()
+            try:
+                server = socket.create_connection((host, int(port)), timeout=1)
+            except OSError:
+                client.close()
+                continue
+            server.settimeout(None)
+            link = {'silent': False}
+            with self._lock:
+                self._open.append(link)
+            for source, target in ((client, server), (server, client)):
+                threading.Thread(
+                    target=self._pass_on,
+                    args=(link, source, target),
+                    daemon=True,
+                ).start()
+
+    def _pass_on(self, link, source, target):
+        try:
+            while data := source.recv(65536):
+                if not link['silent']:
+                    target.sendall(data)
+        except OSError:
+            data = b''
+        if link['silent']:
+            return
+        with self._lock:
+            if link in self._open:
+                self._open.remove(link)
+        for sock in (source, target):
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
