--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,10 @@
 # file. They are Python programs: nothing is compiled, but each has to be
 # importable with the packages in target/deps, without a network.
 cd "$(dirname "$0")/.." || exit 2
+if [ ! -d target/deps ]; then
+    echo 'target/deps is missing: run the build of deploy/system.toml' >&2
+    exit 1
+fi
 export PYTHONPATH="$PWD:$PWD/target/deps:$PWD/review"
 export PYTHONDONTWRITEBYTECODE=1
 python3 -c 'import smallfleet, standins.metadatastore, godwitknot.mesh.program' || exit 1
--- a/review/smallfleet.py
+++ b/review/smallfleet.py
@@ -20,6 +20,7 @@
 import threading
 import time
 import tomllib
+import traceback
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
@@ -36,6 +37,26 @@
     return os.environ.get('TROUBLE', '1') != '0'
 
 
+def main(folder, run, bounds=()):
+    """Run a case and return its exit code.
+
+    :param run: called with the fleet and its record.
+    :param bounds: in place of those of the fleet with the same names.
+    """
+    fleet = None
+    try:
+        fleet = Fleet(folder)
+        fleet.replace_bounds(bounds)
+        return run(fleet, fleet.record)
+    except Exception:
+        # An error of the script is no fault of the nodes.
+        traceback.print_exc()
+        return NOT_RUN
+    finally:
+        if fleet is not None:
+            fleet.stop()
+
+
 class Record:
     """Lines of what happened, with seconds since the start."""
 
@@ -340,6 +361,13 @@
         self.machines = []
         self.version = 0
 
+    def replace_bounds(self, bounds):
+        names = {each.partition('=')[0] for each in bounds}
+        kept = [
+            each for each in self.bounds if each.partition('=')[0] not in names
+        ]
+        self.bounds = [*kept, *bounds]
+
     def add(self, service, slots, work_seconds):
         machine = Machine(
             self, len(self.machines) + 1, service, slots, work_seconds
